Add the interfaces between the parts of the entry process

Cause: admission, relaying, rollouts and links are built in parallel and meet at these types. Conclusion: each part compiles against fixed types.

--- /dev/null
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/version/ConfigurationSource.java
@@ -0,0 +1,27 @@
+package org.bamboorelay.entry.version;
+
+import java.util.function.Consumer;
+
+import io.vavr.control.Option;
+import org.bamboorelay.core.version.Configuration;
+
+/**
+ * The configuration in force at this host.
+ * <p>
+ * Implementations are thread-safe.
+ */
+public interface ConfigurationSource {
+
+	/**
+	 * Returns the configuration in force.
+	 * @return the configuration, or nothing before the first one
+	 */
+	Option<Configuration> current();
+
+	/**
+	 * Registers a listener for each later version, called in order of versions.
+	 * @param listener must not block
+	 */
+	void onChange(Consumer<Configuration> listener);
+
+}
