Check settings by record type and name every fault with its line

Cause: the reader stopped at the first fault and could not name its line, as the TOML parser reports positions for syntax errors only.

--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/version/SettingsReader.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/version/SettingsReader.java
@@ -1,31 +1,29 @@
 package org.bamboorelay.runtime.version;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.DeserializationFeature;
-import com.fasterxml.jackson.databind.JsonMappingException;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.PropertyNamingStrategies;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import io.vavr.control.Either;
+import org.bamboorelay.runtime.request.Json;
 
 /**
- * Reads TOML settings into a record. Keys are in snake case; an unknown or missing key is
- * a failure.
+ * Reads TOML into a record; see {@link TomlRecordChecker} for how keys and values map to
+ * components. Every fault of a file is found in one reading.
  * <p>
  * Stateless and thread-safe.
  */
 public final class SettingsReader {
 
-	private static final ObjectMapper MAPPER = TomlMapper.builder()
-		.propertyNamingStrategy(PropertyNamingStrategies.SNAKE_CASE)
-		.enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
-		.enable(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES)
-		.enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
-		.build();
+	/** The largest file that is read, in bytes. */
+	public static final long MAX_FILE_BYTES = 1_048_576;
+
+	private static final TomlMapper TOML = new TomlMapper();
 
 	private SettingsReader() {
 	}
@@ -35,23 +33,65 @@
 	 * @param <T> type of the settings
 	 * @param file the file
 	 * @param type a record whose constructor checks its values
-	 * @return the settings, or what is wrong with the file
+	 * @return the settings, or the first fault of the file
 	 */
 	public static <T> Either<SettingsFailure, T> read(Path file, Class<T> type) {
+		return readAll(file, type).mapLeft((failures) -> failures.get(0));
+	}
+
+	/**
+	 * Reads a file.
+	 * @param <T> type of the settings
+	 * @param file the file
+	 * @param type a record whose constructor checks its values
+	 * @return the settings, or all faults of the file
+	 */
+	public static <T> Either<List<SettingsFailure>, T> readAll(Path file, Class<T> type) {
 		try {
-			return Either.right(MAPPER.readValue(Files.readAllBytes(file), type));
+			if (Files.size(file) > MAX_FILE_BYTES) {
+				return failure(file, 1, "", Files.size(file) + " bytes", "at most " + MAX_FILE_BYTES + " bytes");
+			}
+			return parse(file.toString(), Files.readString(file, StandardCharsets.UTF_8), type);
 		}
-		catch (JsonMappingException ex) {
-			return Either
-				.left(new SettingsFailure(file.toString(), 0, ex.getPathReference(), "", ex.getOriginalMessage()));
+		catch (IOException ex) {
+			return failure(file, 0, "", "no readable file", "a readable file in UTF-8");
+		}
+	}
+
+	/**
+	 * Reads a text.
+	 * @param <T> type of the settings
+	 * @param name name of the text, for messages
+	 * @param text the TOML text
+	 * @param type a record whose constructor checks its values
+	 * @return the settings, or all faults of the text
+	 */
+	public static <T> Either<List<SettingsFailure>, T> parse(String name, String text, Class<T> type) {
+		JsonNode tree;
+		try {
+			tree = TOML.readTree(text);
 		}
 		catch (JsonProcessingException ex) {
 			int line = (ex.getLocation() != null) ? ex.getLocation().getLineNr() : 0;
-			return Either.left(new SettingsFailure(file.toString(), line, "", "", ex.getOriginalMessage()));
+			return Either.left(List.of(new SettingsFailure(name, line, "", ex.getOriginalMessage(), "valid TOML")));
 		}
-		catch (IOException ex) {
-			return Either.left(new SettingsFailure(file.toString(), 0, "", "", "a readable file"));
+		TomlRecordChecker checker = new TomlRecordChecker(Json.MAPPER, name, TomlLines.of(text));
+		JsonNode checked = checker.check(tree, type, "");
+		if (!checker.failures().isEmpty()) {
+			return Either.left(List.copyOf(checker.failures()));
 		}
+		try {
+			return Either.right(Json.MAPPER.treeToValue(checked, type));
+		}
+		catch (JsonProcessingException ex) {
+			return Either.left(List
+				.of(new SettingsFailure(name, 1, "", "values that do not fit together", ex.getOriginalMessage())));
+		}
+	}
+
+	private static <T> Either<List<SettingsFailure>, T> failure(Path file, int line, String key, String found,
+			String allowed) {
+		return Either.left(List.of(new SettingsFailure(file.toString(), line, key, found, allowed)));
 	}
 
 }
