--- /dev/null
+++ b/bamboorelay-load/src/main/java/org/bamboorelay/load/process/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The load program.
+ */
+@NullMarked
+package org.bamboorelay.load.process;
+
+import org.jspecify.annotations.NullMarked;
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/version/TomlRecordChecker.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/version/TomlRecordChecker.java
@@ -10,6 +10,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
+import java.util.regex.Pattern;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -34,6 +35,9 @@
 
 	private static final String MILLIS_SUFFIX = "Millis";
 
+	/** Keys that hold addresses, alone or in a list. */
+	private static final Pattern ADDRESS_PATH = Pattern.compile("address(es\\[\\d+])?$");
+
 	private final ObjectMapper mapper;
 
 	private final String file;
@@ -148,7 +152,7 @@
 		if (!value.isTextual()) {
 			return expect(value, false, path, "a text in quotes");
 		}
-		if (path.endsWith("address") && !isAddress(value.asText())) {
+		if (ADDRESS_PATH.matcher(path).find() && !isAddress(value.asText())) {
 			return expect(value, false, path, "an IPv4 address and a port, such as 127.0.0.1:8080");
 		}
 		try {
