--- a/bamboorelay-load/src/main/java/org/bamboorelay/load/process/LoadMain.java
+++ b/bamboorelay-load/src/main/java/org/bamboorelay/load/process/LoadMain.java
@@ -4,25 +4,34 @@
 import java.io.PrintStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.NullNode;
 import io.vavr.control.Either;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import org.apache.hc.core5.http.HttpStatus;
+import org.bamboorelay.load.connection.Answer;
+import org.bamboorelay.load.connection.CallerClient;
 import org.bamboorelay.load.request.CheckFailedException;
 import org.bamboorelay.load.request.Quickstart;
 import org.bamboorelay.load.request.QuickstartSettings;
+import org.bamboorelay.runtime.connection.HttpFailure;
+import org.bamboorelay.runtime.request.Json;
 import org.bamboorelay.runtime.version.SettingsFailure;
 import org.bamboorelay.runtime.version.SettingsReader;
 
 /**
  * The load program: {@code free-ports} prints free loopback ports, {@code quickstart}
- * runs one point of the quick start.
+ * runs one point of the quick start, {@code put} sets a switch of a stand-in.
  * <p>
  * Used by one thread.
  */
@@ -47,15 +56,19 @@
 		Options options = new Options().addOption(option("settings", "file of the quick start's settings"))
 			.addOption(option("point", "point of the quick start"))
 			.addOption(option("argument", "argument of the point"))
-			.addOption(option("count", "number of ports"));
+			.addOption(option("count", "number of ports"))
+			.addOption(option("address", "address of a stand-in"))
+			.addOption(option("path", "path at the stand-in"))
+			.addOption(option("body", "JSON to put there"));
 		try {
 			CommandLine line = new DefaultParser().parse(options, args);
 			String command = line.getArgList().isEmpty() ? "" : line.getArgList().get(0);
 			return switch (command) {
 				case "free-ports" -> freePorts(Integer.parseInt(line.getOptionValue("count", "1")), out);
+				case "put" -> put(line, err);
 				case "quickstart" -> quickstart(line, out, err);
-				default ->
-					throw new ParseException("unknown command \"" + command + "\", allowed: free-ports, quickstart");
+				default -> throw new ParseException(
+						"unknown command \"" + command + "\", allowed: free-ports, put, quickstart");
 			};
 		}
 		catch (ParseException | NumberFormatException ex) {
@@ -86,6 +99,21 @@
 		}
 	}
 
+	private static int put(CommandLine line, PrintStream err) {
+		JsonNode body = Json.tree(line.getOptionValue("body", "{}").getBytes(StandardCharsets.UTF_8))
+			.getOrElse(NullNode.getInstance());
+		try (CallerClient client = new CallerClient()) {
+			Either<HttpFailure, Answer> answer = client.send(line.getOptionValue("address", ""), "PUT",
+					line.getOptionValue("path", "/"), Map.of(), body);
+			if (answer.exists((received) -> received.status() < HttpStatus.SC_REDIRECTION)) {
+				return 0;
+			}
+			err.println("bamboorelay-load: "
+					+ answer.fold(HttpFailure::detail, (received) -> received.status() + " " + received.text()));
+			return EXIT_FAILED;
+		}
+	}
+
 	private static int quickstart(CommandLine line, PrintStream out, PrintStream err) {
 		Either<SettingsFailure, QuickstartSettings> settings = SettingsReader
 			.read(Path.of(line.getOptionValue("settings", "")), QuickstartSettings.class);
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/version/SettingsReader.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/version/SettingsReader.java
@@ -10,6 +10,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import io.vavr.control.Either;
+import org.bamboorelay.core.version.ConfigurationFault;
 import org.bamboorelay.runtime.request.Json;
 
 /**
@@ -89,6 +90,23 @@
 		}
 	}
 
+	/**
+	 * Finds the line of a fault that was found after the file was read.
+	 * @param file the file
+	 * @param fault the fault; its key may leave out the indexes of tables
+	 * @return the fault with its file and line
+	 */
+	public static SettingsFailure locate(Path file, ConfigurationFault fault) {
+		int line = 0;
+		try {
+			line = TomlLines.of(Files.readString(file, StandardCharsets.UTF_8)).line(fault.key(), fault.found());
+		}
+		catch (IOException ex) {
+			// The file was removed since it was read; the fault is told without its line.
+		}
+		return new SettingsFailure(file.toString(), line, fault.key(), fault.found(), fault.allowed());
+	}
+
 	private static <T> Either<List<SettingsFailure>, T> failure(Path file, int line, String key, String found,
 			String allowed) {
 		return Either.left(List.of(new SettingsFailure(file.toString(), line, key, found, allowed)));
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/version/TomlLines.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/version/TomlLines.java
@@ -22,8 +22,11 @@
 
 	private final Map<String, Integer> lines;
 
-	private TomlLines(Map<String, Integer> lines) {
+	private final Map<String, String> texts;
+
+	private TomlLines(Map<String, Integer> lines, Map<String, String> texts) {
 		this.lines = Map.copyOf(lines);
+		this.texts = Map.copyOf(texts);
 	}
 
 	/**
@@ -33,6 +36,7 @@
 	 */
 	static TomlLines of(String text) {
 		Map<String, Integer> lines = new HashMap<>();
+		Map<String, String> texts = new HashMap<>();
 		Map<String, Integer> elements = new HashMap<>();
 		String table = "";
 		int number = 0;
@@ -52,10 +56,12 @@
 				lines.put(table, number);
 			}
 			else if (key.matches()) {
-				lines.put(table.isEmpty() ? key.group(1) : table + "." + key.group(1), number);
+				String path = table.isEmpty() ? key.group(1) : table + "." + key.group(1);
+				lines.put(path, number);
+				texts.put(path, line);
 			}
 		}
-		return new TomlLines(lines);
+		return new TomlLines(lines, texts);
 	}
 
 	/**
@@ -76,4 +82,20 @@
 		return 1;
 	}
 
+	/**
+	 * Returns the last line that gives a key a value, whatever the table's index.
+	 * @param key the path without indexes
+	 * @param value a text within the value
+	 * @return the line, counted from 1; 1 where there is none
+	 */
+	int line(String key, String value) {
+		return this.texts.entrySet()
+			.stream()
+			.filter((entry) -> entry.getKey().replaceAll("\\[\\d+]", "").equals(key))
+			.filter((entry) -> entry.getValue().contains(value))
+			.mapToInt((entry) -> this.lines.get(entry.getKey()))
+			.max()
+			.orElse(1);
+	}
+
 }
