--- /dev/null
+++ b/bamboorelay-standins/src/main/java/org/bamboorelay/standins/process/HttpWeightSource.java
@@ -0,0 +1,44 @@
+package org.bamboorelay.standins.process;
+
+import java.util.Objects;
+
+import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
+import org.bamboorelay.runtime.connection.HttpConnectionPool;
+import org.bamboorelay.runtime.connection.HttpExchange;
+import org.bamboorelay.runtime.connection.HttpLimits;
+
+/**
+ * Fetches weights from the weight store.
+ * <p>
+ * Thread-safe.
+ */
+public final class HttpWeightSource implements WeightSource {
+
+	private static final int TIMEOUT_MILLIS = 10_000;
+
+	private final HttpConnectionPool pool;
+
+	private final String address;
+
+	/**
+	 * Creates a source.
+	 * @param pool the connections
+	 * @param address {@code ip:port} of the weight store
+	 */
+	public HttpWeightSource(HttpConnectionPool pool, String address) {
+		this.pool = Objects.requireNonNull(pool, "pool");
+		this.address = Objects.requireNonNull(address, "address");
+	}
+
+	@Override
+	public int fetch(String line, long version) {
+		BasicClassicHttpRequest request = new BasicClassicHttpRequest("GET", "/weights/" + line + "/" + version);
+		return this.pool.execute(this.address, request, true, TIMEOUT_MILLIS).fold((failure) -> 503, (exchange) -> {
+			try (HttpExchange open = exchange) {
+				return open.readWhole(HttpLimits.MAX_ANSWER_BYTES)
+					.fold((failure) -> 503, (bytes) -> open.response().getCode());
+			}
+		});
+	}
+
+}
--- /dev/null
+++ b/bamboorelay-standins/src/main/java/org/bamboorelay/standins/process/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The stand-ins for outside systems, and the program that starts them.
+ */
+@NullMarked
+package org.bamboorelay.standins.process;
+
+import org.jspecify.annotations.NullMarked;
