Add the entry process with plain relay, completions and peer mesh

Cause: the interfaces of the entry process had no implementation. Change: decisions on configuration, keys, freshness, membership and rendezvous in core; settings, caller front, plain and completion routes, idempotency records, TCP peer mesh, usage counters, graceful leaving and a launcher. Admission and trainer routes are plugged in by EntryMain.plugins.

--- /dev/null
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/connection/EngineStream.java
@@ -0,0 +1,226 @@
+package org.bamboorelay.entry.connection;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import org.bamboorelay.core.version.WeightVersion;
+import org.bamboorelay.entry.connection.EngineClient.EngineEvent;
+import org.bamboorelay.entry.connection.EngineClient.Finish;
+import org.bamboorelay.runtime.connection.HttpExchange;
+import org.bamboorelay.runtime.request.Json;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The events of one running stream. The id and the number of each event are checked, and
+ * the stream counts as whole only after its last event, {@code [DONE]} and the end of the
+ * HTTP framing.
+ * <p>
+ * Used by one thread at a time; {@link #abort()} may be called by any thread.
+ */
+public final class EngineStream implements AutoCloseable {
+
+	private static final String DATA = "data:";
+
+	private static final String DONE = "[DONE]";
+
+	/** The longest event, in characters, so that a broken engine cannot fill memory. */
+	private static final int MAX_EVENT_CHARS = 1_048_576;
+
+	private final HttpExchange exchange;
+
+	private final String requestId;
+
+	private final long startedNanos;
+
+	private final BufferedReader reader;
+
+	private int nextIndex;
+
+	private long tokens;
+
+	private long firstByteMillis;
+
+	private @Nullable String finishReason;
+
+	private boolean whole;
+
+	private EngineStream(HttpExchange exchange, String requestId, long startedNanos) throws IOException {
+		this.exchange = exchange;
+		this.requestId = requestId;
+		this.startedNanos = startedNanos;
+		this.reader = new BufferedReader(new InputStreamReader(exchange.body(), StandardCharsets.UTF_8));
+	}
+
+	static EngineStream of(HttpExchange exchange, String requestId, long startedNanos) throws IOException {
+		return new EngineStream(exchange, requestId, startedNanos);
+	}
+
+	/**
+	 * Waits for the next event with text.
+	 * @return the event, nothing after the stream ended whole, or the failure
+	 */
+	public Either<EngineFailure, Option<EngineEvent>> next() {
+		try {
+			while (!this.whole) {
+				String data = nextData();
+				if (data == null) {
+					return Either.left(new EngineFailure.Truncated(
+							"the stream ended after " + this.nextIndex + " events without its last event"));
+				}
+				if (DONE.equals(data)) {
+					if (this.finishReason == null) {
+						return Either.left(new EngineFailure.Truncated("[DONE] came before the last event"));
+					}
+					finish();
+					continue;
+				}
+				Either<EngineFailure, EngineEvent> event = parse(data);
+				if (event.isLeft()) {
+					return Either.left(event.getLeft());
+				}
+				if (!event.get().text().isEmpty() || event.get().tokens() > 0) {
+					return Either.right(Option.some(event.get()));
+				}
+			}
+			return Either.right(Option.none());
+		}
+		catch (IOException ex) {
+			return Either.left(new EngineFailure.Truncated("the stream broke: " + ex.getMessage()));
+		}
+	}
+
+	/**
+	 * Returns how the stream ended. To be called after {@link #next()} returned nothing.
+	 * @return the end
+	 */
+	public Finish end() {
+		if (this.finishReason == null) {
+			throw new IllegalStateException("the stream has not ended");
+		}
+		return new Finish(this.finishReason, this.tokens, this.firstByteMillis);
+	}
+
+	/**
+	 * Returns the tokens that came so far.
+	 * @return the number of tokens
+	 */
+	public long tokens() {
+		return this.tokens;
+	}
+
+	/**
+	 * Returns the time to the first event.
+	 * @return the time in milliseconds; 0 before the first event
+	 */
+	public long firstByteMillis() {
+		return this.firstByteMillis;
+	}
+
+	/**
+	 * Tells whether more of the stream can be read without waiting.
+	 * @return whether some bytes are buffered
+	 */
+	public boolean isBuffered() {
+		try {
+			return this.reader.ready();
+		}
+		catch (IOException ex) {
+			return false;
+		}
+	}
+
+	/**
+	 * Closes the connection at once; a waiting {@link #next()} fails.
+	 */
+	public void abort() {
+		this.exchange.abort();
+	}
+
+	@Override
+	public void close() {
+		this.exchange.close();
+	}
+
+	private void finish() throws IOException {
+		if (nextData() != null) {
+			throw new IOException("an event came after [DONE]");
+		}
+		this.exchange.markWhole();
+		this.whole = true;
+	}
+
+	private @Nullable String nextData() throws IOException {
+		while (true) {
+			String line = readLine();
+			if (line == null) {
+				return null;
+			}
+			if (line.startsWith(DATA)) {
+				return line.substring(DATA.length()).strip();
+			}
+		}
+	}
+
+	private @Nullable String readLine() throws IOException {
+		StringBuilder line = new StringBuilder();
+		while (true) {
+			int next = this.reader.read();
+			if (next < 0) {
+				// A line without its end is a cut line, never an event.
+				return null;
+			}
+			if (next == '\n') {
+				return line.toString();
+			}
+			if (line.length() >= MAX_EVENT_CHARS) {
+				throw new IOException("an event has more than " + MAX_EVENT_CHARS + " characters");
+			}
+			line.append((char) next);
+		}
+	}
+
+	private Either<EngineFailure, EngineEvent> parse(String data) {
+		JsonNode event = Json.tree(data.getBytes(StandardCharsets.UTF_8)).getOrNull();
+		if (event == null || !event.isObject()) {
+			return wrong("an event is not a JSON object");
+		}
+		if (!this.requestId.equals(event.path("id").asText())) {
+			return wrong("an event belongs to another request");
+		}
+		int index = event.path("index").asInt(-1);
+		if (index != this.nextIndex || this.finishReason != null) {
+			return wrong("event " + index + " came where event " + this.nextIndex + " was expected");
+		}
+		int eventTokens = event.path("tokens").asInt(0);
+		if (eventTokens < 0) {
+			return wrong("an event has " + eventTokens + " tokens");
+		}
+		JsonNode reason = event.path("finish_reason");
+		if (reason.isTextual()) {
+			this.finishReason = reason.asText();
+		}
+		if (this.nextIndex == 0) {
+			this.firstByteMillis = Math.max(1, (System.nanoTime() - this.startedNanos) / 1_000_000L);
+		}
+		this.nextIndex++;
+		this.tokens += eventTokens;
+		try {
+			JsonNode version = event.path("weight_version");
+			return Either.right(new EngineEvent(index, event.path("text").asText(""), eventTokens,
+					version.isTextual() ? WeightVersion.parse(version.asText()) : null));
+		}
+		catch (IllegalArgumentException ex) {
+			return wrong("an event has a weight version that cannot be read");
+		}
+	}
+
+	private static Either<EngineFailure, EngineEvent> wrong(String detail) {
+		return Either.left(new EngineFailure.WrongAnswer(detail));
+	}
+
+}
--- /dev/null
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/connection/TcpPeerMesh.java
@@ -0,0 +1,624 @@
+package org.bamboorelay.entry.connection;
+
+import java.io.IOException;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BiConsumer;
+import java.util.function.Function;
+import java.util.function.Supplier;
+
+import io.vavr.control.Either;
+import org.bamboorelay.core.connection.PeerMessage;
+import org.bamboorelay.core.connection.PeerProtocol;
+import org.bamboorelay.core.process.Membership;
+import org.bamboorelay.core.time.Clock;
+import org.bamboorelay.core.version.Configuration;
+import org.bamboorelay.core.version.FailureDomain;
+import org.bamboorelay.core.version.HostId;
+import org.bamboorelay.core.version.Inventory;
+import org.bamboorelay.core.version.KeyHash;
+import org.bamboorelay.entry.version.LiveConfiguration;
+import org.bamboorelay.runtime.connection.PeerFailure;
+import org.bamboorelay.runtime.connection.PeerLink;
+import org.bamboorelay.runtime.connection.PeerListener;
+import org.bamboorelay.runtime.process.Counters;
+import org.bamboorelay.runtime.request.Json;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Links to all other entry hosts over TCP, with heartbeats and the exchange of
+ * configurations and withdrawn keys. Each host connects to each other one; heartbeats are
+ * sent on the links that a host opened, and answered on those that it accepted.
+ * <p>
+ * Thread-safe. The membership has a lock of its own.
+ */
+public final class TcpPeerMesh implements PeerMesh, AutoCloseable {
+
+	/** How often {@link #tick()} is to be called, in milliseconds. */
+	public static final long TICK_MILLIS = 100;
+
+	private static final Logger LOG = LoggerFactory.getLogger(TcpPeerMesh.class);
+
+	private static final String ENTRY_ROLE = "entry";
+
+	private static final long MIN_BACKOFF_MILLIS = 100;
+
+	private static final long MAX_BACKOFF_MILLIS = 2_000;
+
+	private static final long CALL_TIMEOUT_MILLIS = 2_000;
+
+	/**
+	 * Interval of full exchanges of withdrawn keys with one peer, in milliseconds. Two
+	 * different sets of equal size look the same in heartbeats.
+	 */
+	private static final long EXCHANGE_MILLIS = 2_000;
+
+	/**
+	 * Gap between two ticks after which this process counts as having been frozen, in
+	 * milliseconds. Messages that waited meanwhile are older than they say.
+	 */
+	private static final long FROZEN_MILLIS = 1_500;
+
+	private final PeerMessage.Hello hello;
+
+	private final LiveConfiguration configuration;
+
+	private final Clock clock;
+
+	private final Counters counters;
+
+	private final Executor threads;
+
+	private final Membership membership;
+
+	private final Map<String, Peer> peers = new ConcurrentHashMap<>();
+
+	private final Map<HostId, PeerLink> accepted = new ConcurrentHashMap<>();
+
+	private final Map<HostId, FailureDomain> domains = new ConcurrentHashMap<>();
+
+	private final Map<Class<?>, Function<PeerMessage, PeerMessage>> handlers = new ConcurrentHashMap<>();
+
+	private final Set<PeerLink> fetching = ConcurrentHashMap.newKeySet();
+
+	private final Set<PeerLink> exchanging = ConcurrentHashMap.newKeySet();
+
+	private volatile Supplier<List<PeerMessage.Digest>> digests = List::of;
+
+	private volatile BiConsumer<HostId, List<PeerMessage.Digest>> digestListener = (host, unused) -> {
+	};
+
+	private volatile boolean leaving;
+
+	private volatile boolean closed;
+
+	private volatile long lastTickMillis;
+
+	private volatile @Nullable PeerListener listener;
+
+	private long nextHeartbeatMillis;
+
+	private long nextExchangeMillis;
+
+	private TcpPeerMesh(PeerMessage.Hello hello, LiveConfiguration configuration, Membership membership, Clock clock,
+			Counters counters, Executor threads) {
+		this.hello = Objects.requireNonNull(hello, "hello");
+		this.configuration = Objects.requireNonNull(configuration, "configuration");
+		this.membership = Objects.requireNonNull(membership, "membership");
+		this.clock = Objects.requireNonNull(clock, "clock");
+		this.counters = Objects.requireNonNull(counters, "counters");
+		this.threads = Objects.requireNonNull(threads, "threads");
+		this.lastTickMillis = clock.millis();
+		this.domains.put(hello.host(), hello.domain());
+		register(PeerMessage.ConfigFetch.class, this::onFetch);
+		register(PeerMessage.ConfigOffer.class, this::onOffer);
+		register(PeerMessage.Withdraw.class, this::onWithdraw);
+		configuration.onChange((changed) -> threads.execute(() -> follow(changed)));
+	}
+
+	/**
+	 * Creates the mesh of a host. It opens nothing before {@link #open}.
+	 * @param hello how this host introduces itself
+	 * @param configuration the configuration and withdrawn keys to exchange
+	 * @param membership the membership; shared with the configuration's view, and locked
+	 * by its own monitor
+	 * @param clock a monotonic clock
+	 * @param counters the process's metrics
+	 * @param threads runs links, calls and connection attempts
+	 * @return the mesh
+	 */
+	public static TcpPeerMesh of(PeerMessage.Hello hello, LiveConfiguration configuration, Membership membership,
+			Clock clock, Counters counters, Executor threads) {
+		return new TcpPeerMesh(hello, configuration, membership, clock, counters, threads);
+	}
+
+	/**
+	 * Starts to listen and to connect.
+	 * @param address the IP address to listen on
+	 * @param port the port, 0 for a free one
+	 * @param bootstrap peer addresses to use before the inventory is known
+	 * @throws IOException where the address cannot be bound
+	 */
+	public void open(String address, int port, List<String> bootstrap) throws IOException {
+		PeerListener opened = PeerListener.open(address, port, this.hello, this::handle, this::onLinkEnd, this.threads);
+		this.listener = opened;
+		String own = address + ":" + opened.port();
+		bootstrap.stream().filter((peer) -> !peer.equals(own)).forEach((peer) -> this.peers.put(peer, new Peer(peer)));
+	}
+
+	/**
+	 * Returns the port that is listened on.
+	 * @return the port
+	 */
+	public int port() {
+		return Objects.requireNonNull(this.listener, "listener").port();
+	}
+
+	/**
+	 * Sets what heartbeats say of the free capacity here.
+	 * @param supplier must not block
+	 */
+	public void digests(Supplier<List<PeerMessage.Digest>> supplier) {
+		this.digests = supplier;
+	}
+
+	/**
+	 * Sets who is told of the free capacity at other hosts.
+	 * @param receiver told with each heartbeat; must not block
+	 */
+	public void onDigests(BiConsumer<HostId, List<PeerMessage.Digest>> receiver) {
+		this.digestListener = receiver;
+	}
+
+	@Override
+	public HostId self() {
+		return this.hello.host();
+	}
+
+	@Override
+	public FailureDomain domain(HostId host) {
+		FailureDomain domain = this.domains.get(host);
+		if (domain == null) {
+			throw new IllegalArgumentException("host " + host + " is not in the inventory");
+		}
+		return domain;
+	}
+
+	@Override
+	public Set<HostId> live() {
+		synchronized (this.membership) {
+			return this.membership.live();
+		}
+	}
+
+	/**
+	 * Returns the peers and their states.
+	 * @return the states by host
+	 */
+	public Map<HostId, Membership.State> states() {
+		synchronized (this.membership) {
+			return this.membership.states();
+		}
+	}
+
+	@Override
+	public Either<PeerFailure, PeerMessage> call(HostId host, PeerMessage message, long timeoutMillis) {
+		if (host.equals(self())) {
+			PeerMessage answer = answer(message);
+			return (answer instanceof PeerMessage.Rejected rejected)
+					? Either.left(new PeerFailure.Rejected(rejected.code(), rejected.detail())) : Either.right(answer);
+		}
+		PeerLink link = link(host);
+		if (link == null) {
+			return Either.left(new PeerFailure.Unreachable("there is no link to " + host));
+		}
+		return link.call(message, timeoutMillis);
+	}
+
+	@Override
+	public <M extends PeerMessage> void register(Class<M> type, Function<M, PeerMessage> handler) {
+		this.handlers.put(type, (message) -> handler.apply(type.cast(message)));
+	}
+
+	/**
+	 * Says in heartbeats that this host leaves, at once.
+	 */
+	public void startLeaving() {
+		this.leaving = true;
+		synchronized (this.membership) {
+			this.membership.leave();
+		}
+		sendHeartbeats();
+	}
+
+	/**
+	 * Withdraws keys here and tells all peers.
+	 * @param keys the hashes
+	 */
+	public void withdraw(List<KeyHash> keys) {
+		onWithdraw(new PeerMessage.Withdraw(keys));
+	}
+
+	/**
+	 * Sends heartbeats when they are due, connects again, and updates the membership. To
+	 * be called every {@link #TICK_MILLIS} by one thread.
+	 */
+	public void tick() {
+		long now = this.clock.millis();
+		boolean frozen = now - this.lastTickMillis > FROZEN_MILLIS;
+		if (frozen) {
+			LOG.atWarn()
+				.addKeyValue("event", "process.was-frozen")
+				.addKeyValue("gap_ms", now - this.lastTickMillis)
+				.log("process.was-frozen");
+			links().forEach(PeerLink::close);
+		}
+		synchronized (this.membership) {
+			this.membership.tick(now);
+		}
+		this.lastTickMillis = now;
+		this.configuration.tick();
+		this.peers.values().forEach((peer) -> connect(peer, now));
+		if (now >= this.nextHeartbeatMillis) {
+			this.nextHeartbeatMillis = now + PeerProtocol.HEARTBEAT_MILLIS;
+			sendHeartbeats();
+		}
+		if (now >= this.nextExchangeMillis) {
+			this.nextExchangeMillis = now + EXCHANGE_MILLIS;
+			List<PeerLink> open = links();
+			if (!open.isEmpty()) {
+				exchangeWithdrawals(open.get(ThreadLocalRandom.current().nextInt(open.size())));
+			}
+		}
+	}
+
+	@Override
+	public void close() {
+		this.closed = true;
+		PeerListener opened = this.listener;
+		if (opened != null) {
+			opened.close();
+		}
+		links().forEach(PeerLink::close);
+	}
+
+	private @Nullable PeerMessage handle(PeerLink link, PeerMessage message) {
+		if (message instanceof PeerMessage.Heartbeat heartbeat) {
+			onHeartbeat(link, heartbeat);
+			return null;
+		}
+		return answer(message);
+	}
+
+	private PeerMessage answer(PeerMessage message) {
+		Function<PeerMessage, PeerMessage> handler = this.handlers.get(message.getClass());
+		if (handler == null) {
+			return new PeerMessage.Rejected("not-served", message.getClass().getSimpleName() + " is not served here");
+		}
+		try {
+			return handler.apply(message);
+		}
+		catch (RuntimeException ex) {
+			// A handler's fault must not end the reading thread of the link.
+			LOG.atError()
+				.addKeyValue("event", "peer.handler-failed")
+				.addKeyValue("message", message.getClass().getSimpleName())
+				.addKeyValue("failure", ex.getClass().getSimpleName())
+				.log("peer.handler-failed");
+			return new PeerMessage.Rejected("internal-error", "the handler failed");
+		}
+	}
+
+	private void onHeartbeat(PeerLink link, PeerMessage.Heartbeat heartbeat) {
+		PeerMessage.Hello remote = link.remote();
+		boolean outgoing = this.peers.values().stream().anyMatch((peer) -> peer.link == link);
+		if (!outgoing) {
+			link.send(heartbeat());
+		}
+		if (!ENTRY_ROLE.equals(remote.role()) || remote.host().equals(self())) {
+			return;
+		}
+		long now = this.clock.millis();
+		if (now - this.lastTickMillis > FROZEN_MILLIS) {
+			return;
+		}
+		if (!outgoing) {
+			this.accepted.put(remote.host(), link);
+		}
+		this.domains.putIfAbsent(remote.host(), remote.domain());
+		synchronized (this.membership) {
+			this.membership.heartbeat(remote.host(), remote.domain(), heartbeat.leaving(), now);
+		}
+		if (!this.configuration.noteView(heartbeat.configVersion(), heartbeat.viewAgeMillis())) {
+			fetch(link);
+		}
+		if (remote.domain().equals(this.hello.domain())) {
+			this.configuration.peerHolds(heartbeat.configVersion());
+		}
+		if (heartbeat.withdrawnCount() != this.configuration.withdrawn().size()) {
+			exchangeWithdrawals(link);
+		}
+		this.digestListener.accept(remote.host(), heartbeat.digests());
+	}
+
+	private PeerMessage onFetch(PeerMessage.ConfigFetch fetch) {
+		return this.configuration.held()
+			.filter((held) -> held.version() > fetch.have())
+			.map((held) -> new PeerMessage.ConfigBody(held.version(), Json.bytes(held),
+					this.configuration.viewAgeMillis()))
+			.getOrElse(() -> new PeerMessage.ConfigBody(0, new byte[0], this.configuration.viewAgeMillis()));
+	}
+
+	private PeerMessage onOffer(PeerMessage.ConfigOffer offer) {
+		if (offer.body().length > 0 && offer.version() > this.configuration.heldVersion()) {
+			Either<PeerMessage, Configuration> parsed = Json.read(offer.body(), Configuration.class)
+				.mapLeft((failure) -> new PeerMessage.Rejected(failure.code(), failure.detail()));
+			if (parsed.isLeft()) {
+				this.counters.counter("config_offers_malformed_total").inc();
+				return parsed.getLeft();
+			}
+			take(parsed.get(), offer.ageMillis(), "offer");
+		}
+		if (!this.configuration.noteView(offer.version(), offer.ageMillis())) {
+			return new PeerMessage.Rejected("need-body", "version " + offer.version() + " is not held here");
+		}
+		this.configuration.noteAnswer();
+		return new PeerMessage.Ack(true);
+	}
+
+	private PeerMessage onWithdraw(PeerMessage.Withdraw withdraw) {
+		List<KeyHash> added = this.configuration.withdrawn().add(withdraw.keys());
+		if (!added.isEmpty()) {
+			LOG.atInfo()
+				.addKeyValue("event", "keys.withdrawn")
+				.addKeyValue("count", added.size())
+				.log("keys.withdrawn");
+			links().forEach(this::exchangeWithdrawals);
+		}
+		return new PeerMessage.Withdraw(this.configuration.withdrawn().all());
+	}
+
+	private void take(Configuration taken, long ageMillis, String source) {
+		LOG.atInfo()
+			.addKeyValue("event", "config.held")
+			.addKeyValue("version", taken.version())
+			.addKeyValue("source", source)
+			.log("config.held");
+		this.configuration.accept(taken, ageMillis);
+	}
+
+	private void fetch(PeerLink link) {
+		if (!this.fetching.add(link)) {
+			return;
+		}
+		this.threads.execute(() -> {
+			try {
+				Either<PeerFailure, PeerMessage> answer = link
+					.call(new PeerMessage.ConfigFetch(this.configuration.heldVersion()), CALL_TIMEOUT_MILLIS);
+				if (answer.isRight() && answer.get() instanceof PeerMessage.ConfigBody body) {
+					onBody(link, body);
+				}
+			}
+			finally {
+				this.fetching.remove(link);
+			}
+		});
+	}
+
+	private void onBody(PeerLink link, PeerMessage.ConfigBody body) {
+		if (body.body().length > 0) {
+			Json.read(body.body(), Configuration.class)
+				.peek((taken) -> take(taken, body.viewAgeMillis(), "peer"))
+				.peekLeft((failure) -> this.counters.counter("config_bodies_malformed_total").inc());
+			if (link.remote().domain().equals(this.hello.domain())) {
+				this.configuration.peerHolds(body.version());
+			}
+		}
+		this.configuration.noteAnswer();
+	}
+
+	private void exchangeWithdrawals(PeerLink link) {
+		if (!this.exchanging.add(link)) {
+			return;
+		}
+		this.threads.execute(() -> {
+			try {
+				// Hashes that arrive during the call are sent by the next round.
+				int before;
+				do {
+					before = this.configuration.withdrawn().size();
+					Either<PeerFailure, PeerMessage> answer = link
+						.call(new PeerMessage.Withdraw(this.configuration.withdrawn().all()), CALL_TIMEOUT_MILLIS);
+					if (answer.isLeft()) {
+						return;
+					}
+					if (answer.get() instanceof PeerMessage.Withdraw theirs) {
+						this.configuration.withdrawn().add(theirs.keys());
+					}
+				}
+				while (before != this.configuration.withdrawn().size());
+			}
+			finally {
+				this.exchanging.remove(link);
+			}
+		});
+	}
+
+	private PeerMessage.Heartbeat heartbeat() {
+		return new PeerMessage.Heartbeat(this.leaving, this.configuration.heldVersion(),
+				this.configuration.viewAgeMillis(), this.configuration.withdrawn().size(), this.digests.get());
+	}
+
+	private void sendHeartbeats() {
+		PeerMessage.Heartbeat heartbeat = heartbeat();
+		this.peers.values().forEach((peer) -> {
+			PeerLink link = peer.link;
+			// A peer that reads nothing blocks its own heartbeat only.
+			if (link != null && link.isOpen() && peer.sending.compareAndSet(false, true)) {
+				this.threads.execute(() -> {
+					try {
+						link.send(heartbeat);
+					}
+					finally {
+						peer.sending.set(false);
+					}
+				});
+			}
+		});
+	}
+
+	private void connect(Peer peer, long now) {
+		PeerLink present = peer.link;
+		if (this.closed || peer.isSelf || (present != null && present.isOpen()) || now < peer.nextAttemptMillis
+				|| !peer.connecting.compareAndSet(false, true)) {
+			return;
+		}
+		this.threads.execute(() -> {
+			try {
+				Either<PeerFailure, PeerLink> result = PeerLink.connect(peer.address, this.hello, this::handle,
+						this::onLinkEnd, this.threads);
+				if (result.isLeft()) {
+					backOff(peer, result.getLeft());
+					return;
+				}
+				onConnected(peer, result.get());
+			}
+			finally {
+				peer.connecting.set(false);
+			}
+		});
+	}
+
+	private void onConnected(Peer peer, PeerLink link) {
+		peer.backoffMillis = MIN_BACKOFF_MILLIS;
+		peer.nextAttemptMillis = this.clock.millis() + peer.backoffMillis;
+		if (link.remote().host().equals(self()) || this.closed) {
+			peer.isSelf = link.remote().host().equals(self());
+			link.close();
+			return;
+		}
+		peer.host = link.remote().host();
+		peer.link = link;
+		this.domains.putIfAbsent(peer.host, link.remote().domain());
+		LOG.atInfo()
+			.addKeyValue("event", "peer.connected")
+			.addKeyValue("peer", peer.host)
+			.addKeyValue("address", peer.address)
+			.log("peer.connected");
+		link.send(heartbeat());
+		fetch(link);
+		exchangeWithdrawals(link);
+	}
+
+	private void backOff(Peer peer, PeerFailure failure) {
+		this.counters.counter("peer_connects_failed_total", "reason", failure.code()).inc();
+		long wait = peer.backoffMillis / 2 + ThreadLocalRandom.current().nextLong(peer.backoffMillis / 2 + 1);
+		peer.backoffMillis = Math.min(MAX_BACKOFF_MILLIS, peer.backoffMillis * 2);
+		peer.nextAttemptMillis = this.clock.millis() + wait;
+	}
+
+	private void onLinkEnd(PeerFailure failure) {
+		if (this.closed) {
+			return;
+		}
+		this.counters.counter("peer_links_ended_total", "reason", failure.code()).inc();
+		LOG.atInfo()
+			.addKeyValue("event", "peer.link-ended")
+			.addKeyValue("reason", failure.code())
+			.addKeyValue("detail", failure.detail())
+			.log("peer.link-ended");
+	}
+
+	/**
+	 * Follows the inventory: links to all its hosts, and to no others.
+	 * @param changed the configuration in force
+	 */
+	private void follow(Configuration changed) {
+		Set<String> wanted = new HashSet<>();
+		Set<HostId> hosts = new HashSet<>();
+		for (Inventory.HostEntry host : changed.inventory().hosts()) {
+			hosts.add(host.name());
+			this.domains.put(host.name(), host.failureDomain());
+			if (!host.name().equals(self())) {
+				wanted.add(host.peerAddress());
+				this.peers.computeIfAbsent(host.peerAddress(), Peer::new);
+			}
+		}
+		this.peers.values().removeIf((peer) -> {
+			PeerLink link = peer.link;
+			boolean gone = !wanted.contains(peer.address);
+			if (gone && link != null) {
+				link.close();
+			}
+			return gone;
+		});
+		synchronized (this.membership) {
+			this.membership.states().keySet().stream().filter((host) -> !hosts.contains(host)).forEach((host) -> {
+				this.membership.remove(host);
+				this.accepted.remove(host);
+			});
+		}
+	}
+
+	private @Nullable PeerLink link(HostId host) {
+		for (Peer peer : this.peers.values()) {
+			PeerLink link = peer.link;
+			if (host.equals(peer.host) && link != null && link.isOpen()) {
+				return link;
+			}
+		}
+		PeerLink link = this.accepted.get(host);
+		return (link != null && link.isOpen()) ? link : null;
+	}
+
+	private List<PeerLink> links() {
+		Map<HostId, PeerLink> open = new TreeMap<>();
+		this.accepted.forEach((host, link) -> {
+			if (link.isOpen()) {
+				open.put(host, link);
+			}
+		});
+		this.peers.values().forEach((peer) -> {
+			PeerLink link = peer.link;
+			if (link != null && link.isOpen()) {
+				open.put(link.remote().host(), link);
+			}
+		});
+		return List.copyOf(open.values());
+	}
+
+	private static final class Peer {
+
+		private final String address;
+
+		private final AtomicBoolean connecting = new AtomicBoolean();
+
+		private final AtomicBoolean sending = new AtomicBoolean();
+
+		private volatile @Nullable PeerLink link;
+
+		private volatile @Nullable HostId host;
+
+		private volatile boolean isSelf;
+
+		private volatile long nextAttemptMillis;
+
+		private volatile long backoffMillis = MIN_BACKOFF_MILLIS;
+
+		private Peer(String address) {
+			this.address = address;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/EntryMain.java
@@ -0,0 +1,84 @@
+package org.bamboorelay.entry.process;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+
+import io.vavr.control.Either;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.bamboorelay.core.failure.Refusal;
+import org.bamboorelay.core.failure.RefusalReason;
+import org.bamboorelay.core.version.ConfigurationFault;
+import org.bamboorelay.entry.request.CreditSource;
+import org.bamboorelay.entry.version.EntrySettings;
+import org.bamboorelay.runtime.version.SettingsFailure;
+import org.bamboorelay.runtime.version.SettingsReader;
+
+/**
+ * The program {@code bamboorelay-entry}.
+ */
+public final class EntryMain {
+
+	private static final int BAD_SETTINGS = 2;
+
+	private static final int CANNOT_START = 1;
+
+	private EntryMain() {
+	}
+
+	/**
+	 * Runs the program until it is told to leave.
+	 * @param args {@code --settings file.toml}
+	 * @throws InterruptedException where the main thread is interrupted
+	 */
+	public static void main(String[] args) throws InterruptedException {
+		Either<String, EntrySettings> settings = settings(args);
+		if (settings.isLeft()) {
+			System.err.println("bamboorelay-entry: " + settings.getLeft().lines().findFirst().orElse("bad settings"));
+			System.exit(BAD_SETTINGS);
+		}
+		try {
+			EntryProcess process = EntryProcess.start(settings.get(), plugins());
+			Runtime.getRuntime().addShutdownHook(new Thread(process::leave, "shutdown"));
+		}
+		catch (IOException ex) {
+			System.err.println("bamboorelay-entry: cannot listen on " + settings.get().httpAddress() + " and "
+					+ settings.get().peerAddress() + ": " + ex.getMessage());
+			System.exit(CANNOT_START);
+		}
+		new CountDownLatch(1).await();
+	}
+
+	static Either<String, EntrySettings> settings(String[] args) {
+		Options options = new Options()
+			.addOption(Option.builder().longOpt("settings").hasArg().argName("file").desc("TOML settings").get());
+		CommandLine line;
+		try {
+			line = new DefaultParser().parse(options, args);
+		}
+		catch (ParseException ex) {
+			return Either.left(String.valueOf(ex.getMessage()));
+		}
+		if (!line.hasOption("settings")) {
+			return Either.left("option --settings <file> is missing");
+		}
+		Path file = Path.of(line.getOptionValue("settings"));
+		return SettingsReader.read(file, EntrySettings.class).mapLeft(SettingsFailure::detail).flatMap((read) -> {
+			List<ConfigurationFault> faults = read.faults();
+			return faults.isEmpty() ? Either.right(read) : Either.left(file + ": " + faults.get(0).detail());
+		});
+	}
+
+	private static EntryProcess.Plugins plugins() {
+		// Replaced by the admission and the trainer routes.
+		CreditSource credits = (request) -> Either
+			.left(Refusal.notRun(RefusalReason.NO_ENDPOINT, "no endpoint of " + request.service() + " is known"));
+		return new EntryProcess.Plugins((parts) -> credits, (parts, source) -> List.of(), List::of);
+	}
+
+}
--- /dev/null
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/EntryProcess.java
@@ -0,0 +1,332 @@
+package org.bamboorelay.entry.process;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.UUID;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
+import java.util.function.Supplier;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import org.bamboorelay.core.connection.PeerMessage;
+import org.bamboorelay.core.connection.PeerProtocol;
+import org.bamboorelay.core.failure.Failure;
+import org.bamboorelay.core.process.Membership;
+import org.bamboorelay.core.request.RetryBudget;
+import org.bamboorelay.core.time.Clock;
+import org.bamboorelay.core.version.Configuration;
+import org.bamboorelay.entry.connection.HttpEngineClient;
+import org.bamboorelay.entry.connection.TcpPeerMesh;
+import org.bamboorelay.entry.request.CallerFront;
+import org.bamboorelay.entry.request.CallerRoute;
+import org.bamboorelay.entry.request.CompletionRoute;
+import org.bamboorelay.entry.request.CreditSource;
+import org.bamboorelay.entry.request.IdempotencyRecords;
+import org.bamboorelay.entry.request.PlainRoute;
+import org.bamboorelay.entry.request.RunningStreams;
+import org.bamboorelay.entry.version.EntrySettings;
+import org.bamboorelay.entry.version.LiveConfiguration;
+import org.bamboorelay.entry.version.StoredConfiguration;
+import org.bamboorelay.runtime.connection.HttpConnectionPool;
+import org.bamboorelay.runtime.connection.HttpListener;
+import org.bamboorelay.runtime.connection.HttpObjectStore;
+import org.bamboorelay.runtime.process.Counters;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A running entry process: its listeners, links, timers and routes.
+ * <p>
+ * Thread-safe.
+ */
+public final class EntryProcess implements AutoCloseable {
+
+	private static final Logger LOG = LoggerFactory.getLogger(EntryProcess.class);
+
+	private static final int STORE_TIMEOUT_MILLIS = 2_000;
+
+	private static final long WITHDRAWAL_CHECK_MILLIS = 250;
+
+	private static final long MIN_STORE_RETRY_MILLIS = 250;
+
+	private static final long MAX_STORE_RETRY_MILLIS = 4_000;
+
+	private static final long DRAIN_QUIET_MILLIS = 300;
+
+	/** The longest wait for running work when leaving, in milliseconds. */
+	private static final long DRAIN_LIMIT_MILLIS = 120_000;
+
+	private static final long LAST_USAGE_MILLIS = 2_500;
+
+	private static final int TIMER_THREADS = 2;
+
+	private final EntrySettings settings;
+
+	private final ExecutorService threads;
+
+	private final ScheduledExecutorService timers;
+
+	private final HttpConnectionPool pool = new HttpConnectionPool();
+
+	private final LiveConfiguration configuration;
+
+	private final TcpPeerMesh mesh;
+
+	private final UsageTable usage;
+
+	private final ProcessRoute processRoute;
+
+	private final HttpListener listener;
+
+	private final AtomicBoolean leaving = new AtomicBoolean();
+
+	private EntryProcess(EntrySettings settings, Plugins plugins) throws IOException {
+		this.settings = settings;
+		Clock clock = Clock.monotonic();
+		Counters counters = Counters.create();
+		String incarnation = UUID.randomUUID().toString();
+		this.threads = Executors.newCachedThreadPool(named("entry-"));
+		this.timers = Executors.newScheduledThreadPool(TIMER_THREADS, named("timer-"));
+		Membership membership = Membership.of(settings.hostId(), settings.domain());
+		this.configuration = LiveConfiguration.of(clock, (domains) -> {
+			synchronized (membership) {
+				return membership.hears(domains);
+			}
+		});
+		PeerMessage.Hello hello = new PeerMessage.Hello(PeerProtocol.MAGIC, settings.deployment(), settings.hostId(),
+				settings.domain(), "entry", incarnation);
+		this.mesh = TcpPeerMesh.of(hello, this.configuration, membership, clock, counters, this.threads);
+		this.usage = UsageTable.of(incarnation);
+		this.mesh.register(PeerMessage.UsagePull.class, this.usage::counters);
+		HttpObjectStore store = HttpObjectStore.of(settings.objectApi(), this.pool, STORE_TIMEOUT_MILLIS);
+		HttpEngineClient engines = HttpEngineClient.of(this.pool, this.threads);
+		EntryParts parts = new EntryParts(this.configuration, this.mesh, this.pool, engines, store, this.usage,
+				counters, clock, this.timers, incarnation);
+		CreditSource credits = plugins.credits().apply(parts);
+		RetryBudget budget = new RetryBudget();
+		RunningStreams running = new RunningStreams();
+		List<CallerRoute> routes = new ArrayList<>();
+		routes.add(PlainRoute.of(this.configuration, credits, this.pool, IdempotencyRecords.of(store, counters),
+				this.usage, budget, counters));
+		routes.add(CompletionRoute.of(this.configuration, credits, engines, running, this.usage, budget, counters));
+		routes.addAll(plugins.routes().create(parts, credits));
+		AtomicLong runningRequests = new AtomicLong();
+		this.processRoute = ProcessRoute.of(this.configuration, this.mesh, counters, runningRequests::intValue,
+				plugins.endpoints());
+		CallerFront front = CallerFront.of(this.configuration, counters, settings.operatorToken(), this.processRoute,
+				routes);
+		counters.gauge("running_requests", runningRequests::get);
+		counters.gauge("config_version", () -> this.configuration.current().map(Configuration::version).getOrElse(0L));
+		counters.gauge("view_age_ms", this.configuration::viewAgeMillis);
+		this.mesh.open(ip(settings.peerAddress()), port(settings.peerAddress()), settings.peers());
+		try {
+			this.listener = HttpListener.open(ip(settings.httpAddress()), port(settings.httpAddress()),
+					(request, responder) -> {
+						runningRequests.incrementAndGet();
+						try {
+							front.handle(request, responder);
+						}
+						finally {
+							runningRequests.decrementAndGet();
+						}
+					}, (failure) -> counters.counter("caller_connections_broken_total").inc());
+		}
+		catch (IOException ex) {
+			this.mesh.close();
+			this.timers.shutdownNow();
+			this.threads.shutdownNow();
+			throw ex;
+		}
+		every(TcpPeerMesh.TICK_MILLIS, this.mesh::tick);
+		every(WITHDRAWAL_CHECK_MILLIS, running::stopWithdrawn);
+		readStore(StoredConfiguration.of(store), MIN_STORE_RETRY_MILLIS);
+	}
+
+	/**
+	 * Starts a process.
+	 * @param settings settings without faults
+	 * @param plugins admission and further routes
+	 * @return the running process
+	 * @throws IOException where an address cannot be bound
+	 */
+	public static EntryProcess start(EntrySettings settings, Plugins plugins) throws IOException {
+		Objects.requireNonNull(plugins, "plugins");
+		EntryProcess process = new EntryProcess(settings, plugins);
+		LOG.atInfo()
+			.addKeyValue("event", "process.started")
+			.addKeyValue("host", settings.host())
+			.addKeyValue("domain", settings.failureDomain())
+			.addKeyValue("http_port", process.httpPort())
+			.addKeyValue("peer_port", process.peerPort())
+			.log("process.started");
+		return process;
+	}
+
+	/**
+	 * Returns the port for callers.
+	 * @return the port
+	 */
+	public int httpPort() {
+		return this.listener.port();
+	}
+
+	/**
+	 * Returns the port for peer links.
+	 * @return the port
+	 */
+	public int peerPort() {
+		return this.mesh.port();
+	}
+
+	/**
+	 * Returns the configuration.
+	 * @return the configuration and keys
+	 */
+	public LiveConfiguration configuration() {
+		return this.configuration;
+	}
+
+	/**
+	 * Returns the mesh.
+	 * @return the links to the other entry hosts
+	 */
+	public TcpPeerMesh mesh() {
+		return this.mesh;
+	}
+
+	/**
+	 * Leaves without cutting a request: says so, goes on accepting for the leave delay,
+	 * waits for running work, lets the last usage figures be read, and closes.
+	 */
+	public void leave() {
+		if (!this.leaving.compareAndSet(false, true)) {
+			return;
+		}
+		LOG.atInfo().addKeyValue("event", "process.leaving").log("process.leaving");
+		this.processRoute.startLeaving();
+		this.mesh.startLeaving();
+		this.listener.startLeaving();
+		boolean drained = false;
+		boolean read = false;
+		try {
+			TimeUnit.MILLISECONDS.sleep(this.settings.leaveDelayMs());
+			drained = this.listener.drain(DRAIN_QUIET_MILLIS, DRAIN_LIMIT_MILLIS);
+			read = this.usage.close(LAST_USAGE_MILLIS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		LOG.atInfo()
+			.addKeyValue("event", "process.left")
+			.addKeyValue("drained", drained)
+			.addKeyValue("usage_read", read)
+			.log("process.left");
+		close();
+	}
+
+	@Override
+	public void close() {
+		this.leaving.set(true);
+		this.listener.close();
+		this.mesh.close();
+		this.timers.shutdownNow();
+		this.threads.shutdownNow();
+		this.pool.close();
+	}
+
+	private void every(long millis, Runnable task) {
+		this.timers.scheduleWithFixedDelay(() -> {
+			try {
+				task.run();
+			}
+			catch (RuntimeException ex) {
+				// A timer that throws would never run again.
+				LOG.atError()
+					.addKeyValue("event", "process.timer-failed")
+					.addKeyValue("failure", ex.toString())
+					.log("process.timer-failed");
+			}
+		}, 0, millis, TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * Reads the configuration from the store, again until the store or a peer answered.
+	 * @param stored the reader
+	 * @param backoffMillis the longest wait before the next attempt, in milliseconds
+	 */
+	private void readStore(StoredConfiguration stored, long backoffMillis) {
+		this.threads.execute(() -> {
+			long before = Clock.monotonic().millis();
+			Either<Failure, Option<Configuration>> result = stored.read();
+			if (result.isRight()) {
+				long age = Clock.monotonic().millis() - before;
+				result.get().peek((found) -> this.configuration.accept(found, age));
+				this.configuration.noteAnswer();
+				return;
+			}
+			LOG.atWarn()
+				.addKeyValue("event", "config.store-unread")
+				.addKeyValue("reason", result.getLeft().code())
+				.log("config.store-unread");
+			if (!this.leaving.get() && !this.configuration.isReady()) {
+				long wait = backoffMillis / 2 + ThreadLocalRandom.current().nextLong(backoffMillis / 2 + 1);
+				this.timers.schedule(() -> readStore(stored, Math.min(MAX_STORE_RETRY_MILLIS, backoffMillis * 2)), wait,
+						TimeUnit.MILLISECONDS);
+			}
+		});
+	}
+
+	private static ThreadFactory named(String prefix) {
+		AtomicLong next = new AtomicLong();
+		return (task) -> {
+			Thread thread = new Thread(task, prefix + next.incrementAndGet());
+			thread.setDaemon(true);
+			return thread;
+		};
+	}
+
+	private static String ip(String address) {
+		return address.substring(0, address.lastIndexOf(':'));
+	}
+
+	private static int port(String address) {
+		return Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
+	}
+
+	/**
+	 * Parts of a process that are built by others.
+	 *
+	 * @param credits creates the admission
+	 * @param routes creates further routes
+	 * @param endpoints returns what the status page shows of endpoints
+	 */
+	public record Plugins(Function<EntryParts, CreditSource> credits, RouteFactory routes, Supplier<Object> endpoints) {
+	}
+
+	/**
+	 * Creates routes.
+	 */
+	@FunctionalInterface
+	public interface RouteFactory {
+
+		/**
+		 * Creates the routes.
+		 * @param parts what they are built from
+		 * @param credits the admission
+		 * @return the routes
+		 */
+		List<CallerRoute> create(EntryParts parts, CreditSource credits);
+
+	}
+
+}
--- /dev/null
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/ProcessRoute.java
@@ -0,0 +1,135 @@
+package org.bamboorelay.entry.process;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.IntSupplier;
+import java.util.function.Supplier;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpStatus;
+import org.bamboorelay.core.failure.Refusal;
+import org.bamboorelay.core.failure.RefusalReason;
+import org.bamboorelay.core.version.Configuration;
+import org.bamboorelay.core.version.KeyHash;
+import org.bamboorelay.entry.connection.TcpPeerMesh;
+import org.bamboorelay.entry.request.CallerRequest;
+import org.bamboorelay.entry.request.CallerRoute;
+import org.bamboorelay.entry.request.Problems;
+import org.bamboorelay.entry.version.LiveConfiguration;
+import org.bamboorelay.runtime.connection.HttpListener.Responder;
+import org.bamboorelay.runtime.process.Counters;
+import org.bamboorelay.runtime.request.Json;
+
+/**
+ * Serves health, metrics and the operators' paths.
+ * <p>
+ * Thread-safe.
+ */
+final class ProcessRoute implements CallerRoute {
+
+	private static final String JSON = "application/json";
+
+	private static final Set<String> GETS = Set.of("/health", "/health/live", "/health/ready", "/health/leaving",
+			"/metrics", "/operator/status");
+
+	private static final String WITHDRAWALS = "/operator/withdrawals";
+
+	private final LiveConfiguration configuration;
+
+	private final TcpPeerMesh mesh;
+
+	private final Counters counters;
+
+	private final Problems problems;
+
+	private final IntSupplier running;
+
+	private final Supplier<Object> endpoints;
+
+	private volatile boolean leaving;
+
+	private ProcessRoute(LiveConfiguration configuration, TcpPeerMesh mesh, Counters counters, IntSupplier running,
+			Supplier<Object> endpoints) {
+		this.configuration = configuration;
+		this.mesh = mesh;
+		this.counters = counters;
+		this.problems = Problems.of(counters);
+		this.running = running;
+		this.endpoints = endpoints;
+	}
+
+	static ProcessRoute of(LiveConfiguration configuration, TcpPeerMesh mesh, Counters counters, IntSupplier running,
+			Supplier<Object> endpoints) {
+		return new ProcessRoute(configuration, mesh, counters, running, endpoints);
+	}
+
+	void startLeaving() {
+		this.leaving = true;
+	}
+
+	@Override
+	public boolean accepts(String method, String path) {
+		return ("GET".equals(method) && GETS.contains(path)) || ("POST".equals(method) && WITHDRAWALS.equals(path));
+	}
+
+	@Override
+	public void serve(CallerRequest request, Responder responder) throws HttpException, IOException {
+		switch (request.path()) {
+			case "/health", "/health/ready" -> health(responder, !this.leaving && this.configuration.isReady());
+			case "/health/live" -> health(responder, true);
+			case "/health/leaving" -> responder.send(this.leaving ? HttpStatus.SC_OK : HttpStatus.SC_NOT_FOUND, JSON,
+					Json.text(Map.of("leaving", this.leaving)));
+			case "/metrics" -> responder.send(HttpStatus.SC_OK, "text/plain", this.counters.text());
+			case WITHDRAWALS -> withdraw(request, responder);
+			default -> responder.send(HttpStatus.SC_OK, JSON, Json.text(status()));
+		}
+	}
+
+	private void health(Responder responder, boolean good) throws HttpException, IOException {
+		Map<String, Object> body = new LinkedHashMap<>();
+		body.put("ready", this.configuration.isReady() && !this.leaving);
+		body.put("leaving", this.leaving);
+		body.put("config_version", this.configuration.current().map(Configuration::version).getOrElse(0L));
+		responder.send(good ? HttpStatus.SC_OK : HttpStatus.SC_SERVICE_UNAVAILABLE, JSON, Json.text(body));
+	}
+
+	private void withdraw(CallerRequest request, Responder responder) throws HttpException, IOException {
+		JsonNode body = Json.tree(request.body()).getOrNull();
+		try {
+			KeyHash key = KeyHash.parse((body != null) ? body.path("key_hash").asText() : "");
+			this.mesh.withdraw(List.of(key));
+			responder.send(HttpStatus.SC_OK, JSON,
+					Json.text(Map.of("withdrawn", this.configuration.withdrawn().size())));
+		}
+		catch (IllegalArgumentException ex) {
+			this.problems.send(responder, request.requestId(),
+					Refusal.notRun(RefusalReason.BAD_REQUEST, "key_hash must have 64 hexadecimal digits"));
+		}
+	}
+
+	private Map<String, Object> status() {
+		Map<String, Object> status = new LinkedHashMap<>();
+		status.put("host", this.mesh.self().value());
+		status.put("domain", this.mesh.domain(this.mesh.self()).value());
+		status.put("ready", this.configuration.isReady() && !this.leaving);
+		status.put("leaving", this.leaving);
+		status.put("config_version", this.configuration.current().map(Configuration::version).getOrElse(0L));
+		status.put("held_version", this.configuration.heldVersion());
+		status.put("view_age_ms", this.configuration.viewAgeMillis());
+		status.put("withdrawn", this.configuration.withdrawn().size());
+		List<Map<String, String>> peers = new ArrayList<>();
+		this.mesh.states()
+			.forEach((host, state) -> peers.add(Map.of("host", host.value(), "domain", this.mesh.domain(host).value(),
+					"state", state.name().toLowerCase(java.util.Locale.ROOT))));
+		status.put("peers", peers);
+		status.put("running_requests", this.running.getAsInt());
+		status.put("endpoints", this.endpoints.get());
+		return status;
+	}
+
+}
--- /dev/null
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/UsageTable.java
@@ -0,0 +1,98 @@
+package org.bamboorelay.entry.process;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
+
+import org.bamboorelay.core.connection.PeerMessage;
+import org.bamboorelay.core.version.ServiceId;
+import org.bamboorelay.core.version.WorkspaceId;
+
+/**
+ * Counts what was served since the start of the process. Counts only rise, so that a
+ * reader may miss any number of readings but the last.
+ * <p>
+ * Thread-safe.
+ */
+public final class UsageTable implements UsageMeter {
+
+	private final String incarnation;
+
+	private final Map<Key, Count> counts = new ConcurrentHashMap<>();
+
+	private final CountDownLatch lastRead = new CountDownLatch(1);
+
+	private volatile boolean closing;
+
+	private volatile boolean read;
+
+	private UsageTable(String incarnation) {
+		this.incarnation = Objects.requireNonNull(incarnation, "incarnation");
+	}
+
+	/**
+	 * Creates an empty table.
+	 * @param incarnation unique for each start of the process
+	 * @return the table
+	 */
+	public static UsageTable of(String incarnation) {
+		return new UsageTable(incarnation);
+	}
+
+	@Override
+	public void served(WorkspaceId workspace, ServiceId service, long tokens) {
+		Count count = this.counts.computeIfAbsent(new Key(workspace, service), (unused) -> new Count());
+		count.requests.increment();
+		count.tokens.add(tokens);
+	}
+
+	/**
+	 * Answers a reader.
+	 * @param pull the question
+	 * @return the counters
+	 */
+	public PeerMessage.UsageCounters counters(PeerMessage.UsagePull pull) {
+		boolean last = this.closing;
+		List<PeerMessage.UsageCount> rows = this.counts.entrySet()
+			.stream()
+			.map((entry) -> new PeerMessage.UsageCount(entry.getKey().workspace(), entry.getKey().service(),
+					entry.getValue().requests.sum(), entry.getValue().tokens.sum()))
+			.sorted(Comparator.comparing(PeerMessage.UsageCount::workspace)
+				.thenComparing(PeerMessage.UsageCount::service))
+			.toList();
+		this.read = true;
+		if (last) {
+			this.lastRead.countDown();
+		}
+		return new PeerMessage.UsageCounters(this.incarnation, last, rows);
+	}
+
+	/**
+	 * Notes that nothing more will be served, and waits until a reader has the last
+	 * figures. Returns at once where there never was a reader.
+	 * @param limitMillis the longest wait, in milliseconds
+	 * @return whether the last figures were read
+	 * @throws InterruptedException where the waiting thread is interrupted
+	 */
+	public boolean close(long limitMillis) throws InterruptedException {
+		this.closing = true;
+		return this.read && this.lastRead.await(limitMillis, TimeUnit.MILLISECONDS);
+	}
+
+	private record Key(WorkspaceId workspace, ServiceId service) {
+	}
+
+	private static final class Count {
+
+		private final LongAdder requests = new LongAdder();
+
+		private final LongAdder tokens = new LongAdder();
+
+	}
+
+}
