--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerMessage.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerMessage.java
@@ -323,4 +323,28 @@
 	record Rejected(String code, String detail) implements PeerMessage {
 	}
 
+	/**
+	 * Asks the running host of a step for a batch; answered by {@link Ack}, and later by
+	 * a {@link BatchAnswer} that the receiver sends to the asking host, because finding
+	 * the batch can take calls on the object API.
+	 *
+	 * @param ticket unique id of the question
+	 * @param asker the asking host
+	 * @param body JSON of the question
+	 */
+	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+	record BatchFetch(String ticket, HostId asker, byte[] body) implements PeerMessage {
+	}
+
+	/**
+	 * Answers a {@link BatchFetch}; answered by {@link Ack}.
+	 *
+	 * @param ticket id of the question
+	 * @param status status of the answer; 0 where the sender does not run the step
+	 * @param body JSON of the answer, empty where there is none
+	 */
+	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+	record BatchAnswer(String ticket, int status, byte[] body) implements PeerMessage {
+	}
+
 }
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerProtocol.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerProtocol.java
@@ -33,7 +33,7 @@
 			PeerMessage.CreditAdopt.class, PeerMessage.CreditsAdopted.class, PeerMessage.SamplePut.class,
 			PeerMessage.SampleGet.class, PeerMessage.SampleBody.class, PeerMessage.SampleDrop.class,
 			PeerMessage.UsagePull.class, PeerMessage.UsageCounters.class, PeerMessage.Ack.class,
-			PeerMessage.Rejected.class);
+			PeerMessage.Rejected.class, PeerMessage.BatchFetch.class, PeerMessage.BatchAnswer.class);
 
 	private PeerProtocol() {
 	}
