Add trainer routes that generate and deliver batches

Cause: trainers need weights, steps and batches over HTTP at any entry host.

A host that is asked for a batch finds the running host in the step record, asks it over the peer link, or takes the step over.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/request/DeliveryState.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/request/DeliveryState.java
@@ -76,6 +76,14 @@
 		return this.chain.size();
 	}
 
+	/**
+	 * Tells whether the last record ends the step.
+	 * @return whether the step is complete
+	 */
+	public boolean isComplete() {
+		return !this.chain.isEmpty() && this.chain.get(this.chain.size() - 1).last();
+	}
+
 	/**
 	 * Returns the slots that records deliver.
 	 * @return the slots
@@ -114,7 +122,7 @@
 				slotsBefore.forEach(this.delivered::remove);
 				actions.add(new Action.Regenerate(slotsBefore));
 			}
-			else if (!before.samples().isEmpty()) {
+			if (!before.samples().isEmpty()) {
 				actions.add(new Action.Drop(before.samples()));
 			}
 		}
@@ -214,10 +222,6 @@
 		}
 	}
 
-	private boolean isComplete() {
-		return !this.chain.isEmpty() && this.chain.get(this.chain.size() - 1).last();
-	}
-
 	private Action propose(String token, List<BatchRecord.Entry> samples, boolean lost, boolean last) {
 		return new Action.Propose(new BatchRecord(next(), this.ownership, token, samples, lost, last));
 	}
--- /dev/null
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/BatchReply.java
@@ -0,0 +1,61 @@
+package org.bamboorelay.entry.request;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.bamboorelay.core.failure.Refusal;
+import org.bamboorelay.core.failure.RefusalReason;
+import org.bamboorelay.core.failure.RunState;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Answer to the fetch of a batch, as passed between hosts.
+ * <p>
+ * Immutable as long as nobody writes to the tree; thread-safe under the same condition.
+ *
+ * @param status the HTTP status, or {@link #NOT_RUNNING}
+ * @param batch the batch; null where there is none
+ * @param reason why the fetch is refused; null where it is not
+ * @param detail a sentence for people; null where there is nothing to say
+ * @param retryAfterMillis when to come back, in milliseconds; 0 for no hint
+ */
+record BatchReply(int status, @Nullable JsonNode batch, @Nullable RefusalReason reason, @Nullable String detail,
+		long retryAfterMillis) {
+
+	/** Status of a host that does not run the step. */
+	static final int NOT_RUNNING = 0;
+
+	static final int OK = 200;
+
+	static final int ACCEPTED = 202;
+
+	static final int NO_CONTENT = 204;
+
+	/** The wait after which a trainer asks again, in milliseconds. */
+	static final long RETRY_MILLIS = 1_000;
+
+	static BatchReply of(JsonNode batch) {
+		return new BatchReply(OK, batch, null, null, 0);
+	}
+
+	static BatchReply pending() {
+		return new BatchReply(ACCEPTED, null, null, null, RETRY_MILLIS);
+	}
+
+	static BatchReply complete() {
+		return new BatchReply(NO_CONTENT, null, null, null, 0);
+	}
+
+	static BatchReply notRunning() {
+		return new BatchReply(NOT_RUNNING, null, null, null, 0);
+	}
+
+	static BatchReply refused(RefusalReason reason, String detail) {
+		long retry = (reason.status() == RefusalReason.STORE_UNAVAILABLE.status()) ? RETRY_MILLIS : 0;
+		return new BatchReply(reason.status(), null, reason, detail, retry);
+	}
+
+	Refusal toRefusal() {
+		return new Refusal((this.reason != null) ? this.reason : RefusalReason.NOT_READY, RunState.NO,
+				this.retryAfterMillis, (this.detail != null) ? this.detail : "");
+	}
+
+}
