Add credits, two-level routing and endpoint limits

Cause: nothing kept a fresh endpoint from full load, nor several hosts together from sending an endpoint more than it bears.

Change: decisions in core (AdmissionQueue, CreditLedger, EndpointAllowance, EndpointSelection, OutlierEjection, OwnerSelection, RetryBudget, RendezvousHash) and CreditService in entry, which lends the credits of owned endpoints, gets others from peers, renews them, and registers them with a new owner.

Outlier ejection is kept by each lender over the whole service: an owner has one or two endpoints of a service at the present size, and a third of that is none.

Conclusion: CreditServiceTests pass with up to six hosts in one process.

--- /dev/null
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/OwnerSelection.java
@@ -0,0 +1,84 @@
+package org.bamboorelay.core.process;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.random.RandomGenerator;
+
+import org.bamboorelay.core.version.HostId;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Picks the owner to ask for a credit: this host where its endpoints have room, then an
+ * owner in this failure domain, then one in another. Among owners the one that a prefix
+ * hashes to is preferred while it has its share of the free credits; otherwise the better
+ * of two drawn at random.
+ * <p>
+ * Thread-safe where its random generator is.
+ */
+public final class OwnerSelection {
+
+	private final RandomGenerator random;
+
+	private OwnerSelection(RandomGenerator random) {
+		this.random = random;
+	}
+
+	/**
+	 * Creates a selection.
+	 * @param random source of randomness
+	 * @return the selection
+	 */
+	public static OwnerSelection of(RandomGenerator random) {
+		return new OwnerSelection(Objects.requireNonNull(random, "random"));
+	}
+
+	/**
+	 * Picks an owner.
+	 * @param owners the owners with their free credits
+	 * @param prefixHash hash of the prompt's prefix, salted by workspace; 0 for none
+	 * @return the owner, or null where none has a free credit
+	 */
+	public @Nullable HostId choose(List<Owner> owners, long prefixHash) {
+		List<Owner> near = new ArrayList<>();
+		List<Owner> far = new ArrayList<>();
+		for (Owner owner : owners) {
+			if (owner.free() <= 0) {
+				continue;
+			}
+			if (owner.self()) {
+				return owner.host();
+			}
+			(owner.sameDomain() ? near : far).add(owner);
+		}
+		List<Owner> choice = near.isEmpty() ? far : near;
+		return choice.isEmpty() ? null : choose(prefixHash, choice);
+	}
+
+	private HostId choose(long prefixHash, List<Owner> choice) {
+		if (prefixHash != 0) {
+			long free = choice.stream().mapToLong(Owner::free).sum();
+			HostId home = RendezvousHash.owner(Long.toHexString(prefixHash), choice.stream().map(Owner::host).toList());
+			for (Owner owner : choice) {
+				if (owner.host().equals(home) && 2L * owner.free() * choice.size() >= free) {
+					return home;
+				}
+			}
+		}
+		Owner one = choice.get(this.random.nextInt(choice.size()));
+		Owner two = choice.get(this.random.nextInt(choice.size()));
+		return (two.free() > one.free()) ? two.host() : one.host();
+	}
+
+	/**
+	 * What is known of an owner.
+	 *
+	 * @param host the owner
+	 * @param self whether it is this host
+	 * @param sameDomain whether it is in this host's failure domain
+	 * @param free its free credits, as far as known
+	 */
+	public record Owner(HostId host, boolean self, boolean sameDomain, int free) {
+	}
+
+}
--- /dev/null
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/CreditService.java
@@ -0,0 +1,578 @@
+package org.bamboorelay.entry.process;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+import com.codahale.metrics.Counter;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import org.apache.hc.core5.http.HttpStatus;
+import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
+import org.bamboorelay.core.connection.PeerMessage;
+import org.bamboorelay.core.failure.Refusal;
+import org.bamboorelay.core.failure.RefusalReason;
+import org.bamboorelay.core.time.Clock;
+import org.bamboorelay.core.version.Configuration;
+import org.bamboorelay.core.version.EndpointId;
+import org.bamboorelay.core.version.FailureDomain;
+import org.bamboorelay.core.version.HostId;
+import org.bamboorelay.core.version.ServiceId;
+import org.bamboorelay.entry.connection.PeerMesh;
+import org.bamboorelay.entry.request.Credit;
+import org.bamboorelay.entry.request.CreditSource;
+import org.bamboorelay.entry.request.RouteRequest;
+import org.bamboorelay.entry.version.ConfigurationSource;
+import org.bamboorelay.runtime.connection.HttpConnectionPool;
+import org.bamboorelay.runtime.connection.HttpExchange;
+import org.bamboorelay.runtime.connection.HttpFailure;
+import org.bamboorelay.runtime.connection.PeerFailure;
+import org.bamboorelay.runtime.process.Counters;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Admission, routing and endpoint limits of an entry host: lends the credits of the
+ * endpoints that this host owns, and gets credits from other owners for its own callers.
+ * See section 5 of the design page.
+ * <p>
+ * Thread-safe; state is kept in a shard per service, each under its own lock.
+ */
+public final class CreditService implements CreditSource, AutoCloseable {
+
+	private static final Logger log = LoggerFactory.getLogger(CreditService.class);
+
+	private static final long TICK_MILLIS = 50;
+
+	/** Interval of load polls and of renewals, in milliseconds. */
+	private static final long SECOND_MILLIS = 1_000;
+
+	private static final int POLL_TIMEOUT_MILLIS = 1_000;
+
+	private static final int MAX_REPORT_BYTES = 65_536;
+
+	/** Longest wait for the answer to a renewal, in milliseconds. */
+	private static final long KEEP_TIMEOUT_MILLIS = 800;
+
+	/** The most credits of one message, which keeps its frame below 100 KB. */
+	private static final int MAX_BATCH = 1_000;
+
+	private final PeerMesh mesh;
+
+	private final ConfigurationSource configuration;
+
+	private final HttpConnectionPool pool;
+
+	private final Counters counters;
+
+	private final Clock clock;
+
+	private final RandomGenerator random;
+
+	private final ExecutorService executor;
+
+	private final EndpointDirectory directory = new EndpointDirectory();
+
+	private final Map<ServiceId, CreditShard> shards = new ConcurrentHashMap<>();
+
+	private final List<CreditShard> shardsByIndex = new CopyOnWriteArrayList<>();
+
+	private final Map<HostId, List<PeerMessage.ReturnedCredit>> returns = new HashMap<>();
+
+	/** Work that runs in the background; guarded by itself. */
+	private final Set<Object> inFlight = new HashSet<>();
+
+	private final Counter lapsed;
+
+	private final Counter adopted;
+
+	private final Counter failedPolls;
+
+	private volatile Set<HostId> liveHosts = Set.of();
+
+	private @Nullable ScheduledExecutorService scheduler;
+
+	private CreditService(Builder builder) {
+		this.mesh = Objects.requireNonNull(builder.mesh, "mesh");
+		this.configuration = Objects.requireNonNull(builder.configuration, "configuration");
+		this.pool = Objects.requireNonNull(builder.pool, "pool");
+		this.counters = Objects.requireNonNull(builder.counters, "counters");
+		this.clock = Objects.requireNonNull(builder.clock, "clock");
+		this.random = Objects.requireNonNull(builder.random, "random");
+		this.executor = Objects.requireNonNull(builder.executor, "executor");
+		this.lapsed = this.counters.counter("credits_lapsed_total");
+		this.adopted = this.counters.counter("credits_adopted_total");
+		this.failedPolls = this.counters.counter("load_polls_failed_total");
+	}
+
+	/**
+	 * Starts the construction of a service.
+	 * @return a builder without values
+	 */
+	public static Builder builder() {
+		return new Builder();
+	}
+
+	@Override
+	public Either<Refusal, Credit> acquire(RouteRequest request) {
+		Option<Configuration> current = this.configuration.current();
+		if (current.isEmpty()) {
+			return Either.left(Refusal.notRun(RefusalReason.NOT_READY, "this host has no configuration yet"));
+		}
+		if (current.get().inventory().service(request.service()).isEmpty()) {
+			return Either.left(Refusal.notRun(RefusalReason.NO_SUCH_ROUTE, "no service " + request.service()));
+		}
+		CreditShard shard = this.shards.get(request.service());
+		if (shard == null) {
+			refresh();
+			shard = shard(request.service());
+		}
+		return shard.acquire(request, current.get());
+	}
+
+	/**
+	 * Returns the free credits of the endpoints that this host owns, for heartbeats.
+	 * @return a digest for each service
+	 */
+	public List<PeerMessage.Digest> digests() {
+		return this.shardsByIndex.stream().map(CreditShard::digest).toList();
+	}
+
+	/**
+	 * Takes the digests of another host's heartbeat.
+	 * @param host the host
+	 * @param digests its digests
+	 */
+	public void digestsFrom(HostId host, List<PeerMessage.Digest> digests) {
+		digests.forEach((digest) -> {
+			CreditShard shard = this.shards.get(digest.service());
+			if (shard != null) {
+				shard.digestFrom(host, digest);
+			}
+		});
+	}
+
+	/**
+	 * Returns the state of all endpoints as this host sees it.
+	 * @return the state, for operators
+	 */
+	public List<EndpointStatus> status() {
+		return this.shardsByIndex.stream().flatMap((shard) -> shard.status().stream()).toList();
+	}
+
+	/**
+	 * Applies a change of the live hosts at once. Without this call the change is seen at
+	 * the next tick.
+	 */
+	public void membershipChanged() {
+		Set<HostId> live = Set.copyOf(this.mesh.live());
+		if (!live.equals(this.liveHosts)) {
+			refresh();
+		}
+	}
+
+	/**
+	 * Starts the periodic work: expiry, renewals and load polls.
+	 */
+	public synchronized void start() {
+		if (this.scheduler != null) {
+			throw new IllegalStateException("the credit service was started before");
+		}
+		this.scheduler = Executors.newSingleThreadScheduledExecutor((task) -> {
+			Thread thread = new Thread(task, "credit-ticks");
+			thread.setDaemon(true);
+			return thread;
+		});
+		this.scheduler.scheduleAtFixedRate(guarded(this::tick), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+		this.scheduler.scheduleAtFixedRate(guarded(this::keep), SECOND_MILLIS, SECOND_MILLIS, TimeUnit.MILLISECONDS);
+		this.scheduler.scheduleAtFixedRate(guarded(this::pollLoads), 0, SECOND_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	@Override
+	public synchronized void close() {
+		if (this.scheduler != null) {
+			this.scheduler.shutdownNow();
+		}
+	}
+
+	int waiting(ServiceId service) {
+		return shard(service).waiting();
+	}
+
+	/** Lets credits and waits expire, and follows the membership. */
+	void tick() {
+		membershipChanged();
+		this.shardsByIndex.forEach((shard) -> this.lapsed.inc(shard.tick()));
+	}
+
+	/** Renews held credits and registers those whose endpoint has a new owner. */
+	void keep() {
+		Map<HostId, List<CreditShard.Keep>> renewals = new HashMap<>();
+		Map<HostId, List<CreditShard.Keep>> adoptions = new HashMap<>();
+		this.shardsByIndex.forEach((shard) -> shard.collectHeld(renewals, adoptions));
+		Set<HostId> owners = new HashSet<>(renewals.keySet());
+		owners.addAll(adoptions.keySet());
+		for (HostId owner : owners) {
+			List<CreditShard.Keep> toRenew = renewals.getOrDefault(owner, List.of());
+			List<CreditShard.Keep> toAdopt = adoptions.getOrDefault(owner, List.of());
+			if (owner.equals(this.mesh.self())) {
+				keep(owner, toRenew, toAdopt);
+			}
+			else {
+				inBackground("keep " + owner, () -> keep(owner, toRenew, toAdopt));
+			}
+		}
+	}
+
+	/** Asks the endpoints that this host owns for their load. */
+	void pollLoads() {
+		this.shardsByIndex.forEach((shard) -> shard.ownedAddresses()
+			.forEach((endpoint, address) -> inBackground(endpoint, () -> poll(shard, endpoint, address))));
+	}
+
+	private void begin() {
+		this.mesh.register(PeerMessage.EndpointSet.class, this::onEndpointSet);
+		this.mesh.register(PeerMessage.CreditRequest.class, this::onRequest);
+		this.mesh.register(PeerMessage.CreditReturn.class, this::onReturn);
+		this.mesh.register(PeerMessage.CreditRenew.class, this::onRenew);
+		this.mesh.register(PeerMessage.CreditAdopt.class, this::onAdopt);
+		this.configuration.onChange((unused) -> refresh());
+		refresh();
+	}
+
+	private PeerMessage onEndpointSet(PeerMessage.EndpointSet set) {
+		if (!this.directory.accept(set)) {
+			return new PeerMessage.Rejected("old-sequence",
+					"sequence " + set.sequence() + " of " + set.domain() + " is not above the one known here");
+		}
+		refresh();
+		return new PeerMessage.Ack(true);
+	}
+
+	private PeerMessage onRequest(PeerMessage.CreditRequest request) {
+		CreditShard shard = this.shards.get(request.service());
+		return (shard != null) ? shard.lendTo(request) : new PeerMessage.CreditRefusal("not-owner", SECOND_MILLIS);
+	}
+
+	private PeerMessage onReturn(PeerMessage.CreditReturn message) {
+		for (PeerMessage.ReturnedCredit returned : message.credits()) {
+			CreditShard shard = shardOf(returned.credit());
+			if (shard != null) {
+				shard.takeBack(returned);
+			}
+		}
+		return new PeerMessage.Ack(true);
+	}
+
+	private PeerMessage onRenew(PeerMessage.CreditRenew message) {
+		List<Long> unknown = new ArrayList<>();
+		for (Long credit : message.credits()) {
+			CreditShard shard = shardOf(credit);
+			if (shard == null || !shard.renew(credit)) {
+				unknown.add(credit);
+			}
+		}
+		return new PeerMessage.CreditsUnknown(unknown);
+	}
+
+	private PeerMessage onAdopt(PeerMessage.CreditAdopt message) {
+		return new PeerMessage.CreditsAdopted(message.endpoints().stream().map(this::adopt).toList());
+	}
+
+	private long adopt(EndpointId endpoint) {
+		for (CreditShard shard : this.shardsByIndex) {
+			if (shard.knows(endpoint)) {
+				long credit = shard.adopt(endpoint).getOrElse(0L);
+				this.adopted.inc((credit != 0) ? 1 : 0);
+				return credit;
+			}
+		}
+		return 0;
+	}
+
+	private void keep(HostId owner, List<CreditShard.Keep> renewals, List<CreditShard.Keep> adoptions) {
+		List<CreditShard.Keep> toAdopt = new ArrayList<>(adoptions);
+		for (List<CreditShard.Keep> batch : batches(renewals)) {
+			PeerMessage message = new PeerMessage.CreditRenew(batch.stream().map(CreditShard.Keep::id).toList());
+			if (call(owner, message) instanceof PeerMessage.CreditsUnknown unknown) {
+				Set<Long> ids = new HashSet<>(unknown.credits());
+				batch.stream().filter((keep) -> ids.contains(keep.id())).forEach(toAdopt::add);
+			}
+		}
+		for (List<CreditShard.Keep> batch : batches(toAdopt)) {
+			PeerMessage message = new PeerMessage.CreditAdopt(
+					batch.stream().map((keep) -> keep.credit().endpoint()).toList());
+			if (call(owner, message) instanceof PeerMessage.CreditsAdopted answer
+					&& answer.credits().size() == batch.size()) {
+				for (int i = 0; i < batch.size(); i++) {
+					long id = answer.credits().get(i);
+					if (id != 0) {
+						batch.get(i).shard().adopted(batch.get(i).credit(), owner, id);
+					}
+				}
+			}
+		}
+	}
+
+	private @Nullable PeerMessage call(HostId host, PeerMessage message) {
+		if (host.equals(this.mesh.self())) {
+			return (message instanceof PeerMessage.CreditRenew renew) ? onRenew(renew)
+					: onAdopt((PeerMessage.CreditAdopt) message);
+		}
+		Either<PeerFailure, PeerMessage> answer = this.mesh.call(host, message, KEEP_TIMEOUT_MILLIS);
+		return answer.getOrNull();
+	}
+
+	private void poll(CreditShard shard, EndpointId endpoint, String address) {
+		Either<HttpFailure, HttpExchange> result = this.pool.execute(address,
+				new BasicClassicHttpRequest("GET", "/load"), true, POLL_TIMEOUT_MILLIS);
+		Option<LoadReport> report = Option.none();
+		if (result.isRight()) {
+			try (HttpExchange exchange = result.get()) {
+				Option<byte[]> body = exchange.readWhole(MAX_REPORT_BYTES).toOption();
+				if (exchange.response().getCode() == HttpStatus.SC_OK) {
+					report = body.flatMap((bytes) -> LoadReport.parse(bytes).toOption());
+				}
+			}
+		}
+		if (report.isDefined()) {
+			shard.reported(endpoint, report.get());
+		}
+		else {
+			this.failedPolls.inc();
+			shard.pollFailed(endpoint);
+		}
+	}
+
+	private void giveBack(HostId owner, PeerMessage.ReturnedCredit returned) {
+		synchronized (this.returns) {
+			this.returns.computeIfAbsent(owner, (unused) -> new ArrayList<>()).add(returned);
+		}
+		inBackground("returns " + owner, () -> sendReturns(owner));
+	}
+
+	private void sendReturns(HostId owner) {
+		while (true) {
+			List<PeerMessage.ReturnedCredit> batch;
+			synchronized (this.returns) {
+				batch = this.returns.remove(owner);
+				if (batch == null) {
+					// Under the same lock as additions, so that none is left behind.
+					finished("returns " + owner);
+					return;
+				}
+			}
+			for (List<PeerMessage.ReturnedCredit> part : batches(batch)) {
+				// A lost return needs no repetition, as the credit lapses.
+				this.mesh.call(owner, new PeerMessage.CreditReturn(part), KEEP_TIMEOUT_MILLIS);
+			}
+		}
+	}
+
+	private void inBackground(Object key, Runnable task) {
+		synchronized (this.inFlight) {
+			if (!this.inFlight.add(key)) {
+				return;
+			}
+		}
+		try {
+			this.executor.execute(() -> {
+				try {
+					task.run();
+				}
+				catch (RuntimeException ex) {
+					log.atWarn().addKeyValue("task", key).setCause(ex).log("credit-task-failed");
+				}
+				finally {
+					finished(key);
+				}
+			});
+		}
+		catch (RejectedExecutionException ex) {
+			finished(key);
+		}
+	}
+
+	private void finished(Object key) {
+		synchronized (this.inFlight) {
+			this.inFlight.remove(key);
+		}
+	}
+
+	private synchronized void refresh() {
+		Set<HostId> live = Set.copyOf(this.mesh.live());
+		this.liveHosts = live;
+		Option<Configuration> current = this.configuration.current();
+		if (current.isEmpty()) {
+			return;
+		}
+		Map<FailureDomain, List<HostId>> hosts = new HashMap<>();
+		live.forEach((host) -> hosts.computeIfAbsent(this.mesh.domain(host), (unused) -> new ArrayList<>()).add(host));
+		Map<ServiceId, List<PeerMessage.EndpointInfo>> endpoints = this.directory.byService();
+		current.get().inventory().services().forEach((entry) -> shard(entry.name()));
+		endpoints.keySet().forEach(this::shard);
+		this.shardsByIndex.forEach(
+				(shard) -> shard.refresh(current.get(), endpoints.getOrDefault(shard.service(), List.of()), hosts));
+	}
+
+	private CreditShard shard(ServiceId service) {
+		CreditShard known = this.shards.get(service);
+		return (known != null) ? known : addShard(service);
+	}
+
+	private synchronized CreditShard addShard(ServiceId service) {
+		return this.shards.computeIfAbsent(service, (unused) -> {
+			CreditIds ids = new CreditIds(this.shardsByIndex.size(), this.random.nextLong());
+			CreditShard shard = new CreditShard(service, this.mesh, this.clock, this.random, ids, this::giveBack);
+			this.counters.gauge("queued_requests{service=\"" + service + "\"}", shard::waiting);
+			this.shardsByIndex.add(shard);
+			return shard;
+		});
+	}
+
+	private @Nullable CreditShard shardOf(long credit) {
+		int index = CreditIds.shard(credit);
+		return (index < this.shardsByIndex.size()) ? this.shardsByIndex.get(index) : null;
+	}
+
+	private static <T> List<List<T>> batches(List<T> all) {
+		List<List<T>> batches = new ArrayList<>();
+		for (int from = 0; from < all.size(); from += MAX_BATCH) {
+			batches.add(all.subList(from, Math.min(all.size(), from + MAX_BATCH)));
+		}
+		return batches;
+	}
+
+	private static Runnable guarded(Runnable task) {
+		return () -> {
+			try {
+				task.run();
+			}
+			catch (RuntimeException ex) {
+				// An exception would end the periodic task for good.
+				log.atWarn().setCause(ex).log("credit-tick-failed");
+			}
+		};
+	}
+
+	/**
+	 * Collects the parts of a {@link CreditService}. All are required.
+	 * <p>
+	 * Not thread-safe.
+	 */
+	public static final class Builder {
+
+		private @Nullable PeerMesh mesh;
+
+		private @Nullable ConfigurationSource configuration;
+
+		private @Nullable HttpConnectionPool pool;
+
+		private @Nullable Counters counters;
+
+		private @Nullable Clock clock;
+
+		private @Nullable RandomGenerator random;
+
+		private @Nullable ExecutorService executor;
+
+		private Builder() {
+		}
+
+		/**
+		 * Sets the links to the other hosts.
+		 * @param value the links
+		 * @return this builder
+		 */
+		public Builder mesh(PeerMesh value) {
+			this.mesh = value;
+			return this;
+		}
+
+		/**
+		 * Sets the source of the configuration.
+		 * @param value the source
+		 * @return this builder
+		 */
+		public Builder configuration(ConfigurationSource value) {
+			this.configuration = value;
+			return this;
+		}
+
+		/**
+		 * Sets the client that polls endpoints.
+		 * @param value the client
+		 * @return this builder
+		 */
+		public Builder pool(HttpConnectionPool value) {
+			this.pool = value;
+			return this;
+		}
+
+		/**
+		 * Sets the metrics.
+		 * @param value the metrics
+		 * @return this builder
+		 */
+		public Builder counters(Counters value) {
+			this.counters = value;
+			return this;
+		}
+
+		/**
+		 * Sets the clock.
+		 * @param value a monotonic clock
+		 * @return this builder
+		 */
+		public Builder clock(Clock value) {
+			this.clock = value;
+			return this;
+		}
+
+		/**
+		 * Sets the source of randomness.
+		 * @param value a thread-safe generator, as shards share it
+		 * @return this builder
+		 */
+		public Builder random(RandomGenerator value) {
+			this.random = value;
+			return this;
+		}
+
+		/**
+		 * Sets the threads that calls to other processes block.
+		 * @param value the executor; not closed by the service
+		 * @return this builder
+		 */
+		public Builder executor(ExecutorService value) {
+			this.executor = value;
+			return this;
+		}
+
+		/**
+		 * Creates the service and registers it with the mesh and the configuration. It
+		 * does no periodic work before {@link CreditService#start}.
+		 * @return the service
+		 */
+		public CreditService build() {
+			CreditService service = new CreditService(this);
+			service.begin();
+			return service;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/CreditShard.java
@@ -0,0 +1,791 @@
+package org.bamboorelay.entry.process;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Predicate;
+import java.util.random.RandomGenerator;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import org.bamboorelay.core.connection.PeerMessage;
+import org.bamboorelay.core.failure.Refusal;
+import org.bamboorelay.core.failure.RefusalReason;
+import org.bamboorelay.core.process.CreditLedger;
+import org.bamboorelay.core.process.EndpointSelection;
+import org.bamboorelay.core.process.OutlierEjection;
+import org.bamboorelay.core.process.OwnerSelection;
+import org.bamboorelay.core.process.RendezvousHash;
+import org.bamboorelay.core.request.AdmissionQueue;
+import org.bamboorelay.core.time.Clock;
+import org.bamboorelay.core.version.Configuration;
+import org.bamboorelay.core.version.EndpointId;
+import org.bamboorelay.core.version.FailureDomain;
+import org.bamboorelay.core.version.HostId;
+import org.bamboorelay.core.version.Inventory;
+import org.bamboorelay.core.version.ServiceId;
+import org.bamboorelay.core.version.WorkspaceId;
+import org.bamboorelay.entry.connection.PeerMesh;
+import org.bamboorelay.entry.request.Credit;
+import org.bamboorelay.entry.request.RouteRequest;
+import org.bamboorelay.runtime.connection.PeerFailure;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Admission and credits of one service at one host: the queue of waiting requests, the
+ * ledger of the endpoints that this host owns, and what is known of other owners.
+ * <p>
+ * Thread-safe; all state is guarded by one lock, which is never held during a call to
+ * another process.
+ */
+final class CreditShard {
+
+	/**
+	 * How long an owner that refused is not asked again, in milliseconds. Doubles with
+	 * each further refusal up to {@link #LONGEST_PAUSE_MILLIS}, as a full service would
+	 * otherwise be asked by each host many times a second.
+	 */
+	private static final long REFUSED_PAUSE_MILLIS = 50;
+
+	private static final long LONGEST_PAUSE_MILLIS = 1_000;
+
+	/**
+	 * How long an owner that could not be reached is not asked again, in milliseconds.
+	 */
+	private static final long UNREACHABLE_PAUSE_MILLIS = 1_000;
+
+	/** Retry-After where no endpoint exists that could serve, in milliseconds. */
+	private static final long NO_ENDPOINT_RETRY_MILLIS = 2_000;
+
+	/** Longest wait for the answer of an owner, in milliseconds. */
+	private static final long ASK_TIMEOUT_MILLIS = 500;
+
+	/** Failed polls in a row after which an endpoint gets nothing. */
+	private static final int FAILED_POLLS = 3;
+
+	private static final String OPEN_ROUTES = "(open)";
+
+	private final ReentrantLock lock = new ReentrantLock();
+
+	private final ServiceId service;
+
+	private final PeerMesh mesh;
+
+	private final Clock clock;
+
+	private final Returns returns;
+
+	private final CreditLedger ledger;
+
+	private final OutlierEjection ejection = OutlierEjection.create();
+
+	private final OwnerSelection ownerSelection;
+
+	private final AdmissionQueue queue;
+
+	private final Set<HeldCredit> held = new LinkedHashSet<>();
+
+	private Map<EndpointId, Known> endpoints = Map.of();
+
+	private Map<HostId, OwnerView> owners = Map.of();
+
+	private int eligible;
+
+	private int eligibleSteady;
+
+	CreditShard(ServiceId service, PeerMesh mesh, Clock clock, RandomGenerator random, CreditIds ids, Returns returns) {
+		this.service = service;
+		this.mesh = mesh;
+		this.clock = clock;
+		this.returns = returns;
+		this.ledger = CreditLedger.of(EndpointSelection.of(random), ids::next);
+		this.ownerSelection = OwnerSelection.of(random);
+		this.queue = AdmissionQueue.of(new AdmissionQueue.Limits(1, 0, 0));
+	}
+
+	ServiceId service() {
+		return this.service;
+	}
+
+	int waiting() {
+		return locked(this.queue::size);
+	}
+
+	/**
+	 * Takes the present configuration, endpoint list and membership.
+	 * @param configuration the configuration
+	 * @param infos the endpoints of the service
+	 * @param hosts the live hosts of each failure domain
+	 */
+	void refresh(Configuration configuration, Collection<PeerMessage.EndpointInfo> infos,
+			Map<FailureDomain, List<HostId>> hosts) {
+		locked(() -> {
+			long now = this.clock.millis();
+			applyRules(configuration);
+			int capacity = configuration.inventory()
+				.service(this.service)
+				.map(Inventory.ServiceEntry::endpointCapacity)
+				.orElse(1);
+			Map<EndpointId, Known> fresh = new LinkedHashMap<>();
+			for (PeerMessage.EndpointInfo info : infos) {
+				List<HostId> candidates = hosts.getOrDefault(info.domain(), List.of());
+				HostId owner = candidates.isEmpty() ? null : RendezvousHash.owner(info.endpoint().value(), candidates);
+				Known known = new Known(info, owner, configuration.isInService(info.domain()));
+				Known before = this.endpoints.get(info.endpoint());
+				if (before != null && !before.info.address().equals(info.address())) {
+					this.ledger.disown(info.endpoint());
+				}
+				else if (before != null && this.mesh.self().equals(owner)) {
+					// Only the owner polls, so what another host saw before is outdated.
+					known.leavingItself = before.leavingItself;
+					known.failedPolls = before.failedPolls;
+				}
+				fresh.put(info.endpoint(), known);
+			}
+			this.endpoints = fresh;
+			this.ejection.retain(fresh.keySet());
+			for (EndpointId owned : this.ledger.owned()) {
+				Known known = fresh.get(owned);
+				if (known == null || !this.mesh.self().equals(known.owner)) {
+					this.ledger.disown(owned);
+				}
+			}
+			for (Known known : fresh.values()) {
+				if (this.mesh.self().equals(known.owner)) {
+					this.ledger.own(known.info.endpoint(), known.info.cheap(), capacity, now);
+				}
+			}
+			updateEligible();
+			dispatch(now);
+			return null;
+		});
+	}
+
+	/**
+	 * Admits a request and waits for its credit on the calling thread.
+	 * @param request the request
+	 * @param configuration the configuration in force
+	 * @return the credit or the refusal
+	 */
+	Either<Refusal, Credit> acquire(RouteRequest request, Configuration configuration) {
+		Waiter waiter = new Waiter(request);
+		Option<Refusal> refused = locked(() -> enter(waiter, configuration));
+		if (refused.isDefined()) {
+			return Either.left(refused.get());
+		}
+		while (true) {
+			Step step;
+			try {
+				step = waiter.steps.take();
+			}
+			catch (InterruptedException ex) {
+				abandon(waiter);
+				Thread.currentThread().interrupt();
+				return Either.left(Refusal.notRun(RefusalReason.DEADLINE, "the wait for an endpoint was interrupted"));
+			}
+			if (step.refusal != null) {
+				return Either.left(step.refusal);
+			}
+			if (step.credit != null) {
+				return Either.right(step.credit);
+			}
+			ask(waiter, step);
+		}
+	}
+
+	PeerMessage lendTo(PeerMessage.CreditRequest request) {
+		return locked(() -> {
+			long now = this.clock.millis();
+			EndpointSelection.Query query = new EndpointSelection.Query(request.interactive(), request.repeatable(),
+					request.prefixHash(), Math.max(1, request.expectedTokens()), request.excluded());
+			Option<CreditLedger.Loan> loan = this.ledger.lend(query, now);
+			if (loan.isEmpty()) {
+				return new PeerMessage.CreditRefusal(this.ledger.owned().isEmpty() ? "not-owner" : "no-room",
+						REFUSED_PAUSE_MILLIS);
+			}
+			Known known = this.endpoints.get(loan.get().endpoint());
+			return new PeerMessage.CreditGrant(loan.get().credit(), known.info.endpoint(), known.info.address(),
+					CreditLedger.CREDIT_MILLIS);
+		});
+	}
+
+	void takeBack(PeerMessage.ReturnedCredit returned) {
+		locked(() -> {
+			long now = this.clock.millis();
+			this.ledger.giveBack(returned.credit(), outcome(returned.outcome()), returned.firstByteMillis(), now);
+			dispatch(now);
+			return null;
+		});
+	}
+
+	boolean renew(long credit) {
+		return locked(() -> this.ledger.renew(credit, this.clock.millis()));
+	}
+
+	Option<Long> adopt(EndpointId endpoint) {
+		return locked(() -> this.ledger.adopt(endpoint, this.clock.millis()));
+	}
+
+	boolean knows(EndpointId endpoint) {
+		return locked(() -> this.endpoints.containsKey(endpoint));
+	}
+
+	PeerMessage.Digest digest() {
+		return locked(() -> {
+			this.ledger.expire(this.clock.millis());
+			return new PeerMessage.Digest(this.service, this.ledger.free(true), this.ledger.free(false));
+		});
+	}
+
+	void digestFrom(HostId host, PeerMessage.Digest digest) {
+		locked(() -> {
+			OwnerView owner = this.owners.get(host);
+			if (owner != null) {
+				owner.freeInteractive = digest.freeInteractive();
+				owner.freeRollout = digest.freeRollout();
+				dispatch(this.clock.millis());
+			}
+			return null;
+		});
+	}
+
+	/**
+	 * Lets credits lapse, refuses requests that waited too long, and serves others.
+	 * @return the number of credits that lapsed
+	 */
+	int tick() {
+		return locked(() -> {
+			long now = this.clock.millis();
+			int lapsed = this.ledger.expire(now);
+			if (this.queue.size() > 0) {
+				dispatch(now);
+				refuse(this.queue.removeIf((ticket) -> ticket.deadlineMillis() <= now), RefusalReason.DEADLINE,
+						"no endpoint had room in time", Math.max(1, this.queue.retryAfterMillis()));
+			}
+			return lapsed;
+		});
+	}
+
+	/**
+	 * Returns the held credits by what has to be done to keep them.
+	 * @param renewals credits to renew, by their owner
+	 * @param adoptions credits to register again, by the new owner
+	 */
+	void collectHeld(Map<HostId, List<Keep>> renewals, Map<HostId, List<Keep>> adoptions) {
+		locked(() -> {
+			for (HeldCredit credit : this.held) {
+				Known known = this.endpoints.get(credit.endpoint());
+				HostId owner = (known != null) ? known.owner : null;
+				if (owner != null) {
+					(owner.equals(credit.owner()) ? renewals : adoptions)
+						.computeIfAbsent(owner, (unused) -> new ArrayList<>())
+						.add(new Keep(this, credit, credit.id()));
+				}
+			}
+			return null;
+		});
+	}
+
+	/**
+	 * Notes that a held credit has a new owner or id.
+	 * @param credit the credit
+	 * @param owner the owner that adopted it
+	 * @param id its new id
+	 */
+	void adopted(HeldCredit credit, HostId owner, long id) {
+		boolean running = locked(() -> {
+			if (this.held.contains(credit)) {
+				credit.movedTo(owner, id);
+				return true;
+			}
+			return false;
+		});
+		if (!running) {
+			giveBack(owner, new PeerMessage.ReturnedCredit(id, "unused", 0, 0, 0));
+		}
+	}
+
+	Map<EndpointId, String> ownedAddresses() {
+		return locked(() -> {
+			Map<EndpointId, String> addresses = new HashMap<>();
+			this.ledger.owned()
+				.forEach((endpoint) -> addresses.put(endpoint, this.endpoints.get(endpoint).info.address()));
+			return addresses;
+		});
+	}
+
+	void reported(EndpointId endpoint, LoadReport report) {
+		locked(() -> {
+			Known known = this.endpoints.get(endpoint);
+			if (known != null) {
+				long now = this.clock.millis();
+				known.leavingItself = report.leaving();
+				known.failedPolls = 0;
+				this.ledger.reported(endpoint, report.incarnation(), report.warm(), report.capacity(), now);
+				updateEligible();
+				dispatch(now);
+			}
+			return null;
+		});
+	}
+
+	void pollFailed(EndpointId endpoint) {
+		locked(() -> {
+			Known known = this.endpoints.get(endpoint);
+			if (known != null && ++known.failedPolls == FAILED_POLLS) {
+				updateEligible();
+				dispatch(this.clock.millis());
+			}
+			return null;
+		});
+	}
+
+	List<EndpointStatus> status() {
+		return locked(() -> {
+			List<EndpointId> ejected = this.ejection.ejected(this.clock.millis());
+			return this.endpoints.values()
+				.stream()
+				.map((known) -> new EndpointStatus(this.service, known.info.endpoint(), known.info.domain(),
+						known.owner, known.accepting(), ejected.contains(known.info.endpoint()),
+						this.ledger.allowance(known.info.endpoint()), this.ledger.lent(known.info.endpoint())))
+				.toList();
+		});
+	}
+
+	void ended(HeldCredit credit, Credit.Outcome outcome, long firstByteMillis, long tokens) {
+		long now = this.clock.millis();
+		PeerMessage.ReturnedCredit returned;
+		HostId owner;
+		this.lock.lock();
+		try {
+			this.held.remove(credit);
+			owner = credit.owner();
+			returned = new PeerMessage.ReturnedCredit(credit.id(), code(outcome), firstByteMillis,
+					Math.max(0, now - credit.sinceMillis()), tokens);
+			this.queue.served(credit.ticket(), tokens);
+			if (outcome == Credit.Outcome.OK) {
+				this.ejection.answered(credit.endpoint());
+			}
+			else if (outcome == Credit.Outcome.FAILED) {
+				this.ejection.failed(credit.endpoint(), this.endpoints.size(), now);
+			}
+			OwnerView view = this.owners.get(owner);
+			if (view != null) {
+				view.freeInteractive = Math.max(0, view.freeInteractive) + 1;
+				view.freeRollout = Math.max(0, view.freeRollout) + 1;
+			}
+		}
+		finally {
+			this.lock.unlock();
+		}
+		giveBack(owner, returned);
+	}
+
+	private void giveBack(HostId owner, PeerMessage.ReturnedCredit returned) {
+		if (owner.equals(this.mesh.self())) {
+			takeBack(returned);
+		}
+		else {
+			this.returns.add(owner, returned);
+			locked(() -> {
+				dispatch(this.clock.millis());
+				return null;
+			});
+		}
+	}
+
+	private Option<Refusal> enter(Waiter waiter, Configuration configuration) {
+		long now = this.clock.millis();
+		if (!servable(waiter.request)) {
+			return Option.some(noEndpoint());
+		}
+		WorkspaceId workspace = waiter.request.workspace();
+		int weight = (workspace != null)
+				? configuration.inventory().workspace(workspace).map(Inventory.WorkspaceEntry::weight).orElse(1) : 1;
+		AdmissionQueue.Demand demand = new AdmissionQueue.Demand((workspace != null) ? workspace.value() : OPEN_ROUTES,
+				weight, waiter.request.interactive(), waiter.request.expectedTokens(), waiter);
+		Either<AdmissionQueue.Overload, AdmissionQueue.Admission> offered = this.queue.offer(demand, now);
+		if (offered.isLeft()) {
+			return Option.some(Refusal.notRun(RefusalReason.QUEUE_FULL, "too many requests wait for " + this.service)
+				.withRetryAfter(offered.getLeft().retryAfterMillis()));
+		}
+		AdmissionQueue.Ticket evicted = offered.get().evicted();
+		if (evicted != null) {
+			refuse(List.of(evicted), RefusalReason.QUEUE_FULL, "too many requests wait for " + this.service,
+					this.queue.retryAfterMillis());
+		}
+		waiter.ticket = offered.get().ticket();
+		dispatch(now);
+		return Option.none();
+	}
+
+	/**
+	 * Serves waiting requests while there is room, at this host or as known elsewhere.
+	 * @param now the time, in milliseconds
+	 */
+	private void dispatch(long now) {
+		if (this.queue.size() == 0) {
+			return;
+		}
+		refuse(this.queue.removeIf((ticket) -> !servable(waiter(ticket).request)), RefusalReason.NO_ENDPOINT,
+				noEndpoint().detail(), NO_ENDPOINT_RETRY_MILLIS);
+		Set<EndpointId> ejected = new HashSet<>(this.ejection.ejected(now));
+		Predicate<AdmissionQueue.Demand> servable = (demand) -> {
+			Waiter waiter = (Waiter) demand.attachment();
+			waiter.next = route(waiter.request, ejected, now);
+			return waiter.next != null;
+		};
+		AdmissionQueue.Ticket ticket = this.queue.poll(servable, now);
+		while (ticket != null) {
+			Waiter waiter = waiter(ticket);
+			Step next = waiter.next;
+			if (next.loan != null) {
+				Known known = this.endpoints.get(next.loan.endpoint());
+				HeldCredit credit = new HeldCredit(this, known.info.endpoint(), known.info.address(), ticket, now,
+						this.mesh.self(), next.loan.credit());
+				this.held.add(credit);
+				next = Step.of(credit);
+			}
+			waiter.steps.add(next);
+			ticket = this.queue.poll(servable, now);
+		}
+	}
+
+	private @Nullable Step route(RouteRequest request, Set<EndpointId> ejected, long now) {
+		Set<EndpointId> excluded = new HashSet<>(ejected);
+		excluded.addAll(request.excluded());
+		if (this.ledger.free(request.interactive()) > 0) {
+			Option<CreditLedger.Loan> loan = this.ledger.lend(new EndpointSelection.Query(request.interactive(),
+					request.repeatable(), request.prefixHash(), request.expectedTokens(), excluded), now);
+			if (loan.isDefined()) {
+				return Step.of(loan.get());
+			}
+		}
+		List<OwnerSelection.Owner> choice = new ArrayList<>();
+		for (OwnerView owner : this.owners.values()) {
+			if (owner.host.equals(this.mesh.self()) || (!request.repeatable() && owner.steady == 0)) {
+				continue;
+			}
+			owner.probe(now);
+			if (owner.free(request.interactive()) > 0) {
+				choice.add(new OwnerSelection.Owner(owner.host, false, owner.sameDomain,
+						owner.free(request.interactive())));
+			}
+		}
+		HostId host = this.ownerSelection.choose(choice, request.prefixHash());
+		if (host == null) {
+			return null;
+		}
+		OwnerView owner = this.owners.get(host);
+		owner.freeInteractive--;
+		owner.freeRollout--;
+		owner.probeMillis = Math.max(owner.probeMillis, now + REFUSED_PAUSE_MILLIS);
+		return Step.ask(host,
+				excluded.stream()
+					.filter((endpoint) -> this.endpoints.containsKey(endpoint)
+							&& host.equals(this.endpoints.get(endpoint).owner))
+					.toList());
+	}
+
+	private void ask(Waiter waiter, Step step) {
+		RouteRequest request = waiter.request;
+		HostId host = step.host;
+		Either<PeerFailure, PeerMessage> answer = this.mesh.call(host,
+				new PeerMessage.CreditRequest(request.service(), request.interactive(), request.repeatable(),
+						request.prefixHash(), request.expectedTokens(), request.line(), step.excluded),
+				ASK_TIMEOUT_MILLIS);
+		locked(() -> {
+			long now = this.clock.millis();
+			OwnerView owner = this.owners.get(host);
+			if (answer.isRight() && answer.get() instanceof PeerMessage.CreditGrant grant) {
+				granted(waiter, host, grant, now);
+				if (owner != null) {
+					owner.granted(request.interactive());
+				}
+			}
+			else {
+				long least = UNREACHABLE_PAUSE_MILLIS;
+				if (answer.isRight() && answer.get() instanceof PeerMessage.CreditRefusal refusal) {
+					least = refusal.retryAfterMillis();
+				}
+				if (owner != null) {
+					owner.refused(request.interactive(), now, least);
+				}
+				this.queue.putBack(waiter.ticket);
+			}
+			dispatch(now);
+			return null;
+		});
+	}
+
+	private void granted(Waiter waiter, HostId host, PeerMessage.CreditGrant grant, long now) {
+		Known known = this.endpoints.get(grant.endpoint());
+		HeldCredit credit = new HeldCredit(this, grant.endpoint(), grant.address(), waiter.ticket, now, host,
+				grant.credit());
+		if (known != null && !known.accepting()) {
+			// The endpoint or its domain left while the answer was on its way.
+			this.returns.add(host, new PeerMessage.ReturnedCredit(grant.credit(), "unused", 0, 0, 0));
+			this.queue.putBack(waiter.ticket);
+			return;
+		}
+		this.held.add(credit);
+		waiter.steps.add(Step.of(credit));
+	}
+
+	private void abandon(Waiter waiter) {
+		boolean waited = locked(() -> this.queue.remove(waiter.ticket));
+		Step step = waiter.steps.poll();
+		if (!waited && step != null) {
+			if (step.credit != null) {
+				step.credit.end(Credit.Outcome.UNUSED, 0, 0);
+			}
+			else {
+				locked(() -> {
+					this.queue.served(waiter.ticket, 0);
+					return null;
+				});
+			}
+		}
+	}
+
+	private boolean servable(RouteRequest request) {
+		int count = request.repeatable() ? this.eligible : this.eligibleSteady;
+		for (EndpointId endpoint : Set.copyOf(request.excluded())) {
+			Known known = this.endpoints.get(endpoint);
+			if (known != null && known.accepting() && known.owner != null
+					&& (request.repeatable() || !known.info.cheap())) {
+				count--;
+			}
+		}
+		return count > 0;
+	}
+
+	private void updateEligible() {
+		this.eligible = 0;
+		this.eligibleSteady = 0;
+		this.owners.values().forEach((owner) -> owner.steady = 0);
+		Map<HostId, OwnerView> fresh = new LinkedHashMap<>();
+		FailureDomain here = this.mesh.domain(this.mesh.self());
+		for (Known known : this.endpoints.values()) {
+			this.ledger.accepting(known.info.endpoint(), known.accepting());
+			if (known.owner == null || !known.accepting()) {
+				continue;
+			}
+			OwnerView owner = fresh.computeIfAbsent(known.owner, (host) -> {
+				OwnerView before = this.owners.get(host);
+				return (before != null) ? before : new OwnerView(host, here.equals(known.info.domain()));
+			});
+			this.eligible++;
+			if (!known.info.cheap()) {
+				this.eligibleSteady++;
+				owner.steady++;
+			}
+		}
+		this.owners = fresh;
+	}
+
+	private void applyRules(Configuration configuration) {
+		this.ledger.policies(!"no-ramp".equals(configuration.rules().policies().ramp()),
+				!"round-robin".equals(configuration.rules().policies().routing()));
+		this.queue.fair(!"first-come".equals(configuration.rules().policies().admission()));
+		this.queue.limits(new AdmissionQueue.Limits(configuration.rules().admission().maxQueued(),
+				configuration.rules().admission().maxWaitInteractiveMillis(),
+				configuration.rules().admission().maxWaitRolloutMillis()));
+	}
+
+	private static void refuse(List<AdmissionQueue.Ticket> tickets, RefusalReason reason, String detail,
+			long retryAfterMillis) {
+		tickets.forEach((ticket) -> waiter(ticket).steps
+			.add(Step.of(Refusal.notRun(reason, detail).withRetryAfter(retryAfterMillis))));
+	}
+
+	private Refusal noEndpoint() {
+		return Refusal.notRun(RefusalReason.NO_ENDPOINT, "no endpoint of " + this.service + " takes this request now")
+			.withRetryAfter(NO_ENDPOINT_RETRY_MILLIS);
+	}
+
+	private <T extends @Nullable Object> T locked(Section<T> section) {
+		this.lock.lock();
+		try {
+			return section.run();
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	private static Waiter waiter(AdmissionQueue.Ticket ticket) {
+		return (Waiter) ticket.demand().attachment();
+	}
+
+	private static String code(Credit.Outcome outcome) {
+		return switch (outcome) {
+			case OK -> "ok";
+			case FAILED -> "failed";
+			case REFUSED -> "refused";
+			case UNUSED -> "unused";
+		};
+	}
+
+	private static CreditLedger.Outcome outcome(String code) {
+		return switch (code) {
+			case "ok" -> CreditLedger.Outcome.OK;
+			case "failed" -> CreditLedger.Outcome.FAILED;
+			case "refused" -> CreditLedger.Outcome.REFUSED;
+			default -> CreditLedger.Outcome.UNUSED;
+		};
+	}
+
+	/** Takes credits that go back to other hosts. */
+	@FunctionalInterface
+	interface Returns {
+
+		/**
+		 * Sends a credit back in the background.
+		 * @param owner the owner
+		 * @param returned the credit
+		 */
+		void add(HostId owner, PeerMessage.ReturnedCredit returned);
+
+	}
+
+	/**
+	 * A held credit that must be kept alive.
+	 *
+	 * @param shard its shard
+	 * @param credit the credit
+	 * @param id its id when it was collected
+	 */
+	record Keep(CreditShard shard, HeldCredit credit, long id) {
+	}
+
+	@FunctionalInterface
+	private interface Section<T extends @Nullable Object> {
+
+		T run();
+
+	}
+
+	private static final class Waiter {
+
+		private final RouteRequest request;
+
+		/** A waiter has at most one step at a time: it is in the queue or has a step. */
+		private final BlockingQueue<Step> steps = new ArrayBlockingQueue<>(1);
+
+		private AdmissionQueue.@Nullable Ticket ticket;
+
+		private @Nullable Step next;
+
+		private Waiter(RouteRequest request) {
+			this.request = request;
+		}
+
+	}
+
+	private record Step(CreditLedger.@Nullable Loan loan, @Nullable HeldCredit credit, @Nullable Refusal refusal,
+			@Nullable HostId host, List<EndpointId> excluded) {
+
+		private static Step of(CreditLedger.Loan loan) {
+			return new Step(loan, null, null, null, List.of());
+		}
+
+		private static Step of(HeldCredit credit) {
+			return new Step(null, credit, null, null, List.of());
+		}
+
+		private static Step of(Refusal refusal) {
+			return new Step(null, null, refusal, null, List.of());
+		}
+
+		private static Step ask(HostId host, List<EndpointId> excluded) {
+			return new Step(null, null, null, host, excluded);
+		}
+
+	}
+
+	private static final class Known {
+
+		private final PeerMessage.EndpointInfo info;
+
+		private final @Nullable HostId owner;
+
+		private final boolean domainInService;
+
+		private boolean leavingItself;
+
+		private int failedPolls;
+
+		private Known(PeerMessage.EndpointInfo info, @Nullable HostId owner, boolean domainInService) {
+			this.info = info;
+			this.owner = owner;
+			this.domainInService = domainInService;
+		}
+
+		private boolean accepting() {
+			return this.domainInService && !this.info.leaving() && !this.leavingItself
+					&& this.failedPolls < FAILED_POLLS;
+		}
+
+	}
+
+	private static final class OwnerView {
+
+		private final HostId host;
+
+		private final boolean sameDomain;
+
+		/** An owner of which nothing is known yet is asked for one credit. */
+		private int freeInteractive = 1;
+
+		private int freeRollout = 1;
+
+		/** When an owner without known free credits is asked again, in milliseconds. */
+		private long probeMillis = Long.MIN_VALUE;
+
+		private int steady;
+
+		private long pauseMillis = REFUSED_PAUSE_MILLIS;
+
+		private OwnerView(HostId host, boolean sameDomain) {
+			this.host = host;
+			this.sameDomain = sameDomain;
+		}
+
+		private int free(boolean interactive) {
+			return interactive ? this.freeInteractive : this.freeRollout;
+		}
+
+		private void refused(boolean interactive, long now, long leastMillis) {
+			this.freeInteractive = interactive ? 0 : this.freeInteractive;
+			this.freeRollout = 0;
+			this.probeMillis = now + Math.max(this.pauseMillis, leastMillis);
+			this.pauseMillis = Math.min(LONGEST_PAUSE_MILLIS, 2 * this.pauseMillis);
+		}
+
+		private void granted(boolean interactive) {
+			this.pauseMillis = REFUSED_PAUSE_MILLIS;
+			this.freeInteractive = Math.max(1, this.freeInteractive);
+			this.freeRollout = Math.max(interactive ? 0 : 1, this.freeRollout);
+		}
+
+		private void probe(long now) {
+			if (this.probeMillis != Long.MIN_VALUE && now >= this.probeMillis) {
+				this.freeInteractive = Math.max(1, this.freeInteractive);
+				this.freeRollout = Math.max(1, this.freeRollout);
+				this.probeMillis = Long.MIN_VALUE;
+			}
+		}
+
+	}
+
+}
