Merge credits and compose the entry process

Cause: admission and trainer routes were built against interfaces only. Change: EntryComposition builds CreditService and RolloutRoutes into the process; one RendezvousHash and one RetryBudget replace the twins. Conclusion: the entry process is whole; it gets endpoints once control runs.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/RendezvousHash.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/RendezvousHash.java
@@ -1,15 +1,16 @@
 package org.bamboorelay.core.process;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Objects;
 
-import io.vavr.control.Option;
-import org.bamboorelay.core.version.Identifier;
+import org.bamboorelay.core.version.HostId;
 
 /**
- * Chooses hosts for a key so that every process chooses the same ones from the same live
- * set, and a change of the set moves only the keys of the hosts that changed.
+ * Rendezvous hashing: assigns each key to one host, so that a host that leaves or joins
+ * moves only its own share of the keys.
  * <p>
  * Stateless and thread-safe.
  */
@@ -23,52 +24,72 @@
 	}
 
 	/**
-	 * Chooses one host.
-	 * @param <T> type of the hosts
+	 * Finds the host that a key belongs to.
 	 * @param key the key
-	 * @param hosts the hosts to choose from
-	 * @return the host, or nothing where there are none
+	 * @param hosts the hosts, at least one, in any order
+	 * @return the host
 	 */
-	public static <T extends Identifier> Option<T> owner(String key, Collection<T> hosts) {
-		List<T> first = choose(key, hosts, 1);
-		return first.isEmpty() ? Option.none() : Option.some(first.get(0));
+	public static HostId owner(String key, Collection<HostId> hosts) {
+		Objects.requireNonNull(key, "key");
+		if (hosts.isEmpty()) {
+			throw new IllegalArgumentException("no host to own key \"" + key + "\"");
+		}
+		HostId best = null;
+		long bestScore = 0;
+		for (HostId host : hosts) {
+			long score = score(key, host);
+			if (best == null || score > bestScore || (score == bestScore && host.compareTo(best) < 0)) {
+				best = host;
+				bestScore = score;
+			}
+		}
+		return Objects.requireNonNull(best);
 	}
 
 	/**
-	 * Chooses several hosts, the best first.
-	 * @param <T> type of the hosts
+	 * Orders the hosts for a key; the first is the owner, the next its successor.
 	 * @param key the key
-	 * @param hosts the hosts to choose from
-	 * @param count the most hosts to choose
-	 * @return the hosts
+	 * @param hosts the hosts, in any order
+	 * @return the hosts, best first
 	 */
-	public static <T extends Identifier> List<T> choose(String key, Collection<T> hosts, int count) {
-		return hosts.stream()
-			.sorted(Comparator.<T>comparingLong((host) -> weight(key, host.value()))
-				.reversed()
-				.thenComparing(Identifier::value))
-			.limit(count)
-			.toList();
+	public static List<HostId> ranked(String key, Collection<HostId> hosts) {
+		Objects.requireNonNull(key, "key");
+		List<HostId> ranked = new ArrayList<>(hosts);
+		ranked.sort(Comparator.<HostId>comparingLong((host) -> score(key, host))
+			.reversed()
+			.thenComparing(Comparator.naturalOrder()));
+		return ranked;
 	}
 
 	/**
-	 * Hashes a text to 64 bits, equal in every process.
+	 * Hashes a text. The value is stable between processes and versions.
 	 * @param text the text
-	 * @return the hash
+	 * @return 64 well mixed bits
 	 */
 	public static long hash(String text) {
-		long hash = FNV_OFFSET;
-		for (int i = 0; i < text.length(); i++) {
-			hash = (hash ^ text.charAt(i)) * FNV_PRIME;
-		}
-		// FNV alone leaves the high bits of short texts nearly equal.
-		hash = (hash ^ (hash >>> 33)) * 0xff51afd7ed558ccdL;
-		hash = (hash ^ (hash >>> 33)) * 0xc4ceb9fe1a85ec53L;
+		return finish(append(FNV_OFFSET, text));
+	}
+
+	private static long score(String key, HostId host) {
+		return finish(append(append(FNV_OFFSET, key) * FNV_PRIME, host.value()));
+	}
+
+	private static long finish(long value) {
+		// FNV alone leaves the high bits of short keys correlated, which skews shares.
+		long hash = value;
+		hash ^= hash >>> 33;
+		hash *= 0xff51afd7ed558ccdL;
+		hash ^= hash >>> 33;
+		hash *= 0xc4ceb9fe1a85ec53L;
 		return hash ^ (hash >>> 33);
 	}
 
-	private static long weight(String key, String host) {
-		return hash(key + '\0' + host);
+	private static long append(long seed, String text) {
+		long hash = seed;
+		for (int i = 0; i < text.length(); i++) {
+			hash = (hash ^ text.charAt(i)) * FNV_PRIME;
+		}
+		return hash;
 	}
 
 }
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/request/RetryBudget.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/request/RetryBudget.java
@@ -1,36 +1,55 @@
 package org.bamboorelay.core.request;
 
 /**
- * Bounds retries to a share of the requests, so that a failing service does not get a
- * multiple of its load.
+ * Limits retries to a share of the requests, so that retries cannot multiply the load
+ * while endpoints fail.
  * <p>
  * Thread-safe.
  */
 public final class RetryBudget {
 
-	private static final double SHARE = 0.1;
+	/** Share of the requests that may be retried, in percent. */
+	public static final int PERCENT = 10;
 
-	/** Retries that an idle process may make at once. */
-	private static final double MAX_SAVED = 10;
+	private static final long WHOLE = 100;
 
-	private double saved = MAX_SAVED;
+	private final long limit;
+
+	private long hundredths;
+
+	private RetryBudget(int burst) {
+		this.limit = burst * WHOLE;
+		this.hundredths = this.limit;
+	}
+
+	/**
+	 * Creates a full budget.
+	 * @param burst the most retries that are saved up
+	 * @return the budget
+	 */
+	public static RetryBudget of(int burst) {
+		if (burst < 1) {
+			throw new IllegalArgumentException("burst must be positive: " + burst);
+		}
+		return new RetryBudget(burst);
+	}
 
 	/**
-	 * Notes a new request.
+	 * Notes a first attempt, which earns a part of a retry.
 	 */
-	public synchronized void request() {
-		this.saved = Math.min(MAX_SAVED, this.saved + SHARE);
+	public synchronized void requested() {
+		this.hundredths = Math.min(this.limit, this.hundredths + PERCENT);
 	}
 
 	/**
-	 * Takes one retry.
-	 * @return whether the retry is allowed
+	 * Takes one retry from the budget.
+	 * @return false where the budget is used up and the request must not be retried
 	 */
-	public synchronized boolean take() {
-		if (this.saved < 1) {
+	public synchronized boolean tryRetry() {
+		if (this.hundredths < WHOLE) {
 			return false;
 		}
-		this.saved -= 1;
+		this.hundredths -= WHOLE;
 		return true;
 	}
 
--- /dev/null
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/EntryComposition.java
@@ -0,0 +1,87 @@
+package org.bamboorelay.entry.process;
+
+import java.util.List;
+import java.util.UUID;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+import org.bamboorelay.entry.request.CallerRoute;
+import org.bamboorelay.entry.request.CreditSource;
+import org.bamboorelay.entry.request.Problems;
+import org.bamboorelay.entry.request.RolloutParts;
+import org.bamboorelay.entry.request.RolloutRoutes;
+import org.bamboorelay.entry.request.RolloutThreads;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Builds admission and trainer routes into an entry process.
+ * <p>
+ * Used by the thread that starts the process; the status may be read by any thread.
+ */
+final class EntryComposition {
+
+	/** Samples that run at once on a host; each has a thread. */
+	private static final int MAX_RUNNING_SAMPLES = 256;
+
+	private static final int MAX_ROLLOUT_TASKS = 32;
+
+	private static final int MAX_RUNNING_PER_STEP = 128;
+
+	/**
+	 * Finished samples that wait for their batch, own ones and copies for other hosts.
+	 */
+	private static final long MAX_SAMPLE_BYTES = 32L * 1_048_576;
+
+	private volatile @Nullable CreditService credits;
+
+	/**
+	 * Returns what an entry process is started with.
+	 * @return the parts
+	 */
+	EntryProcess.Plugins plugins() {
+		return new EntryProcess.Plugins(this::credits, this::routes, this::endpoints);
+	}
+
+	private CreditSource credits(EntryParts parts) {
+		CreditService service = CreditService.builder()
+			.mesh(parts.mesh())
+			.configuration(parts.configuration())
+			.pool(parts.pool())
+			.counters(parts.counters())
+			.clock(parts.clock())
+			.random(RandomGenerator.getDefault())
+			.executor(Executors.newCachedThreadPool(EntryComposition::daemon))
+			.build();
+		parts.mesh().digests(service::digests);
+		parts.mesh().onDigests(service::digestsFrom);
+		service.start();
+		this.credits = service;
+		return service;
+	}
+
+	private List<CallerRoute> routes(EntryParts parts, CreditSource source) {
+		RolloutThreads threads = RolloutThreads.of(MAX_RUNNING_SAMPLES, MAX_ROLLOUT_TASKS);
+		RolloutRoutes rollouts = RolloutRoutes.of(
+				new RolloutParts(parts.mesh(), parts.store(), source, parts.engines(), parts.configuration(),
+						parts.usage(), parts.counters(), parts.clock(), threads, () -> UUID.randomUUID().toString(),
+						new RolloutParts.Limits(MAX_RUNNING_PER_STEP, MAX_SAMPLE_BYTES)),
+				Problems.of(parts.counters()));
+		parts.threads()
+			.scheduleWithFixedDelay(rollouts::tick, RolloutRoutes.TICK_MILLIS, RolloutRoutes.TICK_MILLIS,
+					TimeUnit.MILLISECONDS);
+		return List.of(rollouts);
+	}
+
+	private static Thread daemon(Runnable task) {
+		Thread thread = new Thread(task, "credits");
+		thread.setDaemon(true);
+		return thread;
+	}
+
+	private Object endpoints() {
+		CreditService service = this.credits;
+		return (service != null) ? service.status() : List.of();
+	}
+
+}
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/EntryMain.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/EntryMain.java
@@ -11,10 +11,7 @@
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
-import org.bamboorelay.core.failure.Refusal;
-import org.bamboorelay.core.failure.RefusalReason;
 import org.bamboorelay.core.version.ConfigurationFault;
-import org.bamboorelay.entry.request.CreditSource;
 import org.bamboorelay.entry.version.EntrySettings;
 import org.bamboorelay.runtime.version.SettingsFailure;
 import org.bamboorelay.runtime.version.SettingsReader;
@@ -43,7 +40,7 @@
 			System.exit(BAD_SETTINGS);
 		}
 		try {
-			EntryProcess process = EntryProcess.start(settings.get(), plugins());
+			EntryProcess process = EntryProcess.start(settings.get(), new EntryComposition().plugins());
 			Runtime.getRuntime().addShutdownHook(new Thread(process::leave, "shutdown"));
 		}
 		catch (IOException ex) {
@@ -74,11 +71,4 @@
 		});
 	}
 
-	private static EntryProcess.Plugins plugins() {
-		// Replaced by the admission and the trainer routes.
-		CreditSource credits = (request) -> Either
-			.left(Refusal.notRun(RefusalReason.NO_ENDPOINT, "no endpoint of " + request.service() + " is known"));
-		return new EntryProcess.Plugins((parts) -> credits, (parts, source) -> List.of(), List::of);
-	}
-
 }
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/EntryProcess.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/EntryProcess.java
@@ -68,7 +68,10 @@
 
 	private static final long LAST_USAGE_MILLIS = 2_500;
 
-	private static final int TIMER_THREADS = 2;
+	private static final int TIMER_THREADS = 4;
+
+	/** Retries that are saved up for a burst of failures. */
+	private static final int RETRY_BURST = 10;
 
 	private final EntrySettings settings;
 
@@ -113,7 +116,7 @@
 		EntryParts parts = new EntryParts(this.configuration, this.mesh, this.pool, engines, store, this.usage,
 				counters, clock, this.timers, incarnation);
 		CreditSource credits = plugins.credits().apply(parts);
-		RetryBudget budget = new RetryBudget();
+		RetryBudget budget = RetryBudget.of(RETRY_BURST);
 		RunningStreams running = new RunningStreams();
 		List<CallerRoute> routes = new ArrayList<>();
 		routes.add(PlainRoute.of(this.configuration, credits, this.pool, IdempotencyRecords.of(store, counters),
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/CompletionRoute.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/CompletionRoute.java
@@ -111,7 +111,7 @@
 
 	@Override
 	public void serve(CallerRequest request, Responder responder) throws HttpException, IOException {
-		this.budget.request();
+		this.budget.requested();
 		WorkspaceId workspace = Objects.requireNonNull(request.workspace(), "workspace");
 		Either<Refusal, CompletionRequest> wanted = CompletionRequest.parse(request.body())
 			.flatMap((parsed) -> this.configuration.authorize(workspace, parsed.service())
@@ -250,7 +250,7 @@
 					&& refused.status() < HttpStatus.SC_TOO_MANY_REQUESTS) {
 				return truthful(Refusal.notRun(RefusalReason.BAD_REQUEST, failure.detail()));
 			}
-			if (this.attempts < MAX_ATTEMPTS && CompletionRoute.this.budget.take()) {
+			if (this.attempts < MAX_ATTEMPTS && CompletionRoute.this.budget.tryRetry()) {
 				RetryReason reason = retryReason(failure);
 				CompletionRoute.this.counters.retry(reason).inc();
 				log("request.retried", this.request, reason.code());
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/PlainRoute.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/PlainRoute.java
@@ -152,7 +152,7 @@
 
 	@Override
 	public void serve(CallerRequest request, Responder responder) throws HttpException, IOException {
-		this.budget.request();
+		this.budget.requested();
 		Either<Refusal, PlainAnswer> answer = this.configuration.service(serviceOf(request))
 			.flatMap((service) -> (service.kind() == Inventory.ServiceKind.PLAIN) ? Either.right(service)
 					: Either.left(Refusal.notRun(RefusalReason.NO_SUCH_ROUTE,
@@ -240,7 +240,7 @@
 				this.mayHaveRun |= failed.mayHaveRun();
 				this.excluded.add(credit.get().endpoint());
 				boolean again = failed.retry() != null && (this.idempotent || !failed.byteSent())
-						&& attempt < MAX_ATTEMPTS && PlainRoute.this.budget.take();
+						&& attempt < MAX_ATTEMPTS && PlainRoute.this.budget.tryRetry();
 				if (!again) {
 					return Either.left(refusal(failed));
 				}
