Close the connection where writing an answer's body fails

Cause: HttpCore ends a chunked body with its last chunk even where writing it threw, so a caller took a cut answer for a whole one.

Change: the listener's connections are closed before that chunk is written.

Conclusion: a truncated stream is seen as truncated by its framing.

--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpListener.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpListener.java
@@ -1,7 +1,9 @@
 package org.bamboorelay.runtime.connection;
 
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
@@ -16,16 +18,17 @@
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.ExceptionListener;
 import org.apache.hc.core5.http.HttpConnection;
+import org.apache.hc.core5.http.HttpEntity;
 import org.apache.hc.core5.http.HttpException;
-import org.apache.hc.core5.http.config.CharCodingConfig;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
 import org.apache.hc.core5.http.impl.HttpProcessors;
 import org.apache.hc.core5.http.impl.bootstrap.HttpServer;
-import org.apache.hc.core5.http.impl.io.DefaultBHttpServerConnectionFactory;
+import org.apache.hc.core5.http.impl.io.DefaultBHttpServerConnection;
 import org.apache.hc.core5.http.impl.io.HttpService;
 import org.apache.hc.core5.http.io.HttpServerRequestHandler;
 import org.apache.hc.core5.http.io.SocketConfig;
+import org.apache.hc.core5.http.io.entity.HttpEntityWrapper;
 import org.apache.hc.core5.http.io.entity.StringEntity;
 import org.apache.hc.core5.http.io.support.BasicHttpServerExpectationDecorator;
 import org.apache.hc.core5.http.message.BasicClassicHttpResponse;
@@ -70,8 +73,7 @@
 						(request, trigger, context) -> serve(handler, request, trigger)),
 				config, DefaultConnectionReuseStrategy.INSTANCE, null);
 		this.server = new HttpServer(port, service, address, socketConfig, ServerSocketFactory.getDefault(),
-				new DefaultBHttpServerConnectionFactory("http", config, CharCodingConfig.DEFAULT), null, null,
-				new ErrorForwarder(onError));
+				(socket) -> connection(config, socket), null, null, new ErrorForwarder(onError));
 	}
 
 	/**
@@ -156,6 +158,12 @@
 		}
 	}
 
+	private static DefaultBHttpServerConnection connection(Http1Config config, Socket socket) throws IOException {
+		DefaultBHttpServerConnection connection = new CuttingConnection(config);
+		connection.bind(socket);
+		return connection;
+	}
+
 	/**
 	 * Serves one request.
 	 */
@@ -223,6 +231,52 @@
 
 	}
 
+	/**
+	 * Connection that is closed where writing a body fails. HttpCore would end a chunked
+	 * body with its last chunk even then, so that a cut answer would look whole.
+	 */
+	private static final class CuttingConnection extends DefaultBHttpServerConnection {
+
+		private CuttingConnection(Http1Config config) {
+			super("http", config);
+		}
+
+		@Override
+		public void sendResponseEntity(ClassicHttpResponse response) throws HttpException, IOException {
+			HttpEntity entity = response.getEntity();
+			if (entity != null) {
+				response.setEntity(new CuttingEntity(entity, this));
+			}
+			super.sendResponseEntity(response);
+		}
+
+	}
+
+	private static final class CuttingEntity extends HttpEntityWrapper {
+
+		private final DefaultBHttpServerConnection connection;
+
+		private CuttingEntity(HttpEntity entity, DefaultBHttpServerConnection connection) {
+			super(entity);
+			this.connection = connection;
+		}
+
+		@Override
+		public void writeTo(OutputStream out) throws IOException {
+			boolean whole = false;
+			try {
+				super.writeTo(out);
+				whole = true;
+			}
+			finally {
+				if (!whole) {
+					this.connection.close();
+				}
+			}
+		}
+
+	}
+
 	private record ErrorForwarder(Consumer<Exception> onError) implements ExceptionListener {
 
 		@Override
