Drop the count of answers that were not sent

Cause: HttpCore throws after a whole answer that closes its connection, such as 413, so the count was wrong.

Change: the outcome in the record tells what was meant to be sent.

Conclusion: no figure is better than a wrong one.

--- a/bamboorelay-standins/src/main/java/org/bamboorelay/standins/connection/StandinServer.java
+++ b/bamboorelay-standins/src/main/java/org/bamboorelay/standins/connection/StandinServer.java
@@ -109,19 +109,11 @@
 		if (reset.isDefined()) {
 			reply = reply.withCutAt(Faults.number(reset.get(), "n", 0));
 		}
-		boolean sent = false;
-		try {
-			// The line is written before the answer, so that a caller that has its answer
-			// finds its request in the record.
-			this.record.add(line(request, reply));
-			send(reply, responder);
-			sent = true;
-		}
-		finally {
-			if (!sent) {
-				this.record.count("answers_not_sent");
-			}
-		}
+		// The line is written before the answer, so that a caller that has its answer
+		// finds
+		// its request in the record.
+		this.record.add(line(request, reply));
+		send(reply, responder);
 	}
 
 	private StandinReply reply(StandinRequest request) throws IOException {
