--- /dev/null
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/process/MembershipTests.java
@@ -0,0 +1,88 @@
+package org.bamboorelay.core.process;
+
+import java.util.Set;
+
+import org.bamboorelay.core.version.FailureDomain;
+import org.bamboorelay.core.version.HostId;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against work that goes to dead or leaving hosts, and against a frozen or cut-off
+ * node that declares all others dead.
+ */
+class MembershipTests {
+
+	private static final FailureDomain DOMAIN_A = FailureDomain.of("suva-a");
+
+	private static final FailureDomain DOMAIN_B = FailureDomain.of("suva-b");
+
+	private static final HostId SELF = HostId.of("self");
+
+	private static final HostId ONE = HostId.of("one");
+
+	private static final HostId TWO = HostId.of("two");
+
+	private static final HostId THREE = HostId.of("three");
+
+	private final Membership membership = Membership.of(SELF, DOMAIN_A);
+
+	@Test
+	void silentPeerIsSuspectThenDead() {
+		hear(0, ONE, TWO, THREE);
+		hear(1_900, TWO, THREE);
+		this.membership.tick(1_999);
+		assertThat(this.membership.states()).containsEntry(ONE, Membership.State.ALIVE);
+		this.membership.tick(2_000);
+		assertThat(this.membership.states()).containsEntry(ONE, Membership.State.SUSPECT);
+		assertThat(this.membership.live()).contains(ONE);
+		hear(3_900, TWO, THREE);
+		this.membership.tick(4_000);
+		assertThat(this.membership.states()).containsEntry(ONE, Membership.State.DEAD);
+		assertThat(this.membership.live()).containsExactlyInAnyOrder(SELF, TWO, THREE);
+	}
+
+	@Test
+	void leavingPeerIsGoneAtOnce() {
+		hear(0, ONE, TWO);
+		this.membership.heartbeat(ONE, DOMAIN_B, true, 100);
+		assertThat(this.membership.live()).containsExactlyInAnyOrder(SELF, TWO);
+		assertThat(this.membership.hears(Set.of(DOMAIN_A, DOMAIN_B))).isTrue();
+	}
+
+	@Test
+	void leavingHostIsNotItsOwnMember() {
+		this.membership.leave();
+		assertThat(this.membership.live()).isEmpty();
+	}
+
+	@Test
+	void nodeThatLosesMostPeersAtOnceDoubtsItself() {
+		hear(0, ONE, TWO, THREE);
+		hear(1_500, THREE);
+		this.membership.tick(2_000);
+		assertThat(this.membership.isDoubting()).isTrue();
+		this.membership.tick(60_000);
+		assertThat(this.membership.live()).contains(ONE, TWO, THREE);
+		assertThat(this.membership.hears(Set.of(DOMAIN_B))).isFalse();
+		hear(60_100, ONE, TWO);
+		this.membership.tick(60_101);
+		assertThat(this.membership.isDoubting()).isFalse();
+	}
+
+	@Test
+	void domainIsHeardByItsHosts() {
+		assertThat(this.membership.hears(Set.of(DOMAIN_A))).isTrue();
+		assertThat(this.membership.hears(Set.of(DOMAIN_A, DOMAIN_B))).isFalse();
+		hear(0, ONE);
+		assertThat(this.membership.hears(Set.of(DOMAIN_A, DOMAIN_B))).isTrue();
+	}
+
+	private void hear(long now, HostId... hosts) {
+		for (HostId host : hosts) {
+			this.membership.heartbeat(host, DOMAIN_B, false, now);
+		}
+	}
+
+}
--- /dev/null
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/request/RetryBudgetTests.java
@@ -0,0 +1,23 @@
+package org.bamboorelay.core.request;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against retries that multiply the load of a failing service.
+ */
+class RetryBudgetTests {
+
+	@Test
+	void retriesAreATenthOfTheRequests() {
+		RetryBudget budget = new RetryBudget();
+		int retries = 0;
+		for (int i = 0; i < 1_000; i++) {
+			budget.request();
+			retries += budget.take() ? 1 : 0;
+		}
+		assertThat(retries).isBetween(99, 110);
+	}
+
+}
--- /dev/null
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/version/ViewFreshnessTests.java
@@ -0,0 +1,51 @@
+package org.bamboorelay.core.version;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against a withdrawn key that works at a node which is cut off, and against a
+ * store outage that stops service everywhere.
+ */
+class ViewFreshnessTests {
+
+	private static final Rules.IsolationRule REFUSE = new Rules.IsolationRule(Rules.WhenIsolated.REFUSE, 4_000);
+
+	private final ViewFreshness freshness = new ViewFreshness();
+
+	@Test
+	void ageGrowsThroughAChainOfPeers() {
+		this.freshness.heard(1_500, 10_000);
+		assertThat(this.freshness.ageMillis(10_700)).isEqualTo(2_200);
+	}
+
+	@Test
+	void olderReportsDoNotAgeTheView() {
+		this.freshness.heard(100, 10_000);
+		this.freshness.heard(9_000, 10_050);
+		this.freshness.heard(ViewFreshness.UNKNOWN, 10_050);
+		assertThat(this.freshness.ageMillis(10_100)).isEqualTo(200);
+	}
+
+	@Test
+	void staleViewIsRefusedOnlyWhenCutOff() {
+		this.freshness.heard(0, 0);
+		assertThat(this.freshness.servesKeyed(4_000, REFUSE, false)).isTrue();
+		assertThat(this.freshness.servesKeyed(4_001, REFUSE, false)).isFalse();
+		assertThat(this.freshness.servesKeyed(4_001, REFUSE, true)).isTrue();
+	}
+
+	@Test
+	void operatorsMayChooseToServeWhenCutOff() {
+		Rules.IsolationRule serve = new Rules.IsolationRule(Rules.WhenIsolated.SERVE, 4_000);
+		assertThat(this.freshness.servesKeyed(60_000, serve, false)).isTrue();
+	}
+
+	@Test
+	void viewThatWasNeverReadIsStale() {
+		assertThat(this.freshness.ageMillis(5)).isEqualTo(ViewFreshness.UNKNOWN);
+		assertThat(this.freshness.servesKeyed(5, REFUSE, false)).isFalse();
+	}
+
+}
