Add the control process and its decisions

The entry hosts had no process that passes on configuration and endpoints, orders endpoints, rolls out weights or reports usage.

Add the decisions to bamboorelay-core (leases, order log, usage parts and windows, scaling, weight waves, reader election, configuration assembly) and the program bamboorelay-control that drives them. Decisions that keep state in the object API ask for one store call at a time, so that a test can stop them between any two calls.

--- /dev/null
+++ b/bamboorelay-control/src/main/java/org/bamboorelay/control/version/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Settings of the control process.
+ */
+@NullMarked
+package org.bamboorelay.control.version;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/OrderLog.java
@@ -0,0 +1,308 @@
+package org.bamboorelay.core.process;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.function.DoubleSupplier;
+import java.util.function.LongPredicate;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import org.bamboorelay.core.store.StoreFailure;
+import org.bamboorelay.core.store.StoredObject;
+import org.bamboorelay.core.time.Clock;
+import org.bamboorelay.core.version.CoreJson;
+import org.bamboorelay.core.version.EndpointId;
+import org.bamboorelay.core.version.FailureDomain;
+import org.bamboorelay.core.version.ServiceId;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The order intents of a failure domain, kept in {@code orders/<domain>}. An intent is
+ * recorded before its order is sent. A takeover rewrites the object, so that the record
+ * of a former holder fails its condition.
+ * <p>
+ * Thread-safe; guarded by its own lock.
+ */
+public final class OrderLog implements StoreDecision {
+
+	private static final long RETRY_BASE_MILLIS = 100;
+
+	private static final long RETRY_CAP_MILLIS = 5_000;
+
+	private final FailureDomain domain;
+
+	private final String holder;
+
+	private final Clock clock;
+
+	private final LongPredicate leaseHeld;
+
+	private final Backoff backoff;
+
+	private final Map<String, OrderIntent> open = new LinkedHashMap<>();
+
+	private final Set<String> recorded = new HashSet<>();
+
+	private final Set<String> tokens = new HashSet<>();
+
+	private List<Shortage> shortages = new ArrayList<>();
+
+	private long fencing;
+
+	private long version;
+
+	private long nextAt;
+
+	private long count;
+
+	private long tokenCount;
+
+	private boolean mustRead;
+
+	private boolean sealed;
+
+	private boolean changed;
+
+	private boolean fencedOff;
+
+	private @Nullable Body writing;
+
+	private OrderLog(FailureDomain domain, String holder, Clock clock, LongPredicate leaseHeld, DoubleSupplier random) {
+		this.domain = Objects.requireNonNull(domain, "domain");
+		this.holder = Objects.requireNonNull(holder, "holder");
+		this.clock = Objects.requireNonNull(clock, "clock");
+		this.leaseHeld = Objects.requireNonNull(leaseHeld, "leaseHeld");
+		this.backoff = Backoff.of(RETRY_BASE_MILLIS, RETRY_CAP_MILLIS, random);
+	}
+
+	/**
+	 * Creates the log of a domain.
+	 * @param domain the failure domain
+	 * @param holder unique for each start of a process
+	 * @param clock the monotonic clock of the process
+	 * @param leaseHeld tells whether the domain's lease runs under a fencing number
+	 * @param random returns numbers from 0 to below 1, for jitter
+	 * @return the log, which records nothing before {@link #begin(long)}
+	 */
+	public static OrderLog of(FailureDomain domain, String holder, Clock clock, LongPredicate leaseHeld,
+			DoubleSupplier random) {
+		return new OrderLog(domain, holder, clock, leaseHeld, random);
+	}
+
+	/**
+	 * Returns the key of a domain's log.
+	 * @param domain the failure domain
+	 * @return the key in the object API
+	 */
+	public static String key(FailureDomain domain) {
+		return "orders/" + domain;
+	}
+
+	/**
+	 * Starts a term as holder of the domain's lease; does nothing where the term runs.
+	 * @param number the fencing number of the term
+	 */
+	public synchronized void begin(long number) {
+		if (number == this.fencing) {
+			return;
+		}
+		this.fencing = number;
+		this.open.clear();
+		this.recorded.clear();
+		this.tokens.clear();
+		this.shortages = new ArrayList<>();
+		this.count = 0;
+		this.nextAt = 0;
+		this.mustRead = true;
+		this.sealed = false;
+		this.changed = false;
+		this.fencedOff = false;
+	}
+
+	/**
+	 * Tells whether former holders can record nothing any more.
+	 * @return true once the object was rewritten under the present term
+	 */
+	public synchronized boolean isSealed() {
+		return this.sealed && !this.fencedOff;
+	}
+
+	/**
+	 * Adds an intent, which is recorded by the next steps.
+	 * @param action {@code start} or {@code stop}
+	 * @param service the service
+	 * @param kind {@code steady} or {@code cheap}
+	 * @param endpoint the endpoint to stop; null for a start
+	 * @return the intent with its order id
+	 */
+	public synchronized OrderIntent add(String action, ServiceId service, String kind, @Nullable EndpointId endpoint) {
+		String id = this.domain + "-" + this.fencing + "-" + (++this.count);
+		OrderIntent intent = new OrderIntent(id, action, service, this.domain, kind, endpoint);
+		this.open.put(id, intent);
+		this.changed = true;
+		return intent;
+	}
+
+	/**
+	 * Notes that an order was answered.
+	 * @param orderId the order's id
+	 */
+	public synchronized void complete(String orderId) {
+		if (this.open.remove(orderId) != null) {
+			this.changed = true;
+		}
+	}
+
+	/**
+	 * Publishes what the platform could not give here, for the holders of other domains.
+	 * @param missing the shortages
+	 */
+	public synchronized void publish(List<Shortage> missing) {
+		if (!missing.equals(this.shortages)) {
+			this.shortages = List.copyOf(missing);
+			this.changed = true;
+		}
+	}
+
+	/**
+	 * Returns the intents that may be sent.
+	 * @return the open intents that are in the store, in order
+	 */
+	public synchronized List<OrderIntent> sendable() {
+		if (!isSealed() || !this.leaseHeld.test(this.fencing)) {
+			return List.of();
+		}
+		return this.open.values().stream().filter((intent) -> this.recorded.contains(intent.orderId())).toList();
+	}
+
+	/**
+	 * Returns all open intents, recorded or not.
+	 * @return the intents
+	 */
+	public synchronized List<OrderIntent> open() {
+		return List.copyOf(this.open.values());
+	}
+
+	@Override
+	public synchronized @Nullable StoreStep next() {
+		if (this.fencing == 0 || this.fencedOff || this.clock.millis() < this.nextAt
+				|| !this.leaseHeld.test(this.fencing)) {
+			return null;
+		}
+		if (this.mustRead) {
+			return new StoreStep.Read(key(this.domain));
+		}
+		if (this.sealed && !this.changed) {
+			return null;
+		}
+		String token = this.holder + "/" + this.fencing + "/" + (++this.tokenCount);
+		this.tokens.add(token);
+		this.writing = new Body(token, this.fencing, List.copyOf(this.open.values()), this.shortages);
+		this.changed = false;
+		return new StoreStep.Write(key(this.domain), CoreJson.bytes(this.writing), this.version);
+	}
+
+	@Override
+	public synchronized void onResult(StoreStep step, Either<StoreFailure, Option<StoredObject>> result) {
+		if (result.isLeft()) {
+			this.mustRead = true;
+			this.changed = true;
+			boolean lost = result.getLeft() instanceof StoreFailure.ConditionFailed;
+			this.nextAt = this.clock.millis() + (lost ? 0 : this.backoff.failed());
+			return;
+		}
+		this.backoff.reset();
+		this.mustRead = false;
+		Option<StoredObject> object = result.get();
+		this.version = object.map(StoredObject::version).getOrElse(0L);
+		Body body = object.flatMap((found) -> CoreJson.read(found.body(), Body.class))
+			.getOrElse(() -> new Body("", 0, List.of(), List.of()));
+		if (body.fencing() > this.fencing) {
+			this.fencedOff = true;
+			return;
+		}
+		if (this.tokens.contains(body.token())) {
+			this.sealed = true;
+			if (step instanceof StoreStep.Write) {
+				// Only now can no earlier write of this term take effect any more.
+				this.tokens.clear();
+				this.tokens.add(body.token());
+			}
+			this.recorded.clear();
+			body.open().forEach((intent) -> this.recorded.add(intent.orderId()));
+			return;
+		}
+		// The intents of the former holder may have been sent; they are sent again under
+		// their own ids.
+		Map<String, OrderIntent> own = new LinkedHashMap<>(this.open);
+		this.open.clear();
+		body.open().forEach((intent) -> this.open.put(intent.orderId(), intent));
+		this.open.putAll(own);
+		this.sealed = false;
+	}
+
+	/**
+	 * Reads the shortages from the log of a domain.
+	 * @param object the log as stored
+	 * @return the shortages, empty where the log is malformed
+	 */
+	public static List<Shortage> shortages(StoredObject object) {
+		return CoreJson.read(object.body(), Body.class).map(Body::shortages).getOrElse(List.of());
+	}
+
+	/**
+	 * Reads from the log of a domain which endpoints are ordered to stop.
+	 * @param object the log as stored
+	 * @return the endpoints, empty where the log is malformed
+	 */
+	public static Set<EndpointId> stopping(StoredObject object) {
+		Set<EndpointId> stopping = new HashSet<>();
+		CoreJson.read(object.body(), Body.class).forEach((body) -> body.open().forEach((intent) -> {
+			if (intent.action().equals("stop") && intent.endpoint() != null) {
+				stopping.add(intent.endpoint());
+			}
+		}));
+		return stopping;
+	}
+
+	/**
+	 * An order that may have been sent.
+	 *
+	 * @param orderId the id, the same for each time it is sent
+	 * @param action {@code start} or {@code stop}
+	 * @param service the service
+	 * @param domain the failure domain
+	 * @param kind {@code steady} or {@code cheap}
+	 * @param endpoint the endpoint to stop; null for a start
+	 */
+	public record OrderIntent(String orderId, String action, ServiceId service, FailureDomain domain, String kind,
+			@Nullable EndpointId endpoint) {
+	}
+
+	/**
+	 * Endpoints that the platform could not give in a domain.
+	 *
+	 * @param service the service
+	 * @param kind {@code steady} or {@code cheap}
+	 * @param count how many
+	 * @param untilMillis when the domain asks again itself, in milliseconds since the
+	 * epoch
+	 */
+	public record Shortage(ServiceId service, String kind, int count, long untilMillis) {
+	}
+
+	private record Body(String token, long fencing, List<OrderIntent> open, List<Shortage> shortages) {
+
+		private Body {
+			open = List.copyOf(open);
+			shortages = List.copyOf(shortages);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/UsageFigures.java
@@ -0,0 +1,91 @@
+package org.bamboorelay.core.process;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import org.bamboorelay.core.connection.PeerMessage.UsageCount;
+import org.bamboorelay.core.version.ServiceId;
+import org.bamboorelay.core.version.WorkspaceId;
+
+/**
+ * Arithmetic on usage counts, and the values that usage reports are made of.
+ * <p>
+ * Stateless and thread-safe.
+ */
+public final class UsageFigures {
+
+	private UsageFigures() {
+	}
+
+	/**
+	 * Subtracts cumulative counts.
+	 * @param later the later counts
+	 * @param earlier the earlier counts of the same incarnation
+	 * @return the difference, without counts that are zero
+	 */
+	public static List<UsageCount> minus(List<UsageCount> later, List<UsageCount> earlier) {
+		Map<Subject, UsageCount> known = new TreeMap<>(Subject.ORDER);
+		earlier.forEach((count) -> known.put(Subject.of(count), count));
+		return later.stream().map((count) -> {
+			UsageCount old = known.get(Subject.of(count));
+			return (old != null) ? new UsageCount(count.workspace(), count.service(), count.requests() - old.requests(),
+					count.tokens() - old.tokens()) : count;
+		}).filter((count) -> count.requests() != 0 || count.tokens() != 0).toList();
+	}
+
+	/**
+	 * Adds counts by workspace and service.
+	 * @param parts the counts
+	 * @return the sums, ordered by workspace and service
+	 */
+	public static List<UsageCount> sum(Collection<List<UsageCount>> parts) {
+		Map<Subject, UsageCount> sums = new TreeMap<>(Subject.ORDER);
+		parts.forEach((part) -> part
+			.forEach((count) -> sums.merge(Subject.of(count), count, (a, b) -> new UsageCount(a.workspace(),
+					a.service(), a.requests() + b.requests(), a.tokens() + b.tokens()))));
+		return List.copyOf(sums.values());
+	}
+
+	/**
+	 * Counts that belong to an earlier window.
+	 *
+	 * @param source the incarnation or {@code domain:<name>} that was late
+	 * @param window the start of the first window they can belong to, in milliseconds
+	 * since the epoch
+	 * @param counts the counts
+	 */
+	public record Correction(String source, long window, List<UsageCount> counts) {
+
+		public Correction {
+			counts = List.copyOf(counts);
+		}
+
+	}
+
+	/**
+	 * Counters that were never read.
+	 *
+	 * @param source the incarnation or {@code domain:<name>} that was not read
+	 * @param window the window that lacks them, in milliseconds since the epoch
+	 * @param lastReadMillis when it was last read, in milliseconds since the epoch; 0 for
+	 * never
+	 */
+	public record Gap(String source, long window, long lastReadMillis) {
+	}
+
+	private record Subject(WorkspaceId workspace, ServiceId service) {
+
+		private static final Comparator<Subject> ORDER = Comparator
+			.comparing((Subject subject) -> subject.workspace().value())
+			.thenComparing((subject) -> subject.service().value());
+
+		private static Subject of(UsageCount count) {
+			return new Subject(count.workspace(), count.service());
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/UsageParts.java
@@ -0,0 +1,486 @@
+package org.bamboorelay.core.process;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.DoubleSupplier;
+import java.util.function.LongPredicate;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import org.bamboorelay.core.connection.PeerMessage.UsageCount;
+import org.bamboorelay.core.connection.PeerMessage.UsageCounters;
+import org.bamboorelay.core.process.UsageFigures.Correction;
+import org.bamboorelay.core.process.UsageFigures.Gap;
+import org.bamboorelay.core.store.StoreFailure;
+import org.bamboorelay.core.store.StoredObject;
+import org.bamboorelay.core.time.Clock;
+import org.bamboorelay.core.version.CoreJson;
+import org.bamboorelay.core.version.FailureDomain;
+import org.bamboorelay.core.version.HostId;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Turns the cumulative counters of a domain's entry processes into the domain's part of
+ * each usage window, checkpointed in {@code usage/parts/<domain>/<window>}. The first
+ * reading after the end of a window divides it from the next one. A closed part is never
+ * written again.
+ * <p>
+ * Thread-safe; guarded by its own lock.
+ */
+public final class UsageParts implements StoreDecision {
+
+	/** Windows that a new holder looks back for the last part. */
+	private static final int LOOK_BACK = 64;
+
+	/**
+	 * Windows after which an incarnation that does not answer is forgotten; it was named
+	 * as a gap long before.
+	 */
+	private static final int FORGET_WINDOWS = 24;
+
+	/**
+	 * Closed windows that a holder keeps in memory while the store is down. A process
+	 * that lost the lease for good gives up at this number.
+	 */
+	private static final int MAX_SLOTS = 1_024;
+
+	private static final long CHECKPOINT_MILLIS = 5_000;
+
+	private static final long RETRY_BASE_MILLIS = 200;
+
+	private static final long RETRY_CAP_MILLIS = 5_000;
+
+	private final FailureDomain domain;
+
+	private final String holder;
+
+	private final Clock clock;
+
+	private final LongPredicate leaseHeld;
+
+	private final Backoff backoff;
+
+	private final Deque<Slot> slots = new ArrayDeque<>();
+
+	private final Set<String> tokens = new HashSet<>();
+
+	private long fencing;
+
+	private long windowMillis = 1;
+
+	private long graceMillis;
+
+	private long wallMillis;
+
+	private boolean loaded;
+
+	private boolean fencedOff;
+
+	private boolean resolving;
+
+	private int lookBack;
+
+	private long lookAt;
+
+	private long nextAt;
+
+	private long checkpointAt;
+
+	private long tokenCount;
+
+	private UsageParts(FailureDomain domain, String holder, Clock clock, LongPredicate leaseHeld,
+			DoubleSupplier random) {
+		this.domain = Objects.requireNonNull(domain, "domain");
+		this.holder = Objects.requireNonNull(holder, "holder");
+		this.clock = Objects.requireNonNull(clock, "clock");
+		this.leaseHeld = Objects.requireNonNull(leaseHeld, "leaseHeld");
+		this.backoff = Backoff.of(RETRY_BASE_MILLIS, RETRY_CAP_MILLIS, random);
+	}
+
+	/**
+	 * Creates the parts of a domain.
+	 * @param domain the failure domain
+	 * @param holder unique for each start of a process
+	 * @param clock the monotonic clock of the process
+	 * @param leaseHeld tells whether the domain's lease runs under a fencing number
+	 * @param random returns numbers from 0 to below 1, for jitter
+	 * @return the parts, which count nothing before {@link #begin(long)}
+	 */
+	public static UsageParts of(FailureDomain domain, String holder, Clock clock, LongPredicate leaseHeld,
+			DoubleSupplier random) {
+		return new UsageParts(domain, holder, clock, leaseHeld, random);
+	}
+
+	/**
+	 * Returns the key of a part.
+	 * @param domain the failure domain
+	 * @param window the start of the window, in milliseconds since the epoch
+	 * @return the key in the object API
+	 */
+	public static String key(FailureDomain domain, long window) {
+		return "usage/parts/" + domain + "/" + window;
+	}
+
+	/**
+	 * Starts a term as holder of the domain's lease; does nothing where the term runs.
+	 * @param number the fencing number of the term
+	 */
+	public synchronized void begin(long number) {
+		if (number != this.fencing) {
+			this.fencing = number;
+			this.fencedOff = false;
+			this.tokens.clear();
+			reload();
+		}
+	}
+
+	/**
+	 * Moves the wall clock on and closes the windows whose time is over.
+	 * @param wall the wall clock, in milliseconds since the epoch
+	 * @param window the length of new windows, in milliseconds
+	 * @param grace the wait for missing counters after the end, in milliseconds
+	 */
+	public synchronized void onTick(long wall, long window, long grace) {
+		if (window <= 0) {
+			throw new IllegalArgumentException("window must be positive: " + window);
+		}
+		this.wallMillis = Math.max(wall, this.wallMillis);
+		this.windowMillis = window;
+		this.graceMillis = grace;
+		if (!this.loaded || this.fencing == 0) {
+			return;
+		}
+		if (this.slots.size() > MAX_SLOTS) {
+			this.fencing = 0;
+			return;
+		}
+		while (isDue(this.slots.getLast())) {
+			closeLast();
+		}
+	}
+
+	/**
+	 * Takes the counters of an entry process.
+	 * @param host the host that answered
+	 * @param counters its counters
+	 */
+	public synchronized void onCounters(HostId host, UsageCounters counters) {
+		if (!this.loaded || this.fencing == 0) {
+			return;
+		}
+		Slot slot = this.slots.getLast();
+		String incarnation = counters.incarnation();
+		for (Map.Entry<String, Reading> entry : slot.readings.entrySet()) {
+			Reading old = entry.getValue();
+			if (old.host().equals(host) && !entry.getKey().equals(incarnation) && !old.ended()) {
+				if (!old.leaving() && !old.gapNamed()) {
+					slot.gaps.add(new Gap(entry.getKey(), slot.window, old.lastReadMillis()));
+				}
+				entry.setValue(old.withEnded());
+				slot.dirty = true;
+			}
+		}
+		Reading reading = slot.readings.getOrDefault(incarnation, Reading.first(host));
+		if (reading.complete()) {
+			return;
+		}
+		List<UsageCount> base = reading.base();
+		if (reading.silentFrom() > 0) {
+			List<UsageCount> late = UsageFigures.minus(counters.counts(), base);
+			if (!late.isEmpty()) {
+				slot.corrections.add(new Correction(incarnation, reading.silentFrom(), late));
+			}
+			base = counters.counts();
+		}
+		boolean complete = this.wallMillis >= slot.end;
+		Reading next = new Reading(host, base, counters.counts(), complete, counters.leaving(), false, 0, 0, false,
+				this.wallMillis);
+		slot.dirty = slot.dirty || complete || !next.last().equals(reading.last());
+		slot.readings.put(incarnation, next);
+		if (isDue(slot)) {
+			closeLast();
+		}
+	}
+
+	/**
+	 * Notes that a host did not answer.
+	 * @param host the host
+	 */
+	public synchronized void onSilence(HostId host) {
+		if (this.loaded && this.fencing > 0) {
+			this.slots.getLast().silentHosts.add(host);
+		}
+	}
+
+	/**
+	 * Returns the windows that are closed but not yet in the store.
+	 * @return the number
+	 */
+	public synchronized int backlog() {
+		return Math.max(0, this.slots.size() - 1);
+	}
+
+	@Override
+	public synchronized @Nullable StoreStep next() {
+		long now = this.clock.millis();
+		if (this.fencing == 0 || this.fencedOff || this.wallMillis == 0 || now < this.nextAt
+				|| !this.leaseHeld.test(this.fencing)) {
+			return null;
+		}
+		if (!this.loaded) {
+			if (this.lookBack == 0) {
+				this.lookAt = floor(this.wallMillis) + this.windowMillis;
+			}
+			return new StoreStep.Read(key(this.domain, this.lookAt));
+		}
+		Slot slot = this.slots.getFirst();
+		if (this.resolving) {
+			return new StoreStep.Read(key(this.domain, slot.window));
+		}
+		if (!slot.closed && !(slot.dirty && now >= this.checkpointAt)) {
+			return null;
+		}
+		slot.dirty = false;
+		slot.closing = slot.closed;
+		this.checkpointAt = now + CHECKPOINT_MILLIS;
+		String token = this.holder + "/" + this.fencing + "/" + (++this.tokenCount);
+		this.tokens.add(token);
+		return new StoreStep.Write(key(this.domain, slot.window), CoreJson.bytes(slot.toPart(token, this.fencing)),
+				slot.version);
+	}
+
+	@Override
+	public synchronized void onResult(StoreStep step, Either<StoreFailure, Option<StoredObject>> result) {
+		if (result.isLeft()) {
+			boolean lost = result.getLeft() instanceof StoreFailure.ConditionFailed;
+			this.resolving = this.loaded;
+			this.nextAt = this.clock.millis() + (lost ? 0 : this.backoff.failed());
+			return;
+		}
+		this.backoff.reset();
+		Option<Part> part = result.get().flatMap((object) -> CoreJson.read(object.body(), Part.class));
+		long version = result.get().map(StoredObject::version).getOrElse(0L);
+		if (part.exists((found) -> found.fencing() > this.fencing)) {
+			this.fencedOff = true;
+			return;
+		}
+		if (!this.loaded) {
+			load(part, version);
+			return;
+		}
+		this.resolving = false;
+		Slot slot = this.slots.getFirst();
+		slot.version = version;
+		if (part.isEmpty()) {
+			slot.dirty = true;
+			this.checkpointAt = 0;
+			return;
+		}
+		if (!this.tokens.contains(part.get().token())) {
+			// The former holder wrote after this process had looked: start from its
+			// record, which others may have read.
+			reload();
+			return;
+		}
+		if (step instanceof StoreStep.Write) {
+			this.tokens.clear();
+			this.tokens.add(part.get().token());
+		}
+		if (part.get().closed()) {
+			this.slots.removeFirst();
+			this.checkpointAt = 0;
+		}
+		else if (slot.closing || step instanceof StoreStep.Read) {
+			slot.dirty = true;
+		}
+	}
+
+	private void reload() {
+		this.slots.clear();
+		this.loaded = false;
+		this.resolving = false;
+		this.lookBack = 0;
+		this.nextAt = 0;
+		this.checkpointAt = 0;
+	}
+
+	private void load(Option<Part> part, long version) {
+		if (part.isEmpty() && this.lookBack < LOOK_BACK) {
+			this.lookBack++;
+			this.lookAt -= this.windowMillis;
+			return;
+		}
+		Slot slot;
+		if (part.isEmpty()) {
+			slot = new Slot(floor(this.wallMillis), end(floor(this.wallMillis)));
+		}
+		else {
+			slot = Slot.of(part.get(), version);
+			if (slot.closed) {
+				slot = slot.successor(end(slot.end));
+			}
+		}
+		// Written at once, so that the former holder's next checkpoint fails.
+		slot.dirty = true;
+		this.slots.add(slot);
+		this.loaded = true;
+	}
+
+	private boolean isDue(Slot slot) {
+		if (this.wallMillis < slot.end) {
+			return false;
+		}
+		boolean whole = !slot.readings.isEmpty()
+				&& slot.readings.values().stream().allMatch((reading) -> reading.complete() || reading.ended());
+		return whole || this.wallMillis >= slot.end + this.graceMillis;
+	}
+
+	private void closeLast() {
+		Slot slot = this.slots.getLast();
+		slot.closed = true;
+		slot.readings.replaceAll((incarnation, reading) -> {
+			if (reading.complete() || reading.ended()) {
+				return reading;
+			}
+			int silent = reading.silentWindows() + (slot.silentHosts.contains(reading.host()) ? 1 : 0);
+			boolean gap = silent > 1 && !reading.gapNamed() && !reading.leaving();
+			if (gap) {
+				slot.gaps.add(new Gap(incarnation, slot.window, reading.lastReadMillis()));
+			}
+			long from = (reading.silentFrom() > 0) ? reading.silentFrom() : slot.window;
+			return reading.withSilence(silent, from, gap || reading.gapNamed());
+		});
+		this.slots.addLast(slot.successor(end(slot.end)));
+	}
+
+	private long floor(long wall) {
+		return wall - Math.floorMod(wall, this.windowMillis);
+	}
+
+	private long end(long start) {
+		return floor(start) + this.windowMillis;
+	}
+
+	/**
+	 * The part of a domain in a window, as stored.
+	 *
+	 * @param token the token of the write
+	 * @param fencing the fencing number of the writer
+	 * @param window the start of the window, in milliseconds since the epoch
+	 * @param end the end of the window, in milliseconds since the epoch
+	 * @param closed whether the part is complete and never written again
+	 * @param readings the readings by incarnation
+	 * @param figures what was served in the window
+	 * @param corrections late counts of earlier windows
+	 * @param gaps counters that were never read
+	 */
+	public record Part(String token, long fencing, long window, long end, boolean closed, Map<String, Reading> readings,
+			List<UsageCount> figures, List<Correction> corrections, List<Gap> gaps) {
+	}
+
+	/**
+	 * The readings of one incarnation in a window.
+	 *
+	 * @param host its host
+	 * @param base the counters that earlier windows contain
+	 * @param last the counters that this window contains
+	 * @param complete whether they were read after the window's end
+	 * @param leaving whether the incarnation said that these are its last
+	 * @param ended whether another incarnation runs on its host
+	 * @param silentWindows windows that ended without an answer
+	 * @param silentFrom the first window that ended without an answer; 0 for none
+	 * @param gapNamed whether its unread counters were named as a gap
+	 * @param lastReadMillis when it was read, in milliseconds since the epoch
+	 */
+	public record Reading(HostId host, List<UsageCount> base, List<UsageCount> last, boolean complete, boolean leaving,
+			boolean ended, int silentWindows, long silentFrom, boolean gapNamed, long lastReadMillis) {
+
+		static Reading first(HostId host) {
+			return new Reading(host, List.of(), List.of(), false, false, false, 0, 0, false, 0);
+		}
+
+		Reading withEnded() {
+			return new Reading(this.host, this.base, this.last, this.complete, this.leaving, true, this.silentWindows,
+					this.silentFrom, this.gapNamed, this.lastReadMillis);
+		}
+
+		Reading withSilence(int windows, long from, boolean gap) {
+			return new Reading(this.host, this.base, this.last, false, this.leaving, false, windows, from, gap,
+					this.lastReadMillis);
+		}
+
+		Reading forNextWindow() {
+			return new Reading(this.host, this.last, this.last, false, this.leaving, false, this.silentWindows,
+					this.silentFrom, this.gapNamed, this.lastReadMillis);
+		}
+
+	}
+
+	private static final class Slot {
+
+		private final long window;
+
+		private final long end;
+
+		private final Map<String, Reading> readings = new TreeMap<>();
+
+		private final List<Correction> corrections = new ArrayList<>();
+
+		private final List<Gap> gaps = new ArrayList<>();
+
+		private final Set<HostId> silentHosts = new HashSet<>();
+
+		private long version;
+
+		private boolean closed;
+
+		private boolean closing;
+
+		private boolean dirty;
+
+		private Slot(long window, long end) {
+			this.window = window;
+			this.end = end;
+		}
+
+		private static Slot of(Part part, long version) {
+			Slot slot = new Slot(part.window(), part.end());
+			slot.readings.putAll(part.readings());
+			slot.corrections.addAll(part.corrections());
+			slot.gaps.addAll(part.gaps());
+			slot.version = version;
+			slot.closed = part.closed();
+			return slot;
+		}
+
+		private Slot successor(long nextEnd) {
+			Slot next = new Slot(this.end, nextEnd);
+			this.readings.forEach((incarnation, reading) -> {
+				boolean gone = reading.ended() || reading.silentWindows() > FORGET_WINDOWS
+						|| (reading.leaving() && reading.silentWindows() > 0);
+				if (!gone) {
+					next.readings.put(incarnation, reading.forNextWindow());
+				}
+			});
+			return next;
+		}
+
+		private Part toPart(String token, long fencing) {
+			List<UsageCount> figures = UsageFigures.sum(this.readings.values()
+				.stream()
+				.map((reading) -> UsageFigures.minus(reading.last(), reading.base()))
+				.toList());
+			return new Part(token, fencing, this.window, this.end, this.closed, Map.copyOf(this.readings), figures,
+					List.copyOf(this.corrections), List.copyOf(this.gaps));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/UsageWindows.java
@@ -0,0 +1,345 @@
+package org.bamboorelay.core.process;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.function.DoubleSupplier;
+import java.util.function.LongPredicate;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import org.bamboorelay.core.connection.PeerMessage.UsageCount;
+import org.bamboorelay.core.process.UsageFigures.Correction;
+import org.bamboorelay.core.process.UsageFigures.Gap;
+import org.bamboorelay.core.store.StoreFailure;
+import org.bamboorelay.core.store.StoredObject;
+import org.bamboorelay.core.time.Clock;
+import org.bamboorelay.core.version.CoreJson;
+import org.bamboorelay.core.version.FailureDomain;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Freezes the usage windows of a deployment and hands them out for sending, one after
+ * another. A window is frozen by conditional create of {@code usage/windows/<window>};
+ * only a record that was read from or written to the store is sent, so that a window has
+ * one set of figures whoever sends it. {@code usage/reported} tells a successor where to
+ * go on.
+ * <p>
+ * Thread-safe; guarded by its own lock.
+ */
+public final class UsageWindows implements StoreDecision {
+
+	/** Key of the pointer to the last window that was sent. */
+	public static final String REPORTED_KEY = "usage/reported";
+
+	private static final String WINDOW_PREFIX = "usage/windows/";
+
+	/** The most parts that a later window can still correct. */
+	private static final int MAX_MISSING = 64;
+
+	/**
+	 * Wait for a domain's part beyond twice the grace period, in milliseconds: longer
+	 * than a takeover of the domain's lease.
+	 */
+	private static final long PART_WAIT_MILLIS = 15_000;
+
+	private static final long POLL_MILLIS = 1_000;
+
+	private static final long RETRY_BASE_MILLIS = 200;
+
+	private static final long RETRY_CAP_MILLIS = 5_000;
+
+	private final String holder;
+
+	private final Clock clock;
+
+	private final LongPredicate leaseHeld;
+
+	private final Backoff backoff;
+
+	private final Map<PartId, UsageParts.Part> collected = new LinkedHashMap<>();
+
+	private final Set<PartId> asked = new LinkedHashSet<>();
+
+	private List<FailureDomain> domains = List.of();
+
+	private long fencing;
+
+	private long wallMillis;
+
+	private long windowMillis = 1;
+
+	private long graceMillis;
+
+	private long nextAt;
+
+	private long tokenCount;
+
+	private @Nullable Pointer pointer;
+
+	private long pointerVersion;
+
+	private boolean pointerRead;
+
+	private boolean windowRead;
+
+	private boolean sent;
+
+	private @Nullable PartId asking;
+
+	private @Nullable WindowRecord frozen;
+
+	private UsageWindows(String holder, Clock clock, LongPredicate leaseHeld, DoubleSupplier random) {
+		this.holder = Objects.requireNonNull(holder, "holder");
+		this.clock = Objects.requireNonNull(clock, "clock");
+		this.leaseHeld = Objects.requireNonNull(leaseHeld, "leaseHeld");
+		this.backoff = Backoff.of(RETRY_BASE_MILLIS, RETRY_CAP_MILLIS, random);
+	}
+
+	/**
+	 * Creates the windows of a deployment.
+	 * @param holder unique for each start of a process
+	 * @param clock the monotonic clock of the process
+	 * @param leaseHeld tells whether the usage lease runs under a fencing number
+	 * @param random returns numbers from 0 to below 1, for jitter
+	 * @return the windows, which freeze nothing before {@link #begin(long)}
+	 */
+	public static UsageWindows of(String holder, Clock clock, LongPredicate leaseHeld, DoubleSupplier random) {
+		return new UsageWindows(holder, clock, leaseHeld, random);
+	}
+
+	/**
+	 * Starts a term as holder of the usage lease; does nothing where the term runs.
+	 * @param number the fencing number of the term
+	 */
+	public synchronized void begin(long number) {
+		if (number != this.fencing) {
+			this.fencing = number;
+			this.pointer = null;
+			this.pointerRead = false;
+			this.nextAt = 0;
+			startWindow();
+		}
+	}
+
+	/**
+	 * Moves the wall clock on.
+	 * @param wall the wall clock, in milliseconds since the epoch
+	 * @param present the failure domains of the inventory
+	 * @param window the length of new windows, in milliseconds
+	 * @param grace the wait for missing counters after the end, in milliseconds
+	 */
+	public synchronized void onTick(long wall, List<FailureDomain> present, long window, long grace) {
+		if (window <= 0) {
+			throw new IllegalArgumentException("window must be positive: " + window);
+		}
+		this.wallMillis = wall;
+		this.domains = List.copyOf(present);
+		this.windowMillis = window;
+		this.graceMillis = grace;
+	}
+
+	/**
+	 * Returns the window to send.
+	 * @return the frozen window, or nothing where none is due
+	 */
+	public synchronized Option<WindowRecord> sendable() {
+		boolean due = this.fencing > 0 && !this.sent && this.leaseHeld.test(this.fencing);
+		return due ? Option.of(this.frozen) : Option.none();
+	}
+
+	/**
+	 * Notes that the receiver of reports accepted a window.
+	 * @param window the start of the window, in milliseconds since the epoch
+	 */
+	public synchronized void sent(long window) {
+		WindowRecord record = this.frozen;
+		if (record != null && record.window() == window) {
+			this.sent = true;
+		}
+	}
+
+	@Override
+	public synchronized @Nullable StoreStep next() {
+		if (this.fencing == 0 || this.wallMillis == 0 || this.clock.millis() < this.nextAt
+				|| !this.leaseHeld.test(this.fencing)) {
+			return null;
+		}
+		if (!this.pointerRead) {
+			return new StoreStep.Read(REPORTED_KEY);
+		}
+		Pointer from = this.pointer;
+		if (from == null) {
+			long start = floor(this.wallMillis);
+			return writePointer(start - this.windowMillis, start, List.of());
+		}
+		WindowRecord record = this.frozen;
+		if (record != null) {
+			return this.sent ? writePointer(record.window(), record.end(), record.missing()) : null;
+		}
+		long start = from.end();
+		long end = floor(start) + this.windowMillis;
+		if (!this.windowRead) {
+			return (this.wallMillis < end) ? null : new StoreStep.Read(WINDOW_PREFIX + start);
+		}
+		Option<PartId> wanted = wanted(from, start);
+		if (wanted.isDefined()) {
+			this.asking = wanted.get();
+			return new StoreStep.Read(UsageParts.key(wanted.get().domain(), wanted.get().window()));
+		}
+		boolean whole = this.domains.stream()
+			.allMatch((domain) -> this.collected.containsKey(new PartId(domain, start)));
+		if (!whole && this.wallMillis < end + 2 * this.graceMillis + PART_WAIT_MILLIS) {
+			this.asked.clear();
+			this.nextAt = this.clock.millis() + POLL_MILLIS;
+			return null;
+		}
+		return new StoreStep.Write(WINDOW_PREFIX + start, CoreJson.bytes(freeze(from, start, end)), 0);
+	}
+
+	@Override
+	public synchronized void onResult(StoreStep step, Either<StoreFailure, Option<StoredObject>> result) {
+		if (result.isLeft()) {
+			boolean lost = result.getLeft() instanceof StoreFailure.ConditionFailed;
+			this.nextAt = this.clock.millis() + (lost ? 0 : this.backoff.failed());
+			// What a failed write left behind is read, never guessed.
+			if (step instanceof StoreStep.Write write) {
+				if (write.key().equals(REPORTED_KEY)) {
+					this.pointerRead = false;
+				}
+				else {
+					this.windowRead = false;
+				}
+			}
+			return;
+		}
+		this.backoff.reset();
+		String key = (step instanceof StoreStep.Write write) ? write.key() : ((StoreStep.Read) step).key();
+		Option<StoredObject> object = result.get();
+		if (key.equals(REPORTED_KEY)) {
+			onPointer(object);
+		}
+		else if (key.startsWith(WINDOW_PREFIX)) {
+			this.windowRead = true;
+			object.flatMap((found) -> CoreJson.read(found.body(), WindowRecord.class))
+				.forEach((record) -> this.frozen = record);
+		}
+		else if (this.asking != null) {
+			PartId id = this.asking;
+			object.flatMap((found) -> CoreJson.read(found.body(), UsageParts.Part.class))
+				.filter(UsageParts.Part::closed)
+				.forEach((part) -> this.collected.put(id, part));
+			this.asked.add(id);
+		}
+	}
+
+	private void onPointer(Option<StoredObject> object) {
+		this.pointerRead = true;
+		this.pointerVersion = object.map(StoredObject::version).getOrElse(0L);
+		Pointer read = object.flatMap((found) -> CoreJson.read(found.body(), Pointer.class)).getOrNull();
+		if (read == null || this.pointer == null || read.window() != this.pointer.window()) {
+			this.pointer = read;
+			startWindow();
+		}
+	}
+
+	private void startWindow() {
+		this.frozen = null;
+		this.sent = false;
+		this.windowRead = false;
+		this.collected.clear();
+		this.asked.clear();
+	}
+
+	private StoreStep writePointer(long window, long end, List<PartId> missing) {
+		String token = this.holder + "/" + this.fencing + "/" + (++this.tokenCount);
+		return new StoreStep.Write(REPORTED_KEY, CoreJson.bytes(new Pointer(token, window, end, missing)),
+				this.pointerVersion);
+	}
+
+	private Option<PartId> wanted(Pointer from, long start) {
+		List<PartId> all = new ArrayList<>(from.missing());
+		this.domains.forEach((domain) -> all.add(new PartId(domain, start)));
+		return Option.ofOptional(
+				all.stream().filter((id) -> !this.collected.containsKey(id) && !this.asked.contains(id)).findFirst());
+	}
+
+	private WindowRecord freeze(Pointer from, long start, long end) {
+		List<List<UsageCount>> figures = new ArrayList<>();
+		List<Correction> corrections = new ArrayList<>();
+		List<Gap> gaps = new ArrayList<>();
+		List<PartId> missing = new ArrayList<>(from.missing());
+		missing.removeAll(this.collected.keySet());
+		this.collected.forEach((id, part) -> {
+			if (id.window() == start) {
+				figures.add(part.figures());
+			}
+			else {
+				corrections.add(new Correction("domain:" + id.domain(), id.window(), part.figures()));
+			}
+			corrections.addAll(part.corrections());
+			gaps.addAll(part.gaps());
+		});
+		for (FailureDomain domain : this.domains) {
+			PartId id = new PartId(domain, start);
+			if (!this.collected.containsKey(id)) {
+				missing.add(id);
+				gaps.add(new Gap("domain:" + domain, start, 0));
+			}
+		}
+		int drop = Math.max(0, missing.size() - MAX_MISSING);
+		String token = this.holder + "/" + this.fencing + "/" + (++this.tokenCount);
+		return new WindowRecord(token, this.fencing, start, end, UsageFigures.sum(figures), corrections, gaps,
+				missing.subList(drop, missing.size()));
+	}
+
+	private long floor(long wall) {
+		return wall - Math.floorMod(wall, this.windowMillis);
+	}
+
+	/**
+	 * A part that a window lacked.
+	 *
+	 * @param domain the failure domain
+	 * @param window the start of the window, in milliseconds since the epoch
+	 */
+	public record PartId(FailureDomain domain, long window) {
+	}
+
+	/**
+	 * A frozen window, as stored and reported.
+	 *
+	 * @param token the token of the write
+	 * @param fencing the fencing number of the process that froze it
+	 * @param window the start, in milliseconds since the epoch
+	 * @param end the end, in milliseconds since the epoch
+	 * @param figures what was served
+	 * @param corrections late counts of earlier windows
+	 * @param gaps counters that were not read
+	 * @param missing the parts that later windows look for
+	 */
+	public record WindowRecord(String token, long fencing, long window, long end, List<UsageCount> figures,
+			List<Correction> corrections, List<Gap> gaps, List<PartId> missing) {
+
+		public WindowRecord {
+			figures = List.copyOf(figures);
+			corrections = List.copyOf(corrections);
+			gaps = List.copyOf(gaps);
+			missing = List.copyOf(missing);
+		}
+
+	}
+
+	private record Pointer(String token, long window, long end, List<PartId> missing) {
+
+		private Pointer {
+			missing = List.copyOf(missing);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/version/CoreJson.java
@@ -0,0 +1,63 @@
+package org.bamboorelay.core.version;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.PropertyNamingStrategies;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import io.vavr.control.Option;
+
+/**
+ * JSON of the values that decisions keep in the object API: snake case, sorted map keys.
+ * <p>
+ * Stateless and thread-safe.
+ */
+public final class CoreJson {
+
+	private static final ObjectMapper MAPPER = JsonMapper.builder()
+		.propertyNamingStrategy(PropertyNamingStrategies.SNAKE_CASE)
+		.enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
+		.enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS)
+		.defaultPropertyInclusion(
+				JsonInclude.Value.construct(JsonInclude.Include.NON_NULL, JsonInclude.Include.NON_NULL))
+		.build();
+
+	private CoreJson() {
+	}
+
+	/**
+	 * Writes a value.
+	 * @param value the value
+	 * @return bytes in UTF-8
+	 */
+	public static byte[] bytes(Object value) {
+		try {
+			return MAPPER.writeValueAsBytes(value);
+		}
+		catch (JsonProcessingException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	/**
+	 * Reads a value of a type.
+	 * @param <T> type of the value
+	 * @param body bytes in UTF-8
+	 * @param type the type
+	 * @return the value, or nothing where the body is not of the type
+	 */
+	public static <T> Option<T> read(byte[] body, Class<T> type) {
+		try {
+			return Option.of(MAPPER.readValue(body, type));
+		}
+		catch (IOException | IllegalArgumentException ex) {
+			return Option.none();
+		}
+	}
+
+}
