Merge control and the stand-ins, add the operators' command line

Cause: the whole path needs every program. Change: one set of setting names in both programs; addresses are checked by the settings reader; bamboorelay with check, apply, show, diff, status, key, domain, endpoint and usage.

--- /dev/null
+++ b/bamboorelay-cli/src/main/java/org/bamboorelay/cli/connection/EntryHosts.java
@@ -0,0 +1,95 @@
+package org.bamboorelay.cli.connection;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vavr.control.Either;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.HttpHeaders;
+import org.apache.hc.core5.http.HttpStatus;
+import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
+import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
+import org.bamboorelay.core.failure.Failure;
+import org.bamboorelay.core.version.KeyHash;
+import org.bamboorelay.runtime.connection.HttpConnectionPool;
+import org.bamboorelay.runtime.connection.HttpLimits;
+import org.bamboorelay.runtime.request.Json;
+
+/**
+ * The entry hosts' routes for operators.
+ * <p>
+ * Thread-safe.
+ */
+public final class EntryHosts {
+
+	private static final int TIMEOUT_MILLIS = 3_000;
+
+	private final HttpConnectionPool pool;
+
+	private final OperatorSettings settings;
+
+	private EntryHosts(HttpConnectionPool pool, OperatorSettings settings) {
+		this.pool = pool;
+		this.settings = settings;
+	}
+
+	/**
+	 * Creates the client.
+	 * @param pool the connections
+	 * @param settings the addresses and the token
+	 * @return the client
+	 */
+	public static EntryHosts of(HttpConnectionPool pool, OperatorSettings settings) {
+		return new EntryHosts(pool, settings);
+	}
+
+	/**
+	 * Reads the status of each entry host.
+	 * @return the status by address
+	 */
+	public Map<String, Either<Failure, JsonNode>> statuses() {
+		Map<String, Either<Failure, JsonNode>> statuses = new LinkedHashMap<>();
+		for (String address : this.settings.entryAddresses()) {
+			statuses.put(address, call(address, new BasicClassicHttpRequest("GET", "/operator/status")));
+		}
+		return statuses;
+	}
+
+	/**
+	 * Hands a withdrawal to the entry hosts, which pass it on among themselves.
+	 * @param key the hash of the key
+	 * @return the addresses that accepted it
+	 */
+	public List<String> withdraw(KeyHash key) {
+		return this.settings.entryAddresses().stream().filter((address) -> {
+			BasicClassicHttpRequest request = new BasicClassicHttpRequest("POST", "/operator/withdrawals");
+			request.setEntity(
+					new ByteArrayEntity(Json.bytes(Map.of("key_hash", key.value())), ContentType.APPLICATION_JSON));
+			return call(address, request).isRight();
+		}).toList();
+	}
+
+	private Either<Failure, JsonNode> call(String address, BasicClassicHttpRequest request) {
+		request.setHeader(HttpHeaders.AUTHORIZATION, "Bearer " + this.settings.operatorToken());
+		return this.pool.execute(address, request, true, TIMEOUT_MILLIS)
+			.<Failure>mapLeft((failure) -> failure)
+			.flatMap((exchange) -> {
+				try (exchange) {
+					int status = exchange.response().getCode();
+					Either<Failure, byte[]> body = exchange.readWhole(HttpLimits.MAX_ANSWER_BYTES)
+						.mapLeft((failure) -> failure);
+					return body.flatMap((bytes) -> answer(address, status, bytes));
+				}
+			});
+	}
+
+	private static Either<Failure, JsonNode> answer(String address, int status, byte[] body) {
+		if (status != HttpStatus.SC_OK) {
+			return Either.left(new OperatorFailure.Refused(address, status));
+		}
+		return Json.tree(body).mapLeft((failure) -> failure);
+	}
+
+}
--- /dev/null
+++ b/bamboorelay-cli/src/main/java/org/bamboorelay/cli/process/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The operators' program.
+ */
+@NullMarked
+package org.bamboorelay.cli.process;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/bamboorelay-cli/src/main/java/org/bamboorelay/cli/request/ConfigurationCommands.java
@@ -0,0 +1,187 @@
+package org.bamboorelay.cli.request;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.TreeMap;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vavr.control.Either;
+import org.apache.commons.cli.CommandLine;
+import org.bamboorelay.cli.connection.OperatorFailure;
+import org.bamboorelay.cli.process.ExitCode;
+import org.bamboorelay.cli.version.ConfigurationAccess;
+import org.bamboorelay.cli.version.ProposedChange;
+import org.bamboorelay.core.failure.Failure;
+import org.bamboorelay.core.version.Configuration;
+import org.bamboorelay.core.version.FailureDomain;
+import org.bamboorelay.runtime.request.Json;
+
+/**
+ * The commands {@code check}, {@code apply}, {@code show}, {@code diff} and
+ * {@code domain}.
+ * <p>
+ * Used by one thread.
+ */
+public final class ConfigurationCommands {
+
+	private final ConfigurationAccess access;
+
+	/**
+	 * Creates the commands.
+	 * @param access reads and changes the configuration
+	 */
+	public ConfigurationCommands(ConfigurationAccess access) {
+		this.access = access;
+	}
+
+	/**
+	 * Checks an inventory and rules without changing anything.
+	 * @param line {@code check <inventory> <rules>}
+	 * @return the answer
+	 */
+	public static CommandResult check(CommandLine line) {
+		return proposed(line).fold(CommandResult::invalid,
+				(change) -> CommandResult.ok("both files are valid", Map.of("valid", true)));
+	}
+
+	/**
+	 * Makes an inventory and rules the configuration in force.
+	 * @param line {@code apply <inventory> <rules> [--expect <version>]}
+	 * @return the answer
+	 */
+	public CommandResult apply(CommandLine line) {
+		Either<List<Failure>, ProposedChange> change = proposed(line);
+		if (change.isLeft()) {
+			return CommandResult.invalid(change.getLeft());
+		}
+		OptionalLong expected = line.hasOption("expect")
+				? OptionalLong.of(Long.parseLong(line.getOptionValue("expect"))) : OptionalLong.empty();
+		return this.access.apply(change.get(), expected)
+			.fold(ConfigurationCommands::refused, (accepted) -> CommandResult
+				.ok("version " + accepted.version() + " is accepted", Map.of("version", accepted.version())));
+	}
+
+	/**
+	 * Prints the configuration in force; keys appear as hashes.
+	 * @param line {@code show}
+	 * @return the answer
+	 */
+	public CommandResult show(CommandLine line) {
+		return this.access.current().fold(CommandResult::of, (configuration) -> {
+			List<String> lines = new ArrayList<>();
+			lines.add("version " + configuration.version());
+			flatten("", Json.MAPPER.valueToTree(configuration)).forEach((key, value) -> lines.add(key + " = " + value));
+			return CommandResult.ok(lines, Map.of("configuration", configuration));
+		});
+	}
+
+	/**
+	 * Prints what an inventory and rules would change.
+	 * @param line {@code diff <inventory> <rules>}
+	 * @return the answer
+	 */
+	public CommandResult diff(CommandLine line) {
+		Either<List<Failure>, ProposedChange> change = proposed(line);
+		if (change.isLeft()) {
+			return CommandResult.invalid(change.getLeft());
+		}
+		return this.access.current().fold(CommandResult::of, (present) -> {
+			Configuration next = present.withInventoryAndRules(change.get().inventory(), change.get().rules());
+			List<String> lines = differences(present, next);
+			return CommandResult.ok(
+					lines.isEmpty() ? List.of("no difference from version " + present.version()) : lines,
+					Map.of("version", present.version(), "differences", lines));
+		});
+	}
+
+	/**
+	 * Takes a failure domain out of service or brings it back.
+	 * @param line {@code domain out|back <failure domain>}
+	 * @return the answer
+	 */
+	public CommandResult domain(CommandLine line) {
+		String direction = Arguments.required(line, 1, "out or back");
+		FailureDomain domain = FailureDomain.of(Arguments.required(line, 2, "a failure domain"));
+		boolean inService = switch (direction) {
+			case "out" -> false;
+			case "back" -> true;
+			default -> throw new IllegalArgumentException("domain: found \"" + direction + "\", allowed: out or back");
+		};
+		Either<Failure, Configuration> present = this.access.current();
+		if (present.isRight() && !isKnown(present.get(), domain)) {
+			return CommandResult.of(new OperatorFailure.Unknown("failure domain", domain.value()));
+		}
+		return this.access
+			.update((configuration) -> (configuration.isInService(domain) == inService) ? configuration
+					: configuration.withDomainInService(domain, inService))
+			.fold(CommandResult::of,
+					(accepted) -> CommandResult.ok(
+							domain + " is " + (inService ? "in service" : "out of service") + " as of version "
+									+ accepted.version(),
+							Map.of("version", accepted.version(), "domain", domain, "in_service", inService)));
+	}
+
+	private static boolean isKnown(Configuration configuration, FailureDomain domain) {
+		return configuration.inventory().failureDomains().stream().anyMatch((entry) -> entry.name().equals(domain));
+	}
+
+	private static Either<List<Failure>, ProposedChange> proposed(CommandLine line) {
+		return ProposedChange.read(Path.of(Arguments.required(line, 1, "an inventory file")),
+				Path.of(Arguments.required(line, 2, "a rules file")));
+	}
+
+	private static CommandResult refused(Failure failure) {
+		if (failure instanceof OperatorFailure.VersionChanged changed) {
+			return new CommandResult(ExitCode.CONFLICT, List.of(changed.detail()),
+					Map.of("error", changed.code(), "version", changed.found()));
+		}
+		return CommandResult.of(failure);
+	}
+
+	private static List<String> differences(Configuration present, Configuration next) {
+		Map<String, String> before = flatten("", Json.MAPPER.valueToTree(present));
+		Map<String, String> after = flatten("", Json.MAPPER.valueToTree(next));
+		List<String> lines = new ArrayList<>();
+		before.forEach((key, value) -> {
+			if (!value.equals(after.get(key)) && !"version".equals(key)) {
+				lines.add("- " + key + " = " + value);
+			}
+		});
+		after.forEach((key, value) -> {
+			if (!value.equals(before.get(key)) && !"version".equals(key)) {
+				lines.add("+ " + key + " = " + value);
+			}
+		});
+		return lines;
+	}
+
+	/**
+	 * Turns a tree into one line a value. Elements of a list that have a name are told
+	 * apart by it, so that an element in between changes no other line.
+	 * @param path path of the node
+	 * @param node the node
+	 * @return values by path
+	 */
+	private static Map<String, String> flatten(String path, JsonNode node) {
+		Map<String, String> values = new TreeMap<>();
+		if (node.isObject()) {
+			node.properties()
+				.forEach((field) -> values
+					.putAll(flatten(path.isEmpty() ? field.getKey() : path + "." + field.getKey(), field.getValue())));
+		}
+		else if (node.isArray() && !node.isEmpty() && node.get(0).isObject()) {
+			for (int i = 0; i < node.size(); i++) {
+				JsonNode name = node.get(i).path("name");
+				values.putAll(flatten(path + "[" + (name.isTextual() ? name.asText() : i) + "]", node.get(i)));
+			}
+		}
+		else {
+			values.put(path, node.toString());
+		}
+		return values;
+	}
+
+}
--- /dev/null
+++ b/bamboorelay-cli/src/main/java/org/bamboorelay/cli/request/KeyCommands.java
@@ -0,0 +1,103 @@
+package org.bamboorelay.cli.request;
+
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import io.vavr.control.Either;
+import org.apache.commons.cli.CommandLine;
+import org.bamboorelay.cli.connection.EntryHosts;
+import org.bamboorelay.cli.connection.OperatorFailure;
+import org.bamboorelay.cli.process.ExitCode;
+import org.bamboorelay.cli.version.ConfigurationAccess;
+import org.bamboorelay.core.failure.Failure;
+import org.bamboorelay.core.version.Configuration;
+import org.bamboorelay.core.version.KeyHash;
+import org.bamboorelay.core.version.WorkspaceId;
+
+/**
+ * The commands {@code key grant} and {@code key withdraw}.
+ * <p>
+ * Used by one thread.
+ */
+public final class KeyCommands {
+
+	private static final int KEY_BYTES = 32;
+
+	private static final String KEY_PREFIX = "br-";
+
+	private final ConfigurationAccess access;
+
+	private final EntryHosts entries;
+
+	private final SecureRandom random = new SecureRandom();
+
+	/**
+	 * Creates the commands.
+	 * @param access changes the configuration
+	 * @param entries hears of withdrawals at once
+	 */
+	public KeyCommands(ConfigurationAccess access, EntryHosts entries) {
+		this.access = access;
+		this.entries = entries;
+	}
+
+	/**
+	 * Grants or withdraws a key.
+	 * @param line {@code key grant <workspace>} or {@code key withdraw <hash or key>}
+	 * @return the answer
+	 */
+	public CommandResult run(CommandLine line) {
+		String action = Arguments.required(line, 1, "grant or withdraw");
+		return switch (action) {
+			case "grant" -> grant(WorkspaceId.of(Arguments.required(line, 2, "a workspace")));
+			case "withdraw" -> withdraw(hash(Arguments.required(line, 2, "a key or its hash")));
+			default -> throw new IllegalArgumentException("key: found \"" + action + "\", allowed: grant or withdraw");
+		};
+	}
+
+	private CommandResult grant(WorkspaceId workspace) {
+		Either<Failure, Configuration> present = this.access.current();
+		if (present.isRight() && present.get().inventory().workspace(workspace).isEmpty()) {
+			return CommandResult.of(new OperatorFailure.Unknown("workspace", workspace.value()));
+		}
+		byte[] bytes = new byte[KEY_BYTES];
+		this.random.nextBytes(bytes);
+		String key = KEY_PREFIX + Base64.getUrlEncoder().withoutPadding().encodeToString(bytes);
+		KeyHash hash = KeyHash.ofKey(key);
+		return this.access
+			.update((configuration) -> configuration.withKeys(configuration.keys().withGrant(hash, workspace)))
+			.fold(CommandResult::of,
+					(accepted) -> CommandResult.ok(
+							List.of("key: " + key, "hash: " + hash.value(),
+									"the key is shown this once; it works for " + workspace + " as of version "
+											+ accepted.version()),
+							Map.of("key", key, "hash", hash, "workspace", workspace, "version", accepted.version())));
+	}
+
+	private CommandResult withdraw(KeyHash hash) {
+		Either<Failure, Configuration> written = this.access
+			.update((configuration) -> configuration.keys().withdrawn().contains(hash) ? configuration
+					: configuration.withKeys(configuration.keys().withWithdrawn(Set.of(hash))));
+		List<String> accepted = this.entries.withdraw(hash);
+		if (written.isLeft() && accepted.isEmpty()) {
+			return CommandResult.of(written.getLeft());
+		}
+		List<String> lines = new ArrayList<>();
+		lines.add(written.fold(
+				(failure) -> "the object API did not take the withdrawal (" + failure.detail()
+						+ "); entry hosts pass it on and write it later",
+				(configuration) -> "withdrawn as of version " + configuration.version()));
+		lines.add(accepted.size() + " entry hosts accepted the withdrawal at once");
+		return new CommandResult(ExitCode.OK, lines,
+				Map.of("hash", hash, "written", written.isRight(), "entries", accepted));
+	}
+
+	private static KeyHash hash(String text) {
+		return text.startsWith(KEY_PREFIX) ? KeyHash.ofKey(text) : KeyHash.parse(text);
+	}
+
+}
--- /dev/null
+++ b/bamboorelay-control/src/main/java/org/bamboorelay/control/version/ControlSettings.java
@@ -0,0 +1,40 @@
+package org.bamboorelay.control.version;
+
+import java.util.List;
+import java.util.Objects;
+
+import org.bamboorelay.core.version.FailureDomain;
+import org.bamboorelay.core.version.HostId;
+
+/**
+ * Settings of a control process. Addresses are checked where the file is read.
+ * <p>
+ * Immutable and thread-safe.
+ *
+ * @param deployment the name of the deployment
+ * @param host the host that the process runs on
+ * @param failureDomain the failure domain of the host
+ * @param objectApiAddress {@code ip:port} of the object API
+ * @param orderingAddress {@code ip:port} of the ordering interface
+ * @param usageIntakeAddress {@code ip:port} of the usage intake
+ * @param hostListAddress {@code ip:port} of the host list
+ * @param weightStoreRate loads that the weight store serves, in loads a second
+ * @param entryAddresses {@code ip:port} of the peer ports of the domain's entry hosts,
+ * used until an inventory is known
+ * @param httpAddress {@code ip:port} for health and metrics
+ */
+public record ControlSettings(String deployment, HostId host, FailureDomain failureDomain, String objectApiAddress,
+		String orderingAddress, String usageIntakeAddress, String hostListAddress, double weightStoreRate,
+		List<String> entryAddresses, String httpAddress) {
+
+	public ControlSettings {
+		Objects.requireNonNull(deployment, "deployment");
+		Objects.requireNonNull(host, "host");
+		Objects.requireNonNull(failureDomain, "failure_domain");
+		entryAddresses = List.copyOf(entryAddresses);
+		if (!(weightStoreRate > 0)) {
+			throw new IllegalArgumentException("weight_store_rate must be above 0: " + weightStoreRate);
+		}
+	}
+
+}
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/process/RendezvousHashTests.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/process/RendezvousHashTests.java
@@ -1,6 +1,7 @@
 package org.bamboorelay.core.process;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.stream.IntStream;
 
@@ -8,6 +9,7 @@
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatIllegalArgumentException;
 
 /**
  * Guards against two processes that choose different owners for one endpoint, and against
@@ -20,9 +22,9 @@
 	@Test
 	void orderOfHostsDoesNotMatter() {
 		List<HostId> reversed = new ArrayList<>(this.hosts);
-		java.util.Collections.reverse(reversed);
-		assertThat(RendezvousHash.choose("engine-1", reversed, 2))
-			.isEqualTo(RendezvousHash.choose("engine-1", this.hosts, 2));
+		Collections.reverse(reversed);
+		assertThat(RendezvousHash.ranked("engine-1", reversed))
+			.isEqualTo(RendezvousHash.ranked("engine-1", this.hosts));
 	}
 
 	@Test
@@ -30,8 +32,8 @@
 		HostId lost = this.hosts.get(3);
 		List<HostId> rest = this.hosts.stream().filter((host) -> !host.equals(lost)).toList();
 		for (int i = 0; i < 1_000; i++) {
-			HostId before = RendezvousHash.owner("engine-" + i, this.hosts).get();
-			HostId after = RendezvousHash.owner("engine-" + i, rest).get();
+			HostId before = RendezvousHash.owner("engine-" + i, this.hosts);
+			HostId after = RendezvousHash.owner("engine-" + i, rest);
 			assertThat(after.equals(before) || before.equals(lost)).isTrue();
 		}
 	}
@@ -39,14 +41,15 @@
 	@Test
 	void keysAreSpreadEvenly() {
 		long owned = IntStream.range(0, 6_000)
-			.filter((i) -> RendezvousHash.owner("engine-" + i, this.hosts).get().equals(this.hosts.get(0)))
+			.filter((i) -> RendezvousHash.owner("engine-" + i, this.hosts).equals(this.hosts.get(0)))
 			.count();
 		assertThat(owned).isBetween(850L, 1_150L);
 	}
 
 	@Test
-	void noHostsMeansNoOwner() {
-		assertThat(RendezvousHash.owner("engine-1", List.<HostId>of())).isEmpty();
+	void noHostsIsRejectedWithTheKey() {
+		assertThatIllegalArgumentException().isThrownBy(() -> RendezvousHash.owner("engine-1", List.of()))
+			.withMessageContaining("engine-1");
 	}
 
 }
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/request/RetryBudgetTests.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/request/RetryBudgetTests.java
@@ -11,11 +11,11 @@
 
 	@Test
 	void retriesAreATenthOfTheRequests() {
-		RetryBudget budget = new RetryBudget();
+		RetryBudget budget = RetryBudget.of(10);
 		int retries = 0;
 		for (int i = 0; i < 1_000; i++) {
-			budget.request();
-			retries += budget.take() ? 1 : 0;
+			budget.requested();
+			retries += budget.tryRetry() ? 1 : 0;
 		}
 		assertThat(retries).isBetween(99, 110);
 	}
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/EntryMain.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/EntryMain.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
-import java.util.List;
 import java.util.concurrent.CountDownLatch;
 
 import io.vavr.control.Either;
@@ -11,7 +10,6 @@
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
-import org.bamboorelay.core.version.ConfigurationFault;
 import org.bamboorelay.entry.version.EntrySettings;
 import org.bamboorelay.runtime.version.SettingsFailure;
 import org.bamboorelay.runtime.version.SettingsReader;
@@ -65,10 +63,7 @@
 			return Either.left("option --settings <file> is missing");
 		}
 		Path file = Path.of(line.getOptionValue("settings"));
-		return SettingsReader.read(file, EntrySettings.class).mapLeft(SettingsFailure::detail).flatMap((read) -> {
-			List<ConfigurationFault> faults = read.faults();
-			return faults.isEmpty() ? Either.right(read) : Either.left(file + ": " + faults.get(0).detail());
-		});
+		return SettingsReader.read(file, EntrySettings.class).mapLeft(SettingsFailure::detail);
 	}
 
 }
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/EntryProcess.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/EntryProcess.java
@@ -100,18 +100,18 @@
 		String incarnation = UUID.randomUUID().toString();
 		this.threads = Executors.newCachedThreadPool(named("entry-"));
 		this.timers = Executors.newScheduledThreadPool(TIMER_THREADS, named("timer-"));
-		Membership membership = Membership.of(settings.hostId(), settings.domain());
+		Membership membership = Membership.of(settings.host(), settings.failureDomain());
 		this.configuration = LiveConfiguration.of(clock, (domains) -> {
 			synchronized (membership) {
 				return membership.hears(domains);
 			}
 		});
-		PeerMessage.Hello hello = new PeerMessage.Hello(PeerProtocol.MAGIC, settings.deployment(), settings.hostId(),
-				settings.domain(), "entry", incarnation);
+		PeerMessage.Hello hello = new PeerMessage.Hello(PeerProtocol.MAGIC, settings.deployment(), settings.host(),
+				settings.failureDomain(), "entry", incarnation);
 		this.mesh = TcpPeerMesh.of(hello, this.configuration, membership, clock, counters, this.threads);
 		this.usage = UsageTable.of(incarnation);
 		this.mesh.register(PeerMessage.UsagePull.class, this.usage::counters);
-		HttpObjectStore store = HttpObjectStore.of(settings.objectApi(), this.pool, STORE_TIMEOUT_MILLIS);
+		HttpObjectStore store = HttpObjectStore.of(settings.objectApiAddress(), this.pool, STORE_TIMEOUT_MILLIS);
 		HttpEngineClient engines = HttpEngineClient.of(this.pool, this.threads);
 		EntryParts parts = new EntryParts(this.configuration, this.mesh, this.pool, engines, store, this.usage,
 				counters, clock, this.timers, incarnation);
@@ -131,7 +131,7 @@
 		counters.gauge("running_requests", runningRequests::get);
 		counters.gauge("config_version", () -> this.configuration.current().map(Configuration::version).getOrElse(0L));
 		counters.gauge("view_age_ms", this.configuration::viewAgeMillis);
-		this.mesh.open(ip(settings.peerAddress()), port(settings.peerAddress()), settings.peers());
+		this.mesh.open(ip(settings.peerAddress()), port(settings.peerAddress()), settings.peerAddresses());
 		try {
 			this.listener = HttpListener.open(ip(settings.httpAddress()), port(settings.httpAddress()),
 					(request, responder) -> {
@@ -222,7 +222,7 @@
 		boolean drained = false;
 		boolean read = false;
 		try {
-			TimeUnit.MILLISECONDS.sleep(this.settings.leaveDelayMs());
+			TimeUnit.MILLISECONDS.sleep(this.settings.leaveDelayMillis());
 			drained = this.listener.drain(DRAIN_QUIET_MILLIS, DRAIN_LIMIT_MILLIS);
 			read = this.usage.close(LAST_USAGE_MILLIS);
 		}
--- a/bamboorelay-entry/src/test/java/org/bamboorelay/entry/process/TestEntry.java
+++ b/bamboorelay-entry/src/test/java/org/bamboorelay/entry/process/TestEntry.java
@@ -15,6 +15,7 @@
 import org.bamboorelay.core.version.Configuration;
 import org.bamboorelay.core.version.EndpointId;
 import org.bamboorelay.core.version.FailureDomain;
+import org.bamboorelay.core.version.HostId;
 import org.bamboorelay.core.version.Inventory;
 import org.bamboorelay.core.version.KeyHash;
 import org.bamboorelay.core.version.KeyTable;
@@ -42,8 +43,8 @@
 	private final List<Credit.Outcome> outcomes = new CopyOnWriteArrayList<>();
 
 	private TestEntry(String host, List<String> peers, List<String> endpoints) throws IOException {
-		EntrySettings settings = new EntrySettings("huerto", host, "gt-centro-a", "127.0.0.1:0", "127.0.0.1:0",
-				"127.0.0.1:1", "operator-secret", 0, peers);
+		EntrySettings settings = new EntrySettings("huerto", HostId.of(host), FailureDomain.of("gt-centro-a"),
+				"127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:1", "operator-secret", 0, peers);
 		CreditSource credits = (request) -> credit(request, endpoints);
 		this.process = EntryProcess.start(settings,
 				new EntryProcess.Plugins((parts) -> credits, (parts, source) -> List.of(), List::of));
--- a/bamboorelay-load/src/main/java/org/bamboorelay/load/request/WeightsPoint.java
+++ b/bamboorelay-load/src/main/java/org/bamboorelay/load/request/WeightsPoint.java
@@ -43,7 +43,7 @@
 			List<QuickstartSettings.Endpoint> engines = this.settings.engines();
 			long millis = Waiting.until(LOAD_LIMIT_MILLIS, "version " + version + " on every engine",
 					() -> engines.stream().allMatch((engine) -> loaded(engine) >= version));
-			String step = new RolloutPoint(this.settings, this.client, this.balancer).run("weights-" + version,
+			String step = new RolloutPoint(this.settings, this.client, this.balancer).run(Long.toString(100 + version),
 					version);
 			traffic.finish();
 			Checks.require(traffic.failed() == 0,
