Flush each event of a stream when the next one is not buffered whole

Cause: an event stayed in the entry process until the next one came, since the blank line after it counted as more input. Seen in EntryProcessTests.withdrawnKeyStopsARunningStreamOfASilentEngine, which timed out after 10 s waiting for the first event. Change: EngineStream reads lines from its own byte buffer and tells whether a whole line with content is buffered.

--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/connection/EngineStream.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/connection/EngineStream.java
@@ -1,9 +1,10 @@
 package org.bamboorelay.entry.connection;
 
-import java.io.BufferedReader;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.InputStreamReader;
+import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.vavr.control.Either;
@@ -24,12 +25,14 @@
  */
 public final class EngineStream implements AutoCloseable {
 
-	private static final String DATA = "data:";
+	private static final byte[] DATA = "data:".getBytes(StandardCharsets.US_ASCII);
 
-	private static final String DONE = "[DONE]";
+	private static final byte[] DONE = "[DONE]".getBytes(StandardCharsets.US_ASCII);
 
-	/** The longest event, in characters, so that a broken engine cannot fill memory. */
-	private static final int MAX_EVENT_CHARS = 1_048_576;
+	private static final int BUFFER_BYTES = 8_192;
+
+	/** The longest event, in bytes, so that a broken engine cannot fill memory. */
+	private static final int MAX_EVENT_BYTES = 1_048_576;
 
 	private final HttpExchange exchange;
 
@@ -37,7 +40,13 @@
 
 	private final long startedNanos;
 
-	private final BufferedReader reader;
+	private final InputStream in;
+
+	private final byte[] buffer = new byte[BUFFER_BYTES];
+
+	private int position;
+
+	private int limit;
 
 	private int nextIndex;
 
@@ -53,7 +62,7 @@
 		this.exchange = exchange;
 		this.requestId = requestId;
 		this.startedNanos = startedNanos;
-		this.reader = new BufferedReader(new InputStreamReader(exchange.body(), StandardCharsets.UTF_8));
+		this.in = exchange.body();
 	}
 
 	static EngineStream of(HttpExchange exchange, String requestId, long startedNanos) throws IOException {
@@ -67,12 +76,12 @@
 	public Either<EngineFailure, Option<EngineEvent>> next() {
 		try {
 			while (!this.whole) {
-				String data = nextData();
+				byte[] data = nextData();
 				if (data == null) {
 					return Either.left(new EngineFailure.Truncated(
 							"the stream ended after " + this.nextIndex + " events without its last event"));
 				}
-				if (DONE.equals(data)) {
+				if (Arrays.equals(DONE, data)) {
 					if (this.finishReason == null) {
 						return Either.left(new EngineFailure.Truncated("[DONE] came before the last event"));
 					}
@@ -122,16 +131,19 @@
 	}
 
 	/**
-	 * Tells whether more of the stream can be read without waiting.
-	 * @return whether some bytes are buffered
+	 * Tells whether the next event can be read without waiting.
+	 * @return whether a whole line that is not empty is buffered
 	 */
 	public boolean isBuffered() {
-		try {
-			return this.reader.ready();
-		}
-		catch (IOException ex) {
-			return false;
+		boolean content = false;
+		for (int i = this.position; i < this.limit; i++) {
+			byte next = this.buffer[i];
+			if (next == '\n' && content) {
+				return true;
+			}
+			content |= next != '\n' && next != '\r';
 		}
+		return false;
 	}
 
 	/**
@@ -154,38 +166,51 @@
 		this.whole = true;
 	}
 
-	private @Nullable String nextData() throws IOException {
+	private byte @Nullable [] nextData() throws IOException {
 		while (true) {
-			String line = readLine();
+			byte[] line = readLine();
 			if (line == null) {
 				return null;
 			}
-			if (line.startsWith(DATA)) {
-				return line.substring(DATA.length()).strip();
+			if (line.length >= DATA.length && Arrays.equals(line, 0, DATA.length, DATA, 0, DATA.length)) {
+				int from = DATA.length;
+				int to = line.length;
+				while (from < to && line[from] == ' ') {
+					from++;
+				}
+				while (to > from && (line[to - 1] == '\r' || line[to - 1] == ' ')) {
+					to--;
+				}
+				return Arrays.copyOfRange(line, from, to);
 			}
 		}
 	}
 
-	private @Nullable String readLine() throws IOException {
-		StringBuilder line = new StringBuilder();
+	private byte @Nullable [] readLine() throws IOException {
+		ByteArrayOutputStream line = new ByteArrayOutputStream();
 		while (true) {
-			int next = this.reader.read();
-			if (next < 0) {
-				// A line without its end is a cut line, never an event.
-				return null;
+			for (int i = this.position; i < this.limit; i++) {
+				if (this.buffer[i] == '\n') {
+					line.write(this.buffer, this.position, i - this.position);
+					this.position = i + 1;
+					return line.toByteArray();
+				}
 			}
-			if (next == '\n') {
-				return line.toString();
+			line.write(this.buffer, this.position, this.limit - this.position);
+			if (line.size() > MAX_EVENT_BYTES) {
+				throw new IOException("an event has more than " + MAX_EVENT_BYTES + " bytes");
 			}
-			if (line.length() >= MAX_EVENT_CHARS) {
-				throw new IOException("an event has more than " + MAX_EVENT_CHARS + " characters");
+			this.position = 0;
+			this.limit = Math.max(0, this.in.read(this.buffer));
+			if (this.limit == 0) {
+				// A line without its end is a cut line, never an event.
+				return null;
 			}
-			line.append((char) next);
 		}
 	}
 
-	private Either<EngineFailure, EngineEvent> parse(String data) {
-		JsonNode event = Json.tree(data.getBytes(StandardCharsets.UTF_8)).getOrNull();
+	private Either<EngineFailure, EngineEvent> parse(byte[] data) {
+		JsonNode event = Json.tree(data).getOrNull();
 		if (event == null || !event.isObject()) {
 			return wrong("an event is not a JSON object");
 		}
--- /dev/null
+++ b/bamboorelay-entry/src/test/java/org/bamboorelay/entry/process/PeerExchangeTests.java
@@ -0,0 +1,90 @@
+package org.bamboorelay.entry.process;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+import org.bamboorelay.core.connection.PeerMessage;
+import org.bamboorelay.core.version.HostId;
+import org.bamboorelay.core.version.KeyHash;
+import org.bamboorelay.runtime.request.Json;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against a host that misses a configuration, a withdrawal or a peer that leaves.
+ */
+@Timeout(30)
+class PeerExchangeTests {
+
+	private static final HostId ONE = HostId.of("host-1");
+
+	private static final HostId TWO = HostId.of("host-2");
+
+	@Test
+	void restartingHostTakesTheConfigurationOfAPeer() throws Exception {
+		try (TestEntry one = TestEntry.peer("host-1")) {
+			one.process().configuration().accept(TestEntry.configuration(7), 0);
+			try (TestEntry two = TestEntry.peer("host-2", "127.0.0.1:" + one.process().peerPort())) {
+				CompletableFuture<Long> inForce = new CompletableFuture<>();
+				two.process().configuration().onChange((changed) -> inForce.complete(changed.version()));
+				assertThat(
+						two.process().configuration().current().isDefined() || inForce.get(10, TimeUnit.SECONDS) == 7)
+					.isTrue();
+				await(() -> two.process().configuration().isReady());
+				assertThat(two.process().configuration().viewAgeMillis()).isNotNegative();
+			}
+		}
+	}
+
+	@Test
+	void withdrawalsReachPeersInBothDirections() throws IOException {
+		try (TestEntry one = TestEntry.peer("host-1");
+				TestEntry two = TestEntry.peer("host-2", "127.0.0.1:" + one.process().peerPort())) {
+			await(() -> one.process().mesh().live().contains(TWO) && two.process().mesh().live().contains(ONE));
+			KeyHash first = KeyHash.ofKey("first");
+			KeyHash second = KeyHash.ofKey("second");
+			one.process().mesh().withdraw(List.of(first));
+			two.process().mesh().withdraw(List.of(second));
+			await(() -> two.process().configuration().withdrawn().contains(first)
+					&& one.process().configuration().withdrawn().contains(second));
+		}
+	}
+
+	@Test
+	void leavingHostIsNoLongerLiveAtItsPeers() throws IOException {
+		try (TestEntry one = TestEntry.peer("host-1");
+				TestEntry two = TestEntry.peer("host-2", "127.0.0.1:" + one.process().peerPort())) {
+			await(() -> one.process().mesh().live().contains(TWO) && two.process().mesh().live().contains(ONE));
+			two.process().mesh().startLeaving();
+			await(() -> !one.process().mesh().live().contains(TWO));
+		}
+	}
+
+	@Test
+	void offersRefreshTheViewOnlyForAVersionThatIsHeld() throws IOException {
+		try (TestEntry one = TestEntry.peer("host-1")) {
+			PeerMessage empty = new PeerMessage.ConfigOffer(7, new byte[0], 5);
+			assertThat(one.process().mesh().call(ONE, empty, 100).getLeft().detail()).contains("version 7");
+			assertThat(one.process().configuration().viewAgeMillis()).isNegative();
+			byte[] body = Json.bytes(TestEntry.configuration(7));
+			assertThat(one.process().mesh().call(ONE, new PeerMessage.ConfigOffer(7, body, 5), 100).isRight()).isTrue();
+			assertThat(one.process().mesh().call(ONE, empty, 100).isRight()).isTrue();
+			assertThat(one.process().configuration().viewAgeMillis()).isBetween(0L, 5_000L);
+			assertThat(one.process().configuration().held().get()).isEqualTo(TestEntry.configuration(7));
+		}
+	}
+
+	private static void await(BooleanSupplier condition) {
+		long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+		while (!condition.getAsBoolean()) {
+			assertThat(System.nanoTime()).isLessThan(deadline);
+			Thread.onSpinWait();
+		}
+	}
+
+}
