Let other parts plug into the entry process, and ask peers before serving

Cause: admission and trainer routes need the mesh, thread pools and a hook for leaving; a restarted host that read the store at once could accept a key whose withdrawal is known to its peers only. Change: interface EntryPlugins; EntryParts with a pool for waiting work and one for timers; a host is ready only after each peer that it can reach was asked for its withdrawn keys. Tests of leaving and of oversize bodies.

--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/connection/TcpPeerMesh.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/connection/TcpPeerMesh.java
@@ -102,6 +102,8 @@
 
 	private volatile boolean closed;
 
+	private volatile boolean followed;
+
 	private volatile long lastTickMillis;
 
 	private volatile @Nullable PeerListener listener;
@@ -123,7 +125,7 @@
 		register(PeerMessage.ConfigFetch.class, this::onFetch);
 		register(PeerMessage.ConfigOffer.class, this::onOffer);
 		register(PeerMessage.Withdraw.class, this::onWithdraw);
-		configuration.onChange((changed) -> threads.execute(() -> follow(changed)));
+		configuration.onChange(this::follow);
 	}
 
 	/**
@@ -269,6 +271,9 @@
 		this.lastTickMillis = now;
 		this.configuration.tick();
 		this.peers.values().forEach((peer) -> connect(peer, now));
+		if (this.followed && this.peers.values().stream().allMatch((peer) -> peer.asked)) {
+			this.configuration.notePeersAsked();
+		}
 		if (now >= this.nextHeartbeatMillis) {
 			this.nextHeartbeatMillis = now + PeerProtocol.HEARTBEAT_MILLIS;
 			sendHeartbeats();
@@ -450,6 +455,7 @@
 			}
 			finally {
 				this.exchanging.remove(link);
+				this.peers.values().stream().filter((peer) -> peer.link == link).forEach((peer) -> peer.asked = true);
 			}
 		});
 	}
@@ -504,6 +510,7 @@
 		peer.nextAttemptMillis = this.clock.millis() + peer.backoffMillis;
 		if (link.remote().host().equals(self()) || this.closed) {
 			peer.isSelf = link.remote().host().equals(self());
+			peer.asked = true;
 			link.close();
 			return;
 		}
@@ -521,6 +528,7 @@
 	}
 
 	private void backOff(Peer peer, PeerFailure failure) {
+		peer.asked = true;
 		this.counters.counter("peer_connects_failed_total", "reason", failure.code()).inc();
 		long wait = peer.backoffMillis / 2 + ThreadLocalRandom.current().nextLong(peer.backoffMillis / 2 + 1);
 		peer.backoffMillis = Math.min(MAX_BACKOFF_MILLIS, peer.backoffMillis * 2);
@@ -568,6 +576,7 @@
 				this.accepted.remove(host);
 			});
 		}
+		this.followed = true;
 	}
 
 	private @Nullable PeerLink link(HostId host) {
@@ -611,6 +620,8 @@
 
 		private volatile boolean isSelf;
 
+		private volatile boolean asked;
+
 		private volatile long nextAttemptMillis;
 
 		private volatile long backoffMillis = MIN_BACKOFF_MILLIS;
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/EntryMain.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/EntryMain.java
@@ -74,11 +74,12 @@
 		});
 	}
 
-	private static EntryProcess.Plugins plugins() {
-		// Replaced by the admission and the trainer routes.
+	private static EntryPlugins plugins() {
+		// Admission and trainer routes are plugged in here; without them no endpoint is
+		// known.
 		CreditSource credits = (request) -> Either
 			.left(Refusal.notRun(RefusalReason.NO_ENDPOINT, "no endpoint of " + request.service() + " is known"));
-		return new EntryProcess.Plugins((parts) -> credits, (parts, source) -> List.of(), List::of);
+		return (parts) -> credits;
 	}
 
 }
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/EntryParts.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/EntryParts.java
@@ -1,5 +1,6 @@
 package org.bamboorelay.entry.process;
 
+import java.util.concurrent.ExecutorService;
 import java.util.concurrent.ScheduledExecutorService;
 
 import org.bamboorelay.core.store.ObjectStore;
@@ -23,10 +24,11 @@
  * @param usage counts what was served
  * @param counters the process's metrics
  * @param clock a monotonic clock
- * @param threads runs work that waits, and timers; closed with the process
+ * @param threads runs work that waits; closed with the process
+ * @param timers runs short tasks that never wait; closed with the process
  * @param incarnation unique for each start of the process
  */
 public record EntryParts(LiveConfiguration configuration, TcpPeerMesh mesh, HttpConnectionPool pool,
 		HttpEngineClient engines, ObjectStore store, UsageMeter usage, Counters counters, Clock clock,
-		ScheduledExecutorService threads, String incarnation) {
+		ExecutorService threads, ScheduledExecutorService timers, String incarnation) {
 }
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/EntryProcess.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/EntryProcess.java
@@ -13,8 +13,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.Function;
-import java.util.function.Supplier;
 
 import io.vavr.control.Either;
 import io.vavr.control.Option;
@@ -72,6 +70,8 @@
 
 	private final EntrySettings settings;
 
+	private final EntryPlugins plugins;
+
 	private final ExecutorService threads;
 
 	private final ScheduledExecutorService timers;
@@ -90,8 +90,9 @@
 
 	private final AtomicBoolean leaving = new AtomicBoolean();
 
-	private EntryProcess(EntrySettings settings, Plugins plugins) throws IOException {
+	private EntryProcess(EntrySettings settings, EntryPlugins plugins) throws IOException {
 		this.settings = settings;
+		this.plugins = plugins;
 		Clock clock = Clock.monotonic();
 		Counters counters = Counters.create();
 		String incarnation = UUID.randomUUID().toString();
@@ -111,23 +112,27 @@
 		HttpObjectStore store = HttpObjectStore.of(settings.objectApi(), this.pool, STORE_TIMEOUT_MILLIS);
 		HttpEngineClient engines = HttpEngineClient.of(this.pool, this.threads);
 		EntryParts parts = new EntryParts(this.configuration, this.mesh, this.pool, engines, store, this.usage,
-				counters, clock, this.timers, incarnation);
-		CreditSource credits = plugins.credits().apply(parts);
+				counters, clock, this.threads, this.timers, incarnation);
+		CreditSource credits = plugins.credits(parts);
 		RetryBudget budget = new RetryBudget();
 		RunningStreams running = new RunningStreams();
 		List<CallerRoute> routes = new ArrayList<>();
 		routes.add(PlainRoute.of(this.configuration, credits, this.pool, IdempotencyRecords.of(store, counters),
 				this.usage, budget, counters));
 		routes.add(CompletionRoute.of(this.configuration, credits, engines, running, this.usage, budget, counters));
-		routes.addAll(plugins.routes().create(parts, credits));
+		routes.addAll(plugins.routes(parts, credits));
 		AtomicLong runningRequests = new AtomicLong();
 		this.processRoute = ProcessRoute.of(this.configuration, this.mesh, counters, runningRequests::intValue,
-				plugins.endpoints());
+				plugins::endpoints);
 		CallerFront front = CallerFront.of(this.configuration, counters, settings.operatorToken(), this.processRoute,
 				routes);
 		counters.gauge("running_requests", runningRequests::get);
 		counters.gauge("config_version", () -> this.configuration.current().map(Configuration::version).getOrElse(0L));
 		counters.gauge("view_age_ms", this.configuration::viewAgeMillis);
+		this.configuration.onChange((changed) -> LOG.atInfo()
+			.addKeyValue("event", "config.in-force")
+			.addKeyValue("version", changed.version())
+			.log("config.in-force"));
 		this.mesh.open(ip(settings.peerAddress()), port(settings.peerAddress()), settings.peers());
 		try {
 			this.listener = HttpListener.open(ip(settings.httpAddress()), port(settings.httpAddress()),
@@ -159,7 +164,7 @@
 	 * @return the running process
 	 * @throws IOException where an address cannot be bound
 	 */
-	public static EntryProcess start(EntrySettings settings, Plugins plugins) throws IOException {
+	public static EntryProcess start(EntrySettings settings, EntryPlugins plugins) throws IOException {
 		Objects.requireNonNull(plugins, "plugins");
 		EntryProcess process = new EntryProcess(settings, plugins);
 		LOG.atInfo()
@@ -206,7 +211,8 @@
 
 	/**
 	 * Leaves without cutting a request: says so, goes on accepting for the leave delay,
-	 * waits for running work, lets the last usage figures be read, and closes.
+	 * waits for running work, gives back what the plugins own, lets the last usage
+	 * figures be read, and closes.
 	 */
 	public void leave() {
 		if (!this.leaving.compareAndSet(false, true)) {
@@ -221,6 +227,7 @@
 		try {
 			TimeUnit.MILLISECONDS.sleep(this.settings.leaveDelayMs());
 			drained = this.listener.drain(DRAIN_QUIET_MILLIS, DRAIN_LIMIT_MILLIS);
+			this.plugins.leave();
 			read = this.usage.close(LAST_USAGE_MILLIS);
 		}
 		catch (InterruptedException ex) {
@@ -303,30 +310,4 @@
 		return Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
 	}
 
-	/**
-	 * Parts of a process that are built by others.
-	 *
-	 * @param credits creates the admission
-	 * @param routes creates further routes
-	 * @param endpoints returns what the status page shows of endpoints
-	 */
-	public record Plugins(Function<EntryParts, CreditSource> credits, RouteFactory routes, Supplier<Object> endpoints) {
-	}
-
-	/**
-	 * Creates routes.
-	 */
-	@FunctionalInterface
-	public interface RouteFactory {
-
-		/**
-		 * Creates the routes.
-		 * @param parts what they are built from
-		 * @param credits the admission
-		 * @return the routes
-		 */
-		List<CallerRoute> create(EntryParts parts, CreditSource credits);
-
-	}
-
 }
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/version/LiveConfiguration.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/version/LiveConfiguration.java
@@ -52,6 +52,8 @@
 
 	private volatile boolean answered;
 
+	private volatile boolean peersAsked;
+
 	private LiveConfiguration(Clock clock, Predicate<Set<FailureDomain>> hears) {
 		this.clock = Objects.requireNonNull(clock, "clock");
 		this.hears = Objects.requireNonNull(hears, "hears");
@@ -78,12 +80,13 @@
 	}
 
 	/**
-	 * Tells whether requests can be served: a configuration is in force, and the store or
-	 * a peer answered since the start.
+	 * Tells whether requests can be served: a configuration is in force, the store or a
+	 * peer answered since the start, and each peer that could be reached told its
+	 * withdrawn keys.
 	 * @return whether this host is ready
 	 */
 	public boolean isReady() {
-		return this.answered && this.inForce.isDefined();
+		return this.answered && this.peersAsked && this.inForce.isDefined();
 	}
 
 	/**
@@ -125,6 +128,13 @@
 		this.answered = true;
 	}
 
+	/**
+	 * Notes that all peers that can be reached were asked for their withdrawn keys.
+	 */
+	public void notePeersAsked() {
+		this.peersAsked = true;
+	}
+
 	/**
 	 * Takes a configuration. Its withdrawals count at once, even before the version is in
 	 * force.
@@ -185,7 +195,7 @@
 	 */
 	public Either<Refusal, WorkspaceId> authenticate(KeyHash key) {
 		Option<Indexed> present = this.inForce;
-		if (present.isEmpty() || !this.answered) {
+		if (present.isEmpty() || !isReady()) {
 			return Either.left(Refusal.notRun(RefusalReason.NOT_READY, "this host has no configuration yet")
 				.withRetryAfter(RETRY_AFTER_MILLIS));
 		}
--- a/bamboorelay-entry/src/test/java/org/bamboorelay/entry/process/EntryProcessTests.java
+++ b/bamboorelay-entry/src/test/java/org/bamboorelay/entry/process/EntryProcessTests.java
@@ -235,6 +235,10 @@
 			}
 			assertThat(entry.send("GET / HTTP/1.1\r\nX-Long: " + "a".repeat(20_000) + "\r\n\r\n").status())
 				.isBetween(400, 431);
+			assertThat(entry
+				.send("POST " + APP + "/dues HTTP/1.1\r\nHost: relay\r\nAuthorization: Bearer " + TestEntry.KEY_NORTE
+						+ "\r\nContent-Length: 5000000\r\n\r\n")
+				.status()).isEqualTo(413);
 			assertThat(entry.send("GARBAGE\r\n\r\n").status()).isEqualTo(400);
 			assertThat(entry.send(get(APP + "/dues", TestEntry.KEY_NORTE)).status()).isEqualTo(200);
 		}
@@ -304,10 +308,45 @@
 		}
 	}
 
+	@Test
+	void leavingProcessFinishesItsRequests() throws Exception {
+		CountDownLatch reached = new CountDownLatch(1);
+		CountDownLatch finish = new CountDownLatch(1);
+		try (RawEndpoint endpoint = new RawEndpoint((request, count) -> {
+			reached.countDown();
+			await(finish);
+			return RawEndpoint.ok(request, "200 OK", "fine");
+		}); TestEntry entry = TestEntry.with(endpoint.address()); Socket caller = entry.connect()) {
+			caller.getOutputStream()
+				.write(post(APP + "/dues", TestEntry.KEY_NORTE).getBytes(StandardCharsets.US_ASCII));
+			await(reached);
+			Thread leaving = new Thread(entry.process()::leave);
+			leaving.start();
+			while (entry.send(get("/health/ready", null)).status() == 200) {
+				Thread.onSpinWait();
+			}
+			assertThat(entry.send(get("/health/leaving", null)).status()).isEqualTo(200);
+			finish.countDown();
+			HttpText answer = HttpText.read(caller.getInputStream());
+			assertThat(answer.status()).isEqualTo(200);
+			assertThat(answer.header("Connection")).isEqualTo("close");
+			leaving.join();
+		}
+	}
+
 	private static RawEndpoint okEndpoint() throws IOException {
 		return new RawEndpoint((request, count) -> RawEndpoint.ok(request, "200 OK", "fine"));
 	}
 
+	private static void await(CountDownLatch latch) {
+		try {
+			latch.await();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	private static String get(String target, String key) {
 		return TestEntry.request("GET", target, key, "");
 	}
@@ -329,12 +368,7 @@
 
 		@Override
 		public void afterCut() {
-			try {
-				this.end.await();
-			}
-			catch (InterruptedException ex) {
-				Thread.currentThread().interrupt();
-			}
+			EntryProcessTests.await(this.end);
 		}
 
 	}
--- a/bamboorelay-entry/src/test/java/org/bamboorelay/entry/process/TestEntry.java
+++ b/bamboorelay-entry/src/test/java/org/bamboorelay/entry/process/TestEntry.java
@@ -45,8 +45,7 @@
 		EntrySettings settings = new EntrySettings("huerto", host, "gt-centro-a", "127.0.0.1:0", "127.0.0.1:0",
 				"127.0.0.1:1", "operator-secret", 0, peers);
 		CreditSource credits = (request) -> credit(request, endpoints);
-		this.process = EntryProcess.start(settings,
-				new EntryProcess.Plugins((parts) -> credits, (parts, source) -> List.of(), List::of));
+		this.process = EntryProcess.start(settings, (parts) -> credits);
 	}
 
 	static TestEntry with(String... endpoints) throws IOException {
@@ -54,6 +53,7 @@
 		entry.process.configuration().accept(configuration(1), 0);
 		entry.process.configuration().peerHolds(1);
 		entry.process.configuration().noteAnswer();
+		entry.process.configuration().notePeersAsked();
 		return entry;
 	}
 
