Merge the entry process's plug-in points and settle its settings

Cause: composition and settings were written twice; a truncated stream gave its credit back only after the caller had the error event, so a test that looked at the credit raced.

--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/EntryComposition.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/EntryComposition.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.UUID;
-import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
@@ -19,7 +18,7 @@
  * <p>
  * Used by the thread that starts the process; the status may be read by any thread.
  */
-final class EntryComposition {
+final class EntryComposition implements EntryPlugins {
 
 	/** Samples that run at once on a host; each has a thread. */
 	private static final int MAX_RUNNING_SAMPLES = 256;
@@ -35,15 +34,8 @@
 
 	private volatile @Nullable CreditService credits;
 
-	/**
-	 * Returns what an entry process is started with.
-	 * @return the parts
-	 */
-	EntryProcess.Plugins plugins() {
-		return new EntryProcess.Plugins(this::credits, this::routes, this::endpoints);
-	}
-
-	private CreditSource credits(EntryParts parts) {
+	@Override
+	public CreditSource credits(EntryParts parts) {
 		CreditService service = CreditService.builder()
 			.mesh(parts.mesh())
 			.configuration(parts.configuration())
@@ -51,7 +43,7 @@
 			.counters(parts.counters())
 			.clock(parts.clock())
 			.random(RandomGenerator.getDefault())
-			.executor(Executors.newCachedThreadPool(EntryComposition::daemon))
+			.executor(parts.threads())
 			.build();
 		parts.mesh().digests(service::digests);
 		parts.mesh().onDigests(service::digestsFrom);
@@ -60,26 +52,22 @@
 		return service;
 	}
 
-	private List<CallerRoute> routes(EntryParts parts, CreditSource source) {
+	@Override
+	public List<CallerRoute> routes(EntryParts parts, CreditSource source) {
 		RolloutThreads threads = RolloutThreads.of(MAX_RUNNING_SAMPLES, MAX_ROLLOUT_TASKS);
 		RolloutRoutes rollouts = RolloutRoutes.of(
 				new RolloutParts(parts.mesh(), parts.store(), source, parts.engines(), parts.configuration(),
 						parts.usage(), parts.counters(), parts.clock(), threads, () -> UUID.randomUUID().toString(),
 						new RolloutParts.Limits(MAX_RUNNING_PER_STEP, MAX_SAMPLE_BYTES)),
 				Problems.of(parts.counters()));
-		parts.threads()
+		parts.timers()
 			.scheduleWithFixedDelay(rollouts::tick, RolloutRoutes.TICK_MILLIS, RolloutRoutes.TICK_MILLIS,
 					TimeUnit.MILLISECONDS);
 		return List.of(rollouts);
 	}
 
-	private static Thread daemon(Runnable task) {
-		Thread thread = new Thread(task, "credits");
-		thread.setDaemon(true);
-		return thread;
-	}
-
-	private Object endpoints() {
+	@Override
+	public Object endpoints() {
 		CreditService service = this.credits;
 		return (service != null) ? service.status() : List.of();
 	}
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/EntryMain.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/EntryMain.java
@@ -38,7 +38,7 @@
 			System.exit(BAD_SETTINGS);
 		}
 		try {
-			EntryProcess process = EntryProcess.start(settings.get(), new EntryComposition().plugins());
+			EntryProcess process = EntryProcess.start(settings.get(), new EntryComposition());
 			Runtime.getRuntime().addShutdownHook(new Thread(process::leave, "shutdown"));
 		}
 		catch (IOException ex) {
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/CompletionRoute.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/CompletionRoute.java
@@ -326,6 +326,7 @@
 				}
 				if (next.isLeft()) {
 					log("stream.failed", this.request, next.getLeft().code());
+					attempt.fail();
 					error(out, Refusal.runUnknown(RefusalReason.ENDPOINT_FAILED, next.getLeft().detail()));
 					return;
 				}
@@ -460,6 +461,10 @@
 			CompletionRoute.this.engines.cancel(this.credit.address(), this.engineRequest.requestId());
 		}
 
+		private void fail() {
+			this.credit.end(Credit.Outcome.FAILED, opened().firstByteMillis(), opened().tokens());
+		}
+
 		private EngineStream opened() {
 			return Objects.requireNonNull(this.stream, "stream");
 		}
@@ -473,7 +478,7 @@
 				this.stream.close();
 				if (!this.whole) {
 					// Has no effect where the attempt was cancelled before.
-					this.credit.end(Credit.Outcome.FAILED, this.stream.firstByteMillis(), this.stream.tokens());
+					fail();
 				}
 			}
 		}
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/version/SettingsReader.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/version/SettingsReader.java
@@ -76,7 +76,8 @@
 			int line = (ex.getLocation() != null) ? ex.getLocation().getLineNr() : 0;
 			return Either.left(List.of(new SettingsFailure(name, line, "", ex.getOriginalMessage(), "valid TOML")));
 		}
-		TomlRecordChecker checker = new TomlRecordChecker(Json.MAPPER, name, TomlLines.of(text));
+		TomlLines lines = TomlLines.of(text);
+		TomlRecordChecker checker = new TomlRecordChecker(Json.MAPPER, name, lines);
 		JsonNode checked = checker.check(tree, type, "");
 		if (!checker.failures().isEmpty()) {
 			return Either.left(List.copyOf(checker.failures()));
@@ -85,8 +86,7 @@
 			return Either.right(Json.MAPPER.treeToValue(checked, type));
 		}
 		catch (JsonProcessingException ex) {
-			return Either.left(List
-				.of(new SettingsFailure(name, 1, "", "values that do not fit together", ex.getOriginalMessage())));
+			return Either.left(List.of(rejected(name, lines, message(ex))));
 		}
 	}
 
@@ -107,6 +107,17 @@
 		return new SettingsFailure(file.toString(), line, fault.key(), fault.found(), fault.allowed());
 	}
 
+	// The message of a constructor starts with the key that it speaks of.
+	private static SettingsFailure rejected(String name, TomlLines lines, String message) {
+		String key = message.split("[ :]", 2)[0];
+		return new SettingsFailure(name, lines.line(key), key, "a value that is not allowed", message);
+	}
+
+	private static String message(JsonProcessingException ex) {
+		Throwable cause = (ex.getCause() != null) ? ex.getCause() : ex;
+		return String.valueOf(cause.getMessage());
+	}
+
 	private static <T> Either<List<SettingsFailure>, T> failure(Path file, int line, String key, String found,
 			String allowed) {
 		return Either.left(List.of(new SettingsFailure(file.toString(), line, key, found, allowed)));
