Keep the chain of usage parts without a hole and add first tests

A new holder looked back 64 windows for the last part; after a longer outage it would have counted an incarnation from its start again. It now follows the chain of parts from usage/parts/<domain>/latest.

Scaling waits until both endpoint lists were read: an empty view right after a takeover ordered endpoints that were there.

--- a/bamboorelay-control/src/main/java/org/bamboorelay/control/process/EndpointDirectory.java
+++ b/bamboorelay-control/src/main/java/org/bamboorelay/control/process/EndpointDirectory.java
@@ -73,6 +73,8 @@
 
 	private volatile boolean orderedKnown;
 
+	private volatile long listedAt = Long.MIN_VALUE / 2;
+
 	private List<EndpointInfo> lastSent = List.of();
 
 	private List<WeightVersion> lastHeads = List.of();
@@ -104,6 +106,15 @@
 		return !this.orderedKnown || this.ordered.containsKey(endpoint);
 	}
 
+	/**
+	 * Tells whether both lists were read lately. Without them nothing is started: what
+	 * cannot be seen may be there.
+	 * @return whether the endpoints are known
+	 */
+	boolean isKnown() {
+		return this.context.clock().millis() - this.listedAt < LOAD_VALID_MILLIS;
+	}
+
 	/**
 	 * Counts the endpoints of a service in all domains.
 	 * @param service the service
@@ -202,6 +213,9 @@
 			this.everOrdered.addAll(parsed.keySet());
 			this.ordered = parsed;
 			this.orderedKnown = true;
+			if (hosts.isRight()) {
+				this.listedAt = this.context.clock().millis();
+			}
 		}).peekLeft((failure) -> this.context.counters().counter("ordering_list_failures_total").inc());
 	}
 
--- a/bamboorelay-control/src/main/java/org/bamboorelay/control/process/OrderDuty.java
+++ b/bamboorelay-control/src/main/java/org/bamboorelay/control/process/OrderDuty.java
@@ -103,7 +103,7 @@
 	private void plan(Configuration configuration) {
 		FailureDomain own = this.context.settings().failureDomain();
 		List<FailureDomain> domains = this.context.domainsInService();
-		if (!configuration.isInService(own) || !domains.contains(own)) {
+		if (!configuration.isInService(own) || !domains.contains(own) || !this.directory.isKnown()) {
 			return;
 		}
 		long now = this.context.clock().millis();
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/UsageParts.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/UsageParts.java
@@ -30,15 +30,13 @@
  * Turns the cumulative counters of a domain's entry processes into the domain's part of
  * each usage window, checkpointed in {@code usage/parts/<domain>/<window>}. The first
  * reading after the end of a window divides it from the next one. A closed part is never
- * written again.
+ * written again. Parts follow each other without a hole; {@code usage/parts/<domain>/latest}
+ * names one of the last, from which a new holder goes on.
  * <p>
  * Thread-safe; guarded by its own lock.
  */
 public final class UsageParts implements StoreDecision {
 
-	/** Windows that a new holder looks back for the last part. */
-	private static final int LOOK_BACK = 64;
-
 	/**
 	 * Windows after which an incarnation that does not answer is forgotten; it was named
 	 * as a gap long before.
@@ -85,10 +83,16 @@
 
 	private boolean resolving;
 
-	private int lookBack;
+	private @Nullable Pointer pointer;
+
+	private long pointerVersion;
+
+	private boolean pointerRead;
 
 	private long lookAt;
 
+	private @Nullable Slot before;
+
 	private long nextAt;
 
 	private long checkpointAt;
@@ -234,10 +238,14 @@
 				|| !this.leaseHeld.test(this.fencing)) {
 			return null;
 		}
+		if (!this.pointerRead) {
+			return new StoreStep.Read(pointerKey());
+		}
+		Pointer from = this.pointer;
+		if (from == null) {
+			return writePointer(floor(this.wallMillis));
+		}
 		if (!this.loaded) {
-			if (this.lookBack == 0) {
-				this.lookAt = floor(this.wallMillis) + this.windowMillis;
-			}
 			return new StoreStep.Read(key(this.domain, this.lookAt));
 		}
 		Slot slot = this.slots.getFirst();
@@ -245,7 +253,8 @@
 			return new StoreStep.Read(key(this.domain, slot.window));
 		}
 		if (!slot.closed && !(slot.dirty && now >= this.checkpointAt)) {
-			return null;
+			boolean behind = slot.version > 0 && from.window() < slot.window;
+			return behind ? writePointer(slot.window) : null;
 		}
 		slot.dirty = false;
 		slot.closing = slot.closed;
@@ -258,13 +267,29 @@
 
 	@Override
 	public synchronized void onResult(StoreStep step, Either<StoreFailure, Option<StoredObject>> result) {
+		boolean onPointer = (step instanceof StoreStep.Write write) ? write.key().equals(pointerKey())
+				: ((StoreStep.Read) step).key().equals(pointerKey());
 		if (result.isLeft()) {
 			boolean lost = result.getLeft() instanceof StoreFailure.ConditionFailed;
-			this.resolving = this.loaded;
+			if (onPointer) {
+				this.pointerRead = false;
+			}
+			else {
+				this.resolving = this.loaded;
+			}
 			this.nextAt = this.clock.millis() + (lost ? 0 : this.backoff.failed());
 			return;
 		}
 		this.backoff.reset();
+		if (onPointer) {
+			this.pointerRead = true;
+			this.pointerVersion = result.get().map(StoredObject::version).getOrElse(0L);
+			this.pointer = result.get().flatMap((object) -> CoreJson.read(object.body(), Pointer.class)).getOrNull();
+			if (!this.loaded && this.pointer != null) {
+				this.lookAt = this.pointer.window();
+			}
+			return;
+		}
 		Option<Part> part = result.get().flatMap((object) -> CoreJson.read(object.body(), Part.class));
 		long version = result.get().map(StoredObject::version).getOrElse(0L);
 		if (part.exists((found) -> found.fencing() > this.fencing)) {
@@ -302,31 +327,40 @@
 		}
 	}
 
+	private String pointerKey() {
+		return "usage/parts/" + this.domain + "/latest";
+	}
+
+	private StoreStep writePointer(long window) {
+		return new StoreStep.Write(pointerKey(), CoreJson.bytes(new Pointer(window)), this.pointerVersion);
+	}
+
 	private void reload() {
+		this.before = null;
 		this.slots.clear();
 		this.loaded = false;
 		this.resolving = false;
-		this.lookBack = 0;
+		this.pointerRead = false;
+		this.pointer = null;
 		this.nextAt = 0;
 		this.checkpointAt = 0;
 	}
 
 	private void load(Option<Part> part, long version) {
-		if (part.isEmpty() && this.lookBack < LOOK_BACK) {
-			this.lookBack++;
-			this.lookAt -= this.windowMillis;
+		if (part.exists(Part::closed)) {
+			this.lookAt = part.get().end();
+			this.before = Slot.of(part.get(), version);
 			return;
 		}
 		Slot slot;
-		if (part.isEmpty()) {
-			slot = new Slot(floor(this.wallMillis), end(floor(this.wallMillis)));
+		if (part.isDefined()) {
+			slot = Slot.of(part.get(), version);
 		}
 		else {
-			slot = Slot.of(part.get(), version);
-			if (slot.closed) {
-				slot = slot.successor(end(slot.end));
-			}
+			slot = (this.before != null) ? this.before.successor(end(this.lookAt))
+					: new Slot(this.lookAt, end(this.lookAt));
 		}
+		this.before = null;
 		// Written at once, so that the former holder's next checkpoint fails.
 		slot.dirty = true;
 		this.slots.add(slot);
@@ -423,6 +457,9 @@
 
 	}
 
+	private record Pointer(long window) {
+	}
+
 	private static final class Slot {
 
 		private final long window;
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/UsageWindows.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/UsageWindows.java
@@ -43,7 +43,8 @@
 
 	/**
 	 * Wait for a domain's part beyond twice the grace period, in milliseconds: longer
-	 * than a takeover of the domain's lease.
+	 * than a takeover of the domain's lease. Waited again after an outage of the store,
+	 * so that the domains can write what they kept.
 	 */
 	private static final long PART_WAIT_MILLIS = 15_000;
 
@@ -85,6 +86,10 @@
 
 	private boolean pointerRead;
 
+	private boolean failing;
+
+	private long reachableSince;
+
 	private boolean windowRead;
 
 	private boolean sent;
@@ -122,6 +127,7 @@
 			this.pointer = null;
 			this.pointerRead = false;
 			this.nextAt = 0;
+			this.reachableSince = this.clock.millis();
 			startWindow();
 		}
 	}
@@ -193,7 +199,9 @@
 		}
 		boolean whole = this.domains.stream()
 			.allMatch((domain) -> this.collected.containsKey(new PartId(domain, start)));
-		if (!whole && this.wallMillis < end + 2 * this.graceMillis + PART_WAIT_MILLIS) {
+		boolean patient = this.wallMillis < end + 2 * this.graceMillis + PART_WAIT_MILLIS
+				|| this.clock.millis() - this.reachableSince < PART_WAIT_MILLIS;
+		if (!whole && patient) {
 			this.asked.clear();
 			this.nextAt = this.clock.millis() + POLL_MILLIS;
 			return null;
@@ -205,6 +213,7 @@
 	public synchronized void onResult(StoreStep step, Either<StoreFailure, Option<StoredObject>> result) {
 		if (result.isLeft()) {
 			boolean lost = result.getLeft() instanceof StoreFailure.ConditionFailed;
+			this.failing = !lost;
 			this.nextAt = this.clock.millis() + (lost ? 0 : this.backoff.failed());
 			// What a failed write left behind is read, never guessed.
 			if (step instanceof StoreStep.Write write) {
@@ -218,6 +227,10 @@
 			return;
 		}
 		this.backoff.reset();
+		if (this.failing) {
+			this.failing = false;
+			this.reachableSince = this.clock.millis();
+		}
 		String key = (step instanceof StoreStep.Write write) ? write.key() : ((StoreStep.Read) step).key();
 		Option<StoredObject> object = result.get();
 		if (key.equals(REPORTED_KEY)) {
--- /dev/null
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/version/ConfigurationAssemblyTests.java
@@ -0,0 +1,143 @@
+package org.bamboorelay.core.version;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.UnaryOperator;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import org.bamboorelay.core.failure.Failure;
+import org.bamboorelay.core.store.FakeObjectStore;
+import org.bamboorelay.core.store.FakeObjectStore.Fault;
+import org.bamboorelay.core.store.StoreFailure;
+import org.bamboorelay.core.time.ManualClock;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against an accepted configuration that is lost or reverts when operators race or
+ * answers are lost (invariant 16), and against withdrawals that a race drops.
+ */
+class ConfigurationAssemblyTests {
+
+	private static final WorkspaceId WORKSPACE = WorkspaceId.of("huerto-norte");
+
+	private final FakeObjectStore store = new FakeObjectStore(ManualClock.of(1));
+
+	private final AtomicInteger tokens = new AtomicInteger();
+
+	private final ConfigurationAssembly first = assembly();
+
+	private final ConfigurationAssembly second = assembly();
+
+	@BeforeEach
+	void writeFirstVersion() {
+		Inventory inventory = new Inventory("parcela", List.of(), List.of(), List.of(), List.of());
+		Rules rules = new Rules(List.of(), List.of(), new Rules.AdmissionRule(10, 1_000, 1_000),
+				new Rules.UsageRule(60_000, 5_000), new Rules.IsolationRule(Rules.WhenIsolated.REFUSE, 4_000),
+				new Rules.PolicyRule("fair", "affinity", "ramp", "demand", "waves", "resume"));
+		Configuration configuration = new Configuration(1, inventory, rules, KeyTable.empty(), Set.of());
+		assertThat(this.first.write(configuration, Option.none()).isRight()).isTrue();
+	}
+
+	@Test
+	void configurationSurvivesTheStoreAndThePeers() {
+		Configuration read = this.first.read().get().get().configuration();
+		assertThat(this.second.read().get().get().configuration()).isEqualTo(read);
+		assertThat(ConfigurationAssembly.parse(ConfigurationAssembly.bytes(read)).get()).isEqualTo(read);
+	}
+
+	@Test
+	void unchangedConfigurationCostsOneCall() {
+		this.second.read();
+		int before = this.store.calls();
+		this.second.read();
+		assertThat(this.store.calls() - before).isEqualTo(1);
+	}
+
+	@Test
+	void partWithOtherBytesIsRefused() {
+		String part = this.store.list(ConfigurationHead.PART_PREFIX).get().get(0).key();
+		this.store.put(part, new byte[] { '{', '}' });
+		assertThat(this.second.read().getLeft()).isInstanceOf(ConfigurationFault.class);
+	}
+
+	@Test
+	void slowerOfTwoOperatorsIsToldAndChangesNothing() {
+		Option<ConfigurationAssembly.Reading> base = this.second.read().get();
+		this.first.update(grant("one"), 1);
+		Either<Failure, Configuration> lost = this.second.write(grant("two").apply(base.get().configuration()), base);
+		assertThat(lost.getLeft()).isInstanceOf(StoreFailure.ConditionFailed.class);
+		assertThat(this.first.read().get().get().configuration().keys().granted()).hasSize(1);
+	}
+
+	@Test
+	void withdrawalThatLostTheRaceIsWrittenIntoTheNextVersion() {
+		KeyHash key = KeyHash.ofKey("a");
+		raceOnce(() -> this.first.update(grant("one"), 1));
+		Configuration written = this.second.withdraw(Set.of(key), 3).get();
+		assertThat(written.version()).isEqualTo(3);
+		assertThat(written.keys().withdrawn()).containsExactly(key);
+		assertThat(written.keys().granted()).hasSize(1);
+	}
+
+	@Test
+	void lostAnswerOfTheHeadIsResolvedByTheOwnToken() {
+		Option<ConfigurationAssembly.Reading> base = this.first.read().get();
+		this.store.faults(() -> Fault.ANSWER_LOST);
+		assertThat(this.first.write(grant("one").apply(base.get().configuration()), base).get().version()).isEqualTo(2);
+	}
+
+	@Test
+	void acceptedChangesNeverRevertUnderRacesAndLostAnswers() {
+		for (long seed = 1; seed <= 300; seed++) {
+			Random random = new Random(seed);
+			this.store.faults(() -> (random.nextInt(5) != 0) ? Fault.NONE : Fault.ANSWER_LOST);
+			Set<String> accepted = new HashSet<>();
+			List<Long> versions = new ArrayList<>();
+			for (int i = 0; i < 5; i++) {
+				String name = seed + "-" + i;
+				if (random.nextBoolean()) {
+					raceOnce(() -> accept(this.second, name + "-race", accepted));
+				}
+				accept(this.first, name, accepted);
+				versions.add(this.first.read().get().get().configuration().version());
+			}
+			KeyTable keys = this.second.read().get().get().configuration().keys();
+			assertThat(accepted).as("seed %s", seed)
+				.allMatch((name) -> keys.workspace(KeyHash.ofKey(name)).isPresent());
+			assertThat(versions).as("seed %s", seed).isSorted();
+		}
+	}
+
+	private void accept(ConfigurationAssembly operator, String name, Set<String> accepted) {
+		if (operator.update(grant(name), 4).isRight()) {
+			accepted.add(name);
+		}
+	}
+
+	private void raceOnce(Runnable other) {
+		this.store.beforeWrite((key) -> {
+			if (key.equals(ConfigurationHead.KEY)) {
+				this.store.beforeWrite((unused) -> {
+				});
+				other.run();
+			}
+		});
+	}
+
+	private static UnaryOperator<Configuration> grant(String name) {
+		return (present) -> present.withKeys(present.keys().withGrant(KeyHash.ofKey(name), WORKSPACE));
+	}
+
+	private ConfigurationAssembly assembly() {
+		return ConfigurationAssembly.over(this.store, () -> "token-" + this.tokens.incrementAndGet());
+	}
+
+}
