--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/UsageParts.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/UsageParts.java
@@ -30,8 +30,9 @@
  * Turns the cumulative counters of a domain's entry processes into the domain's part of
  * each usage window, checkpointed in {@code usage/parts/<domain>/<window>}. The first
  * reading after the end of a window divides it from the next one. A closed part is never
- * written again. Parts follow each other without a hole; {@code usage/parts/<domain>/latest}
- * names one of the last, from which a new holder goes on.
+ * written again. Parts follow each other without a hole;
+ * {@code usage/parts/<domain>/latest} names one of the last, from which a new holder goes
+ * on.
  * <p>
  * Thread-safe; guarded by its own lock.
  */
@@ -327,12 +328,22 @@
 		}
 	}
 
+	/**
+	 * Returns the key of a domain's pointer.
+	 * @param domain the failure domain
+	 * @return the key in the object API
+	 */
+	public static String pointerKey(FailureDomain domain) {
+		return "usage/parts/" + domain + "/latest";
+	}
+
 	private String pointerKey() {
-		return "usage/parts/" + this.domain + "/latest";
+		return pointerKey(this.domain);
 	}
 
 	private StoreStep writePointer(long window) {
-		return new StoreStep.Write(pointerKey(), CoreJson.bytes(new Pointer(window)), this.pointerVersion);
+		long first = (this.pointer != null) ? this.pointer.first() : window;
+		return new StoreStep.Write(pointerKey(), CoreJson.bytes(new Pointer(first, window)), this.pointerVersion);
 	}
 
 	private void reload() {
@@ -457,7 +468,13 @@
 
 	}
 
-	private record Pointer(long window) {
+	/**
+	 * Where the parts of a domain are.
+	 *
+	 * @param first the start of the first part, in milliseconds since the epoch
+	 * @param window the start of one of the last parts, in milliseconds since the epoch
+	 */
+	public record Pointer(long first, long window) {
 	}
 
 	private static final class Slot {
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/UsageWindows.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/UsageWindows.java
@@ -1,6 +1,7 @@
 package org.bamboorelay.core.process;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -66,8 +67,12 @@
 
 	private final Set<PartId> asked = new LinkedHashSet<>();
 
+	private final Map<FailureDomain, Long> firsts = new HashMap<>();
+
 	private List<FailureDomain> domains = List.of();
 
+	private @Nullable FailureDomain locating;
+
 	private long fencing;
 
 	private long wallMillis;
@@ -125,6 +130,8 @@
 		if (number != this.fencing) {
 			this.fencing = number;
 			this.pointer = null;
+			this.firsts.clear();
+			this.locating = null;
 			this.pointerRead = false;
 			this.nextAt = 0;
 			this.reachableSince = this.clock.millis();
@@ -180,7 +187,14 @@
 		}
 		Pointer from = this.pointer;
 		if (from == null) {
-			long start = floor(this.wallMillis);
+			// The first window is the first of any domain, so that no part is left out.
+			Option<FailureDomain> unknown = Option
+				.ofOptional(this.domains.stream().filter((domain) -> !this.firsts.containsKey(domain)).findFirst());
+			if (unknown.isDefined()) {
+				this.locating = unknown.get();
+				return new StoreStep.Read(UsageParts.pointerKey(unknown.get()));
+			}
+			long start = this.firsts.values().stream().reduce(floor(this.wallMillis), Math::min);
 			return writePointer(start - this.windowMillis, start, List.of());
 		}
 		WindowRecord record = this.frozen;
@@ -236,6 +250,13 @@
 		if (key.equals(REPORTED_KEY)) {
 			onPointer(object);
 		}
+		else if (this.locating != null) {
+			this.firsts.put(this.locating,
+					object.flatMap((found) -> CoreJson.read(found.body(), UsageParts.Pointer.class))
+						.map(UsageParts.Pointer::first)
+						.getOrElse(Long.MAX_VALUE));
+			this.locating = null;
+		}
 		else if (key.startsWith(WINDOW_PREFIX)) {
 			this.windowRead = true;
 			object.flatMap((found) -> CoreJson.read(found.body(), WindowRecord.class))
