--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/UsageWindows.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/UsageWindows.java
@@ -1,6 +1,7 @@
 package org.bamboorelay.core.process;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -43,7 +44,8 @@
 
 	/**
 	 * Wait for a domain's part beyond twice the grace period, in milliseconds: longer
-	 * than a takeover of the domain's lease.
+	 * than a takeover of the domain's lease. Waited again after an outage of the store,
+	 * so that the domains can write what they kept.
 	 */
 	private static final long PART_WAIT_MILLIS = 15_000;
 
@@ -65,8 +67,12 @@
 
 	private final Set<PartId> asked = new LinkedHashSet<>();
 
+	private final Map<FailureDomain, Long> firsts = new HashMap<>();
+
 	private List<FailureDomain> domains = List.of();
 
+	private @Nullable FailureDomain locating;
+
 	private long fencing;
 
 	private long wallMillis;
@@ -85,6 +91,10 @@
 
 	private boolean pointerRead;
 
+	private boolean failing;
+
+	private long reachableSince;
+
 	private boolean windowRead;
 
 	private boolean sent;
@@ -120,8 +130,11 @@
 		if (number != this.fencing) {
 			this.fencing = number;
 			this.pointer = null;
+			this.firsts.clear();
+			this.locating = null;
 			this.pointerRead = false;
 			this.nextAt = 0;
+			this.reachableSince = this.clock.millis();
 			startWindow();
 		}
 	}
@@ -174,7 +187,14 @@
 		}
 		Pointer from = this.pointer;
 		if (from == null) {
-			long start = floor(this.wallMillis);
+			// The first window is the first of any domain, so that no part is left out.
+			Option<FailureDomain> unknown = Option
+				.ofOptional(this.domains.stream().filter((domain) -> !this.firsts.containsKey(domain)).findFirst());
+			if (unknown.isDefined()) {
+				this.locating = unknown.get();
+				return new StoreStep.Read(UsageParts.pointerKey(unknown.get()));
+			}
+			long start = this.firsts.values().stream().reduce(floor(this.wallMillis), Math::min);
 			return writePointer(start - this.windowMillis, start, List.of());
 		}
 		WindowRecord record = this.frozen;
@@ -193,7 +213,9 @@
 		}
 		boolean whole = this.domains.stream()
 			.allMatch((domain) -> this.collected.containsKey(new PartId(domain, start)));
-		if (!whole && this.wallMillis < end + 2 * this.graceMillis + PART_WAIT_MILLIS) {
+		boolean patient = this.wallMillis < end + 2 * this.graceMillis + PART_WAIT_MILLIS
+				|| this.clock.millis() - this.reachableSince < PART_WAIT_MILLIS;
+		if (!whole && patient) {
 			this.asked.clear();
 			this.nextAt = this.clock.millis() + POLL_MILLIS;
 			return null;
@@ -205,6 +227,7 @@
 	public synchronized void onResult(StoreStep step, Either<StoreFailure, Option<StoredObject>> result) {
 		if (result.isLeft()) {
 			boolean lost = result.getLeft() instanceof StoreFailure.ConditionFailed;
+			this.failing = !lost;
 			this.nextAt = this.clock.millis() + (lost ? 0 : this.backoff.failed());
 			// What a failed write left behind is read, never guessed.
 			if (step instanceof StoreStep.Write write) {
@@ -218,11 +241,22 @@
 			return;
 		}
 		this.backoff.reset();
+		if (this.failing) {
+			this.failing = false;
+			this.reachableSince = this.clock.millis();
+		}
 		String key = (step instanceof StoreStep.Write write) ? write.key() : ((StoreStep.Read) step).key();
 		Option<StoredObject> object = result.get();
 		if (key.equals(REPORTED_KEY)) {
 			onPointer(object);
 		}
+		else if (this.locating != null) {
+			this.firsts.put(this.locating,
+					object.flatMap((found) -> CoreJson.read(found.body(), UsageParts.Pointer.class))
+						.map(UsageParts.Pointer::first)
+						.getOrElse(Long.MAX_VALUE));
+			this.locating = null;
+		}
 		else if (key.startsWith(WINDOW_PREFIX)) {
 			this.windowRead = true;
 			object.flatMap((found) -> CoreJson.read(found.body(), WindowRecord.class))
