Check admission, credits, ramp and selection with properties

Cause: the decisions had no checks of their own, and each dispatch scanned the whole queue and hashed host names.

The queue is scanned for work without endpoint only when endpoints changed, and owners are ranked by integer mixing.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/OwnerSelection.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/OwnerSelection.java
@@ -18,6 +18,9 @@
  */
 public final class OwnerSelection {
 
+	/** Spreads the hash codes of similar host names over all bits. */
+	private static final long GOLDEN_RATIO = 0x9e3779b97f4a7c15L;
+
 	private final RandomGenerator random;
 
 	private OwnerSelection(RandomGenerator random) {
@@ -57,12 +60,13 @@
 
 	private HostId choose(long prefixHash, List<Owner> choice) {
 		if (prefixHash != 0) {
-			long free = choice.stream().mapToLong(Owner::free).sum();
-			HostId home = RendezvousHash.owner(Long.toHexString(prefixHash), choice.stream().map(Owner::host).toList());
+			long free = 0;
 			for (Owner owner : choice) {
-				if (owner.host().equals(home) && 2L * owner.free() * choice.size() >= free) {
-					return home;
-				}
+				free += owner.free();
+			}
+			Owner home = home(prefixHash, choice);
+			if (2L * home.free() * choice.size() >= free) {
+				return home.host();
 			}
 		}
 		Owner one = choice.get(this.random.nextInt(choice.size()));
@@ -70,6 +74,19 @@
 		return (two.free() > one.free()) ? two.host() : one.host();
 	}
 
+	private static Owner home(long prefixHash, List<Owner> choice) {
+		Owner best = choice.get(0);
+		long bestScore = Long.MIN_VALUE;
+		for (Owner owner : choice) {
+			long score = RendezvousHash.mix(prefixHash + GOLDEN_RATIO * owner.host().hashCode());
+			if (score > bestScore) {
+				best = owner;
+				bestScore = score;
+			}
+		}
+		return best;
+	}
+
 	/**
 	 * What is known of an owner.
 	 *
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/RendezvousHash.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/RendezvousHash.java
@@ -62,7 +62,11 @@
 	}
 
 	private static long score(String key, HostId host) {
-		long hash = append(append(FNV_OFFSET, key) * FNV_PRIME, host.value());
+		return mix(append(append(FNV_OFFSET, key) * FNV_PRIME, host.value()));
+	}
+
+	static long mix(long value) {
+		long hash = value;
 		// FNV alone leaves the high bits of short keys correlated, which skews shares.
 		hash ^= hash >>> 33;
 		hash *= 0xff51afd7ed558ccdL;
--- /dev/null
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/process/CreditLedgerTests.java
@@ -0,0 +1,179 @@
+package org.bamboorelay.core.process;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
+
+import io.vavr.control.Option;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.bamboorelay.core.version.EndpointId;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against an endpoint that runs more requests than its allowance, whatever the
+ * order of lending, returns, renewals, expiry and changes of the owner.
+ */
+class CreditLedgerTests {
+
+	private static final EndpointId ENDPOINT = EndpointId.of("e1");
+
+	private static final int LENDERS = 6;
+
+	private final AtomicLong ids = new AtomicLong();
+
+	@Property(tries = 300)
+	void runningRequestsNeverExceedTheAllowance(@ForAll long seed, @ForAll @IntRange(min = 1, max = 8) int capacity) {
+		Random random = new Random(seed);
+		long now = 0;
+		CreditLedger owner = owner(false, capacity, now);
+		List<Running> running = new ArrayList<>();
+		int lent = 0;
+		for (int step = 0; step < 1_200; step++) {
+			int lender = random.nextInt(LENDERS);
+			switch (random.nextInt(12)) {
+				case 0, 1, 2, 3, 4 -> {
+					Option<CreditLedger.Loan> loan = owner.lend(query(random.nextBoolean()), now);
+					if (loan.isDefined()) {
+						running.add(new Running(lender, loan.get().credit()));
+						lent++;
+					}
+				}
+				case 5, 6 -> {
+					if (!running.isEmpty()) {
+						Running ended = running.remove(random.nextInt(running.size()));
+						CreditLedger.Outcome[] outcomes = CreditLedger.Outcome.values();
+						owner.giveBack(ended.credit, outcomes[random.nextInt(outcomes.length)], 5, now);
+						owner.giveBack(ended.credit, CreditLedger.Outcome.OK, 5, now);
+					}
+				}
+				case 7 -> running.removeIf((request) -> request.lender == lender); // killed
+				case 8 -> {
+					if (random.nextInt(25) == 0) {
+						owner = owner(false, capacity, now);
+					}
+				}
+				default -> {
+					// Holders renew once a second, at the same time here, and register
+					// with the owner where it does not know their credit.
+					long before = now;
+					now += random.nextInt(400);
+					if (before / 1_000 != now / 1_000) {
+						for (Running request : running) {
+							if (!owner.renew(request.credit, now)) {
+								request.credit = owner.adopt(ENDPOINT, now).get();
+							}
+						}
+					}
+				}
+			}
+			assertThat(running.size()).as("running at %d ms", now).isLessThanOrEqualTo(capacity);
+			assertThat(owner.lent(ENDPOINT)).isLessThanOrEqualTo(capacity);
+		}
+		assertThat(lent).as("the run lends at all").isPositive();
+	}
+
+	@Property(tries = 300)
+	void nothingIsLentAboveAnAllowanceThatMoves(@ForAll long seed) {
+		Random random = new Random(seed);
+		CreditLedger ledger = owner(true, 16, 0);
+		long now = CreditLedger.CREDIT_MILLIS;
+		List<Long> credits = new ArrayList<>();
+		for (int step = 0; step < 300; step++) {
+			now += random.nextInt(30);
+			if (random.nextInt(3) > 0) {
+				ledger.lend(query(true), now).peek((loan) -> {
+					credits.add(loan.credit());
+					assertThat(ledger.lent(ENDPOINT)).isLessThanOrEqualTo(ledger.allowance(ENDPOINT));
+				});
+			}
+			else if (!credits.isEmpty()) {
+				boolean ok = random.nextInt(8) > 0;
+				ledger.giveBack(credits.remove(random.nextInt(credits.size())),
+						ok ? CreditLedger.Outcome.OK : CreditLedger.Outcome.FAILED, random.nextInt(40), now);
+			}
+			ledger.reported(ENDPOINT, "i" + step / 100, random.nextInt(50) > 0, 16, now);
+		}
+	}
+
+	@Test
+	void newOwnerLendsNothingForOneCreditLength() {
+		CreditLedger ledger = owner(false, 4, 0);
+		assertThat(ledger.lend(query(true), CreditLedger.CREDIT_MILLIS - 1).isEmpty()).isTrue();
+		assertThat(ledger.lend(query(true), CreditLedger.CREDIT_MILLIS).isDefined()).isTrue();
+	}
+
+	@Test
+	void newOwnerStartsWithTheAllowanceThatRunningRequestsProve() {
+		CreditLedger ledger = owner(true, 16, 0);
+		for (int i = 0; i < 8; i++) {
+			assertThat(ledger.adopt(ENDPOINT, 100).isDefined()).isTrue();
+		}
+		assertThat(ledger.allowance(ENDPOINT)).isEqualTo(8);
+		assertThat(ledger.adopt(EndpointId.of("e2"), 100).isEmpty()).as("not owned").isTrue();
+	}
+
+	@Test
+	void endpointThatTakesNoWorkGetsNone() {
+		CreditLedger ledger = owner(false, 4, 0);
+		ledger.accepting(ENDPOINT, false);
+		assertThat(ledger.lend(query(true), 5_000).isEmpty()).isTrue();
+		ledger.reported(ENDPOINT, "one", true, 8, 5_000);
+		assertThat(ledger.lend(query(true), 5_000).isEmpty()).isTrue();
+		assertThat(ledger.free(true)).isZero();
+	}
+
+	@Test
+	void workThatCannotBeRepeatedGetsNoCheapEndpoint() {
+		CreditLedger ledger = ledger();
+		ledger.own(ENDPOINT, true, 4, 0);
+		EndpointSelection.Query once = new EndpointSelection.Query(true, false, 0, 1, Set.of());
+		assertThat(ledger.lend(once, 5_000).isEmpty()).isTrue();
+		assertThat(ledger.lend(query(true), 5_000).isDefined()).isTrue();
+	}
+
+	@Test
+	void rolloutSamplesLeaveRoomForInteractiveRequests() {
+		CreditLedger ledger = owner(false, 16, 0);
+		while (ledger.lend(query(false), 5_000).isDefined()) {
+			assertThat(ledger.lent(ENDPOINT)).isLessThanOrEqualTo(14);
+		}
+		assertThat(ledger.lend(query(true), 5_000).isDefined()).isTrue();
+	}
+
+	private CreditLedger owner(boolean ramp, int capacity, long now) {
+		CreditLedger ledger = ledger();
+		ledger.policies(ramp, true);
+		ledger.own(ENDPOINT, false, capacity, now);
+		return ledger;
+	}
+
+	private CreditLedger ledger() {
+		CreditLedger ledger = CreditLedger.of(EndpointSelection.of(new Random(1)), this.ids::incrementAndGet);
+		ledger.policies(false, true);
+		return ledger;
+	}
+
+	private static EndpointSelection.Query query(boolean interactive) {
+		return new EndpointSelection.Query(interactive, true, 0, 1, Set.of());
+	}
+
+	private static final class Running {
+
+		private final int lender;
+
+		private long credit;
+
+		private Running(int lender, long credit) {
+			this.lender = lender;
+			this.credit = credit;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/process/DecisionCost.java
@@ -0,0 +1,70 @@
+package org.bamboorelay.core.process;
+
+import java.util.ArrayDeque;
+import java.util.Arrays;
+import java.util.Deque;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.bamboorelay.core.version.EndpointId;
+
+/**
+ * Measures the cost of lending a credit and taking one back, by the number of endpoints.
+ */
+public final class DecisionCost {
+
+	private static final int ROUNDS = 400_000;
+
+	private DecisionCost() {
+	}
+
+	/**
+	 * Measures and prints one line for each size, the first time to warm up.
+	 * @param args none
+	 */
+	public static void main(String[] args) {
+		for (int size : new int[] { 8, 64, 825, 6_600 }) {
+			measure(size);
+			measure(size);
+		}
+	}
+
+	private static void measure(int size) {
+		Random random = new Random(size);
+		long[] nanos = new long[ROUNDS];
+		long before = usedBytes();
+		AtomicLong ids = new AtomicLong();
+		CreditLedger ledger = CreditLedger.of(EndpointSelection.of(random), ids::incrementAndGet);
+		ledger.policies(false, true);
+		for (int i = 0; i < size; i++) {
+			ledger.own(EndpointId.of("endpoint-" + i), false, 16, 0);
+		}
+		long bytes = (usedBytes() - before) / size;
+		Deque<Long> credits = new ArrayDeque<>();
+		for (int i = 0; i < ROUNDS; i++) {
+			EndpointSelection.Query query = new EndpointSelection.Query(random.nextBoolean(), true,
+					random.nextInt(10_000), 100, Set.of());
+			// Credits stay out for as long as half of the capacity is lent.
+			Long back = (credits.size() > size * 8) ? credits.removeFirst() : null;
+			long start = System.nanoTime();
+			if (back != null) {
+				ledger.giveBack(back, CreditLedger.Outcome.OK, 20, CreditLedger.CREDIT_MILLIS);
+			}
+			ledger.lend(query, CreditLedger.CREDIT_MILLIS).forEach((loan) -> credits.add(loan.credit()));
+			nanos[i] = System.nanoTime() - start;
+		}
+		Arrays.sort(nanos);
+		System.out.printf("endpoints=%d p50=%d ns p99=%d ns bytes_per_endpoint=%d bytes_per_endpoint_loaded=%d%n", size,
+				nanos[ROUNDS / 2], nanos[ROUNDS / 100 * 99], bytes, (usedBytes() - before) / size);
+		if (ledger.owned().size() != size || credits.isEmpty() || nanos[0] < 0) {
+			throw new IllegalStateException("the ledger lost endpoints");
+		}
+	}
+
+	private static long usedBytes() {
+		System.gc();
+		return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+	}
+
+}
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/CreditShard.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/CreditShard.java
@@ -102,6 +102,8 @@
 
 	private int eligibleSteady;
 
+	private boolean eligibleChanged;
+
 	CreditShard(ServiceId service, PeerMesh mesh, Clock clock, RandomGenerator random, CreditIds ids, Returns returns) {
 		this.service = service;
 		this.mesh = mesh;
@@ -328,10 +330,13 @@
 			Known known = this.endpoints.get(endpoint);
 			if (known != null) {
 				long now = this.clock.millis();
+				boolean before = known.accepting();
 				known.leavingItself = report.leaving();
 				known.failedPolls = 0;
 				this.ledger.reported(endpoint, report.incarnation(), report.warm(), report.capacity(), now);
-				updateEligible();
+				if (before != known.accepting()) {
+					updateEligible();
+				}
 				dispatch(now);
 			}
 			return null;
@@ -436,12 +441,21 @@
 		if (this.queue.size() == 0) {
 			return;
 		}
-		refuse(this.queue.removeIf((ticket) -> !servable(waiter(ticket).request)), RefusalReason.NO_ENDPOINT,
-				noEndpoint().detail(), NO_ENDPOINT_RETRY_MILLIS);
+		if (this.eligibleChanged) {
+			this.eligibleChanged = false;
+			refuse(this.queue.removeIf((ticket) -> !servable(waiter(ticket).request)), RefusalReason.NO_ENDPOINT,
+					noEndpoint().detail(), NO_ENDPOINT_RETRY_MILLIS);
+		}
 		Set<EndpointId> ejected = new HashSet<>(this.ejection.ejected(now));
+		// Room does not grow during the loop, so one failure stands for all alike.
+		boolean[] full = new boolean[4];
 		Predicate<AdmissionQueue.Demand> servable = (demand) -> {
 			Waiter waiter = (Waiter) demand.attachment();
-			waiter.next = route(waiter.request, ejected, now);
+			RouteRequest request = waiter.request;
+			int kind = (request.interactive() ? 2 : 0) + (request.repeatable() ? 1 : 0);
+			boolean known = full[kind];
+			waiter.next = known ? null : route(request, ejected, now);
+			full[kind] |= waiter.next == null && request.excluded().isEmpty();
 			return waiter.next != null;
 		};
 		AdmissionQueue.Ticket ticket = this.queue.poll(servable, now);
@@ -520,13 +534,23 @@
 				if (owner != null) {
 					owner.refused(request.interactive(), now, least);
 				}
-				this.queue.putBack(waiter.ticket);
+				putBack(waiter);
 			}
 			dispatch(now);
 			return null;
 		});
 	}
 
+	private void putBack(Waiter waiter) {
+		if (servable(waiter.request)) {
+			this.queue.putBack(waiter.ticket);
+		}
+		else {
+			this.queue.served(waiter.ticket, 0);
+			waiter.steps.add(Step.of(noEndpoint()));
+		}
+	}
+
 	private void granted(Waiter waiter, HostId host, PeerMessage.CreditGrant grant, long now) {
 		Known known = this.endpoints.get(grant.endpoint());
 		HeldCredit credit = new HeldCredit(this, grant.endpoint(), grant.address(), waiter.ticket, now, host,
@@ -534,7 +558,7 @@
 		if (known != null && !known.accepting()) {
 			// The endpoint or its domain left while the answer was on its way.
 			this.returns.add(host, new PeerMessage.ReturnedCredit(grant.credit(), "unused", 0, 0, 0));
-			this.queue.putBack(waiter.ticket);
+			putBack(waiter);
 			return;
 		}
 		this.held.add(credit);
@@ -591,6 +615,7 @@
 			}
 		}
 		this.owners = fresh;
+		this.eligibleChanged = true;
 	}
 
 	private void applyRules(Configuration configuration) {
