--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/RendezvousHash.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/RendezvousHash.java
@@ -67,14 +67,14 @@
 	 * @return 64 well mixed bits
 	 */
 	public static long hash(String text) {
-		return finish(append(FNV_OFFSET, text));
+		return mix(append(FNV_OFFSET, text));
 	}
 
 	private static long score(String key, HostId host) {
-		return finish(append(append(FNV_OFFSET, key) * FNV_PRIME, host.value()));
+		return mix(append(append(FNV_OFFSET, key) * FNV_PRIME, host.value()));
 	}
 
-	private static long finish(long value) {
+	static long mix(long value) {
 		// FNV alone leaves the high bits of short keys correlated, which skews shares.
 		long hash = value;
 		hash ^= hash >>> 33;
