--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/StepRunner.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/StepRunner.java
@@ -214,7 +214,7 @@
 				reply = serve(serve);
 			}
 			else if (action instanceof DeliveryState.Action.Pending) {
-				reply = Optional.of(BatchReply.pending());
+				reply = catchUp(BatchReply.pending());
 			}
 			else if (action instanceof DeliveryState.Action.Complete) {
 				reply = Optional.of(BatchReply.complete());
@@ -223,7 +223,7 @@
 				reply = Optional.of(gone(gone.seq()));
 			}
 			else if (action instanceof DeliveryState.Action.OutOfOrder order) {
-				reply = Optional.of(BatchReply.refused(RefusalReason.CONFLICT,
+				reply = catchUp(BatchReply.refused(RefusalReason.CONFLICT,
 						"batch " + question.seq() + " was asked for before batch " + order.next()));
 			}
 			else {
@@ -252,9 +252,31 @@
 		if (written.isLeft()) {
 			return Optional.of(storeFailed(written.getLeft()));
 		}
-		BatchRecord winner = Json.read(written.get().body(), BatchRecord.class)
+		return apply(written.get());
+	}
+
+	/**
+	 * Applies the next record where another host has made it.
+	 * @param otherwise the answer where there is no further record
+	 * @return the answer, or nothing where the fetch is to be decided again
+	 */
+	private Optional<BatchReply> catchUp(BatchReply otherwise) {
+		long next;
+		synchronized (this.lock) {
+			next = this.delivery.next();
+		}
+		Either<StoreFailure, Option<StoredObject>> read = this.writes.store()
+			.read(batchKey(this.trainer, this.step, next));
+		if (read.isLeft()) {
+			return Optional.of(storeFailed(read.getLeft()));
+		}
+		return read.get().isEmpty() ? Optional.of(otherwise) : apply(read.get().get());
+	}
+
+	private Optional<BatchReply> apply(StoredObject stored) {
+		BatchRecord winner = Json.read(stored.body(), BatchRecord.class)
 			.getOrElseThrow((failure) -> new IllegalStateException(
-					"record " + written.get().key() + " is not valid: " + failure.detail()));
+					"record " + stored.key() + " is not valid: " + failure.detail()));
 		List<DeliveryState.Action> actions;
 		synchronized (this.lock) {
 			actions = this.delivery.recorded(winner);
--- a/bamboorelay-entry/src/test/java/org/bamboorelay/entry/request/RolloutWorld.java
+++ b/bamboorelay-entry/src/test/java/org/bamboorelay/entry/request/RolloutWorld.java
@@ -87,6 +87,15 @@
 		return new EngineClient.EngineEvent(index, " t", 1, (version != null) ? WeightVersion.parse(version) : null);
 	}
 
+	/** Returns the host that holds the second copies of a host's samples. */
+	Host secondHolder(Host owner) {
+		return this.hosts.values()
+			.stream()
+			.filter((host) -> host != owner && host.holdsSamples())
+			.findFirst()
+			.orElseThrow();
+	}
+
 	void runTasks() {
 		for (Runnable task = this.tasks.poll(); task != null; task = this.tasks.poll()) {
 			task.run();
@@ -189,6 +198,10 @@
 					"max=" + max + "&trainer_version=" + version, new byte[0]);
 		}
 
+		boolean holdsSamples() {
+			return !this.counters.text().contains("sample_store_bytes 0\n");
+		}
+
 		@Override
 		public HostId self() {
 			return this.id;
