Apply changed staleness bounds to running steps

Cause: a step kept the bound it started with, while an accepted rule must be in force within seconds.

Change: the bound comes with each fetch and each new version. RolloutRoutes gets start and leave, and forgets complete steps after 10 minutes.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/request/DeliveryState.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/request/DeliveryState.java
@@ -6,7 +6,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Set;
 
 /**
@@ -40,32 +39,28 @@
 
 	private final long ownership;
 
-	private final StalenessBound bound;
-
 	private final List<BatchRecord> chain = new ArrayList<>();
 
 	private final Set<SampleSlot> delivered = new HashSet<>();
 
 	private final Map<SampleSlot, BatchRecord.Entry> ready = new LinkedHashMap<>();
 
-	private DeliveryState(int slots, long ownership, StalenessBound bound) {
+	private DeliveryState(int slots, long ownership) {
 		this.slots = slots;
 		this.ownership = ownership;
-		this.bound = bound;
 	}
 
 	/**
 	 * Creates the state of a step without records.
 	 * @param slots the number of samples in the step
 	 * @param ownership this host's ownership number of the step
-	 * @param bound the staleness bound
 	 * @return the state
 	 */
-	public static DeliveryState of(int slots, long ownership, StalenessBound bound) {
+	public static DeliveryState of(int slots, long ownership) {
 		if (slots <= 0) {
 			throw new IllegalArgumentException("slots must be positive: " + slots);
 		}
-		return new DeliveryState(slots, ownership, Objects.requireNonNull(bound, "bound"));
+		return new DeliveryState(slots, ownership);
 	}
 
 	/**
@@ -147,13 +142,14 @@
 	 * @param seq the batch that is asked for
 	 * @param max the most samples that the trainer takes
 	 * @param newest the trainer's newest version
+	 * @param bound the staleness bound in force
 	 * @param token unique token for a new record
 	 * @return what is to be done; exactly one action is an answer or a proposal
 	 */
-	public List<Action> fetch(long seq, int max, long newest, String token) {
+	public List<Action> fetch(long seq, int max, long newest, StalenessBound bound, String token) {
 		List<Action> actions = new ArrayList<>();
 		if (seq < next()) {
-			actions.add(answer(seq, newest));
+			actions.add(answer(seq, newest, bound));
 			return actions;
 		}
 		if (isComplete()) {
@@ -168,7 +164,7 @@
 			actions.add(propose(token, List.of(), false, true));
 			return actions;
 		}
-		discardOld(newest, actions);
+		discardOld(newest, bound, actions);
 		List<BatchRecord.Entry> samples = new ArrayList<>();
 		long bytes = 0;
 		for (BatchRecord.Entry sample : this.ready.values()) {
@@ -195,7 +191,7 @@
 		return new Action.Gone(seq);
 	}
 
-	private Action answer(long seq, long newest) {
+	private Action answer(long seq, long newest, StalenessBound bound) {
 		BatchRecord record = this.chain.get((int) seq);
 		if (record.last()) {
 			return new Action.Complete();
@@ -205,15 +201,14 @@
 		}
 		List<BatchRecord.Entry> samples = new ArrayList<>();
 		List<BatchRecord.Entry> expired = new ArrayList<>();
-		record.samples()
-			.forEach((sample) -> (this.bound.isWithin(sample.oldest(), newest) ? samples : expired).add(sample));
+		record.samples().forEach((sample) -> (bound.isWithin(sample.oldest(), newest) ? samples : expired).add(sample));
 		return new Action.Serve(record, samples, expired);
 	}
 
-	private void discardOld(long newest, List<Action> actions) {
+	private void discardOld(long newest, StalenessBound bound, List<Action> actions) {
 		List<BatchRecord.Entry> old = this.ready.values()
 			.stream()
-			.filter((sample) -> !this.bound.isWithin(sample.oldest(), newest))
+			.filter((sample) -> !bound.isWithin(sample.oldest(), newest))
 			.toList();
 		if (!old.isEmpty()) {
 			old.forEach((sample) -> this.ready.remove(sample.slot()));
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/request/StepState.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/request/StepState.java
@@ -57,6 +57,8 @@
 
 	private long nextAttempt = 1;
 
+	private StalenessBound bound;
+
 	private long newest;
 
 	private int resumesLeft;
@@ -66,6 +68,7 @@
 	private StepState(StepPlan plan, Settings settings) {
 		this.plan = plan;
 		this.settings = settings;
+		this.bound = settings.bound();
 		this.resumesLeft = settings.resumeBudget();
 		this.order = plan.order();
 		for (SampleSlot slot : this.order) {
@@ -122,6 +125,7 @@
 		}
 		else if (event instanceof Event.NewVersion version) {
 			this.newest = Math.max(this.newest, version.newest());
+			this.bound = version.bound();
 			List.copyOf(this.running.values()).forEach((attempt) -> cancelIfTooOld(attempt, actions));
 		}
 		else if (event instanceof Event.Tick tick) {
@@ -147,7 +151,7 @@
 		if (attempt == null) {
 			return;
 		}
-		if (!this.settings.bound().isWithin(finished.oldest(), this.newest)) {
+		if (!this.bound.isWithin(finished.oldest(), this.newest)) {
 			retry(attempt, RetryReason.TOO_OLD, false, actions);
 			return;
 		}
@@ -175,7 +179,7 @@
 		else {
 			exclude(slot, attempt.endpoint);
 		}
-		boolean usable = keepText && this.settings.bound().isWithin(attempt.oldest, this.newest);
+		boolean usable = keepText && this.bound.isWithin(attempt.oldest, this.newest);
 		slot.resumeOf = usable ? attempt.id : Action.Start.FROM_SCRATCH;
 		if (!slot.done && isIdle(attempt.slot)) {
 			this.waiting.add(rankOf(attempt.slot));
@@ -183,7 +187,7 @@
 	}
 
 	private void cancelIfTooOld(Attempt attempt, List<Action> actions) {
-		if (this.running.containsKey(attempt.id) && !this.settings.bound().isWithin(attempt.oldest, this.newest)) {
+		if (this.running.containsKey(attempt.id) && !this.bound.isWithin(attempt.oldest, this.newest)) {
 			this.running.remove(attempt.id);
 			actions.add(new Action.Cancel(attempt.id));
 			retry(attempt, RetryReason.TOO_OLD, false, actions);
@@ -284,7 +288,7 @@
 	/**
 	 * Limits and policy of a step.
 	 *
-	 * @param bound the staleness bound
+	 * @param bound the staleness bound at the start
 	 * @param maxRunning the most attempts that run at once
 	 * @param resumeStragglers whether stragglers are resumed elsewhere; false for the
 	 * baseline {@code wait}
@@ -347,11 +351,12 @@
 		}
 
 		/**
-		 * The trainer has new weights.
+		 * The trainer has new weights, or operators changed the bound.
 		 *
 		 * @param newest the number of the version
+		 * @param bound the staleness bound in force
 		 */
-		record NewVersion(long newest) implements Event {
+		record NewVersion(long newest, StalenessBound bound) implements Event {
 		}
 
 		/**
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/request/RolloutRunTests.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/request/RolloutRunTests.java
@@ -120,7 +120,7 @@
 			}
 			else if (faults && kind < 95) {
 				this.head++;
-				host.on(new StepState.Event.NewVersion(this.head));
+				host.on(new StepState.Event.NewVersion(this.head, BOUND));
 			}
 			else if (faults && kind < 97) {
 				host.frozen = !host.frozen;
@@ -202,7 +202,7 @@
 				Run.this.ownership++;
 				this.attempts.clear();
 				this.state = StepState.of(PLAN, new StepState.Settings(BOUND, 5, true, 2));
-				this.delivery = DeliveryState.of(PLAN.size(), Run.this.ownership, BOUND);
+				this.delivery = DeliveryState.of(PLAN.size(), Run.this.ownership);
 				Run.this.chain.forEach(this.delivery::recorded);
 				on(new StepState.Event.Delivered(this.delivery.delivered()));
 			}
@@ -291,7 +291,7 @@
 					takeOver();
 				}
 				for (int round = 0; round < 100; round++) {
-					on(new StepState.Event.NewVersion(Run.this.head));
+					on(new StepState.Event.NewVersion(Run.this.head, BOUND));
 					if (!decide(seq, faults)) {
 						return;
 					}
@@ -302,7 +302,7 @@
 			private boolean decide(long seq, boolean faults) {
 				Optional<DeliveryState.Action> answer = Optional.empty();
 				for (DeliveryState.Action action : this.delivery.fetch(seq, 1 + Run.this.random.nextInt(4),
-						Run.this.head, "token")) {
+						Run.this.head, BOUND, "token")) {
 					if (action instanceof DeliveryState.Action.Drop
 							|| action instanceof DeliveryState.Action.Regenerate) {
 						carryOut(List.of(action));
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/RolloutRoutes.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/RolloutRoutes.java
@@ -7,9 +7,11 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.function.BooleanSupplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Stream;
 
 import io.vavr.control.Either;
 import io.vavr.control.Option;
@@ -38,6 +40,8 @@
 import org.bamboorelay.runtime.request.Json;
 import org.bamboorelay.runtime.request.JsonFailure;
 import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Serves trainers: new weights, steps, and batches of samples.
@@ -49,6 +53,8 @@
 	/** Interval of {@link #tick()}, in milliseconds. */
 	public static final long TICK_MILLIS = 500;
 
+	private static final Logger LOGGER = LoggerFactory.getLogger(RolloutRoutes.class);
+
 	private static final Pattern PATH = Pattern
 		.compile("/v1/trainers/([^/]+)/(?:(weights)|steps/(\\d{1,18})(?:/batches/(\\d{1,9}))?)");
 
@@ -64,6 +70,9 @@
 	/** Ticks between two looks at the store for a new owner or new weights. */
 	private static final int TICKS_PER_CHECK = 10;
 
+	/** Locks that keep two callers from taking the same step over twice. */
+	private static final int TAKEOVER_LOCKS = 64;
+
 	/** Age from which samples of dead hosts make room for others, in milliseconds. */
 	private static final long MAX_SAMPLE_AGE_MILLIS = 30 * 60 * 1_000;
 
@@ -79,7 +88,7 @@
 
 	private final Map<StepKey, StepRunner> runners = new ConcurrentHashMap<>();
 
-	private final Map<StepKey, Object> takeovers = new ConcurrentHashMap<>();
+	private final Object[] takeovers = Stream.generate(Object::new).limit(TAKEOVER_LOCKS).toArray();
 
 	private int ticks;
 
@@ -141,19 +150,48 @@
 		});
 	}
 
+	/**
+	 * Starts calling {@link #tick()} every {@link #TICK_MILLIS}.
+	 */
+	public void start() {
+		this.parts.threads().timer().after(() -> {
+			try {
+				tick();
+			}
+			finally {
+				start();
+			}
+		}, TICK_MILLIS);
+	}
+
+	/**
+	 * Stops all steps of this host, which is leaving. The next host that is asked for a
+	 * batch takes each step over.
+	 */
+	public void leave() {
+		this.runners.forEach((key, runner) -> {
+			this.runners.remove(key, runner);
+			runner.stop();
+		});
+	}
+
 	/**
 	 * Resumes stragglers, and stops steps whose key was withdrawn or that another host
-	 * took over. To be called every {@link #TICK_MILLIS}; does not block.
+	 * took over. Does not block.
 	 */
 	public synchronized void tick() {
 		this.ticks++;
 		this.runners.forEach((key, runner) -> {
-			runner.tick();
-			if (runner.isStopped()) {
+			if (!runner.tick()) {
 				this.runners.remove(key, runner);
 			}
 			else if (this.ticks % TICKS_PER_CHECK == 0 && !runner.isComplete()) {
-				this.parts.threads().work().execute(() -> check(key, runner));
+				try {
+					this.parts.threads().work().execute(() -> check(key, runner));
+				}
+				catch (RejectedExecutionException ex) {
+					LOGGER.atWarn().addKeyValue("step", key.storeKey()).log("step-check-skipped");
+				}
 			}
 		});
 	}
@@ -331,7 +369,7 @@
 	}
 
 	private Either<StoreFailure, Boolean> takeOver(StepKey key, Step step, BooleanSupplier stillAllowed) {
-		synchronized (this.takeovers.computeIfAbsent(key, (absent) -> new Object())) {
+		synchronized (this.takeovers[Math.floorMod(key.hashCode(), TAKEOVER_LOCKS)]) {
 			StepRunner present = this.runners.get(key);
 			if (present != null && !present.isStopped() && present.ownership() > step.record().ownership()) {
 				return Either.right(false);
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/StepRunner.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/StepRunner.java
@@ -28,7 +28,6 @@
 import org.bamboorelay.core.request.StepState;
 import org.bamboorelay.core.store.StoreFailure;
 import org.bamboorelay.core.store.StoredObject;
-import org.bamboorelay.core.version.Configuration;
 import org.bamboorelay.core.version.EndpointId;
 import org.bamboorelay.core.version.HostId;
 import org.bamboorelay.core.version.LineId;
@@ -58,6 +57,13 @@
 	 */
 	private static final long WORK_RETRY_MILLIS = 500;
 
+	/**
+	 * Ticks for which a complete step stays in memory, 10 minutes; a later fetch reads
+	 * its records again.
+	 */
+	private static final int MAX_TICKS_COMPLETE = 1_200;
+
+	/** Share of a step's samples that may be resumed as stragglers. */
 	private static final double RESUME_SHARE = 0.1;
 
 	private static final String BASELINE_STRAGGLERS = "wait";
@@ -78,8 +84,6 @@
 
 	private final LineId line;
 
-	private final StalenessBound bound;
-
 	private final ReentrantLock fetching = new ReentrantLock();
 
 	private final Object lock = new Object();
@@ -95,6 +99,8 @@
 	/** Tokens of records that this host made and whose usage is not counted yet. */
 	private final Set<String> uncounted = new HashSet<>();
 
+	private int ticksComplete;
+
 	private volatile boolean stopped;
 
 	StepRunner(RolloutParts parts, StoreWrites writes, SampleCopies copies, TrainerId trainer, long step,
@@ -107,18 +113,14 @@
 		this.record = record;
 		this.stillAllowed = stillAllowed;
 		this.line = LineId.of(trainer.value());
-		Option<Configuration> configuration = parts.configuration().current();
-		this.bound = new StalenessBound(
-				configuration.flatMap((present) -> Option.ofOptional(present.rules().staleness(this.line)))
-					.map(StalenessRule::maxVersions)
-					.getOrElse(DEFAULT_MAX_VERSIONS));
-		boolean resume = configuration
+		boolean resume = parts.configuration()
+			.current()
 			.map((present) -> !present.rules().policies().stragglers().equals(BASELINE_STRAGGLERS))
 			.getOrElse(true);
 		int size = record.request().plan().size();
-		this.state = StepState.of(record.request().plan(), new StepState.Settings(this.bound,
+		this.state = StepState.of(record.request().plan(), new StepState.Settings(bound(),
 				parts.limits().maxRunningPerStep(), resume, (int) Math.ceil(RESUME_SHARE * size)));
-		this.delivery = DeliveryState.of(size, record.ownership(), this.bound);
+		this.delivery = DeliveryState.of(size, record.ownership());
 	}
 
 	long ownership() {
@@ -160,14 +162,21 @@
 	}
 
 	void newVersion(long newest) {
-		on(new StepState.Event.NewVersion(newest));
+		on(new StepState.Event.NewVersion(newest, bound()));
 	}
 
-	/** Looks for stragglers, and for a key that was withdrawn. */
-	void tick() {
+	/**
+	 * Looks for stragglers, and for a key that was withdrawn.
+	 * @return whether the step still needs this runner
+	 */
+	boolean tick() {
+		if (isComplete()) {
+			return ++this.ticksComplete < MAX_TICKS_COMPLETE;
+		}
 		if (isAllowed()) {
 			on(new StepState.Event.Tick(this.parts.clock().millis()));
 		}
+		return !this.stopped;
 	}
 
 	BatchReply fetch(BatchExchange.Question question) {
@@ -203,7 +212,7 @@
 	private Optional<BatchReply> decide(BatchExchange.Question question, long newest) {
 		List<DeliveryState.Action> actions;
 		synchronized (this.lock) {
-			actions = this.delivery.fetch(question.seq(), question.max(), newest, this.parts.tokens().get());
+			actions = this.delivery.fetch(question.seq(), question.max(), newest, bound(), this.parts.tokens().get());
 		}
 		Optional<BatchReply> reply = Optional.empty();
 		for (DeliveryState.Action action : actions) {
@@ -353,6 +362,15 @@
 		}
 	}
 
+	private StalenessBound bound() {
+		// Read each time, since a changed rule must be in force within seconds.
+		return new StalenessBound(this.parts.configuration()
+			.current()
+			.flatMap((present) -> Option.ofOptional(present.rules().staleness(this.line)))
+			.map(StalenessRule::maxVersions)
+			.getOrElse(DEFAULT_MAX_VERSIONS));
+	}
+
 	private void work(Runnable task) {
 		try {
 			this.parts.threads().work().execute(task);
--- a/bamboorelay-entry/src/test/java/org/bamboorelay/entry/request/RolloutRoutesTests.java
+++ b/bamboorelay-entry/src/test/java/org/bamboorelay/entry/request/RolloutRoutesTests.java
@@ -121,6 +121,26 @@
 		assertThat(again.body().path("expired")).extracting((id) -> id.asText()).isEqualTo(first.ids());
 	}
 
+	@Test
+	void tightenedBoundHoldsForRunningSteps() {
+		this.world.maxVersions = 2;
+		start(1, 1);
+		this.b.weights(TRAINER, 3);
+		assertThat(fetch(this.a, 0, 9).ids()).hasSize(1);
+		this.world.maxVersions = 1;
+		assertThat(fetch(this.a, 0, 9).ids()).isEmpty();
+	}
+
+	@Test
+	void leavingHostHandsItsStepsOver() {
+		start(1, 2);
+		Reply batch = fetch(this.a, 0, 1);
+		this.a.routes.leave();
+		assertThat(fetch(this.b, 0, 1)).isEqualTo(batch);
+		this.world.runTasks();
+		assertThat(fetch(this.b, 1, 1).slots()).containsExactly("0.1");
+	}
+
 	@Test
 	void sampleInFlightThatPassesTheBoundIsCancelledEarly() {
 		this.world.scripts.put("engine-1", (request, listener) -> {
--- a/bamboorelay-entry/src/test/java/org/bamboorelay/entry/request/RolloutWorld.java
+++ b/bamboorelay-entry/src/test/java/org/bamboorelay/entry/request/RolloutWorld.java
@@ -67,6 +67,8 @@
 
 	long engineVersion = 1;
 
+	int maxVersions = 1;
+
 	boolean keyWorks = true;
 
 	private int tokens;
@@ -289,7 +291,7 @@
 					List.of(new Inventory.WorkspaceEntry(WORKSPACE, 1, List.of(MODEL),
 							List.of(TrainerId.of("cartas"), TrainerId.of("avisos")))));
 			Rules rules = new Rules(
-					List.of(new Rules.StalenessRule(LineId.of("cartas"), MODEL, 1),
+					List.of(new Rules.StalenessRule(LineId.of("cartas"), MODEL, RolloutWorld.this.maxVersions),
 							new Rules.StalenessRule(LineId.of("avisos"), MODEL, 1)),
 					List.of(), new Rules.AdmissionRule(1, 1, 1), new Rules.UsageRule(1, 1),
 					new Rules.IsolationRule(Rules.WhenIsolated.REFUSE, 1),
