Test a step with threads

Cause: the other tests run on one thread and cannot see deadlocks.

Change: one test runs 400 samples on real executors, fetched at another host.

--- a/bamboorelay-entry/src/test/java/org/bamboorelay/entry/request/RolloutRoutesTests.java
+++ b/bamboorelay-entry/src/test/java/org/bamboorelay/entry/request/RolloutRoutesTests.java
@@ -1,7 +1,9 @@
 package org.bamboorelay.entry.request;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 import io.vavr.control.Either;
 import org.bamboorelay.core.connection.PeerMessage;
@@ -12,6 +14,7 @@
 import org.bamboorelay.entry.request.RolloutWorld.Reply;
 import org.bamboorelay.runtime.request.Json;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -319,6 +322,26 @@
 		assertThat(fetch(this.a, 2, 9).status()).isEqualTo(204);
 	}
 
+	/**
+	 * Guards against deadlocks and lost updates between samples, copies and fetches.
+	 */
+	@Test
+	@Timeout(30)
+	void stepIsDeliveredOnceWithThreads() {
+		this.world.hosts.values().forEach((host) -> host.start(RolloutThreads.of(16, 4)));
+		this.a.post(TRAINER, 1, RolloutWorld.step(50, 8));
+		Set<String> slots = new HashSet<>();
+		int seq = 0;
+		for (Reply reply = fetch(this.b, 0, 7); reply.status() != 204; reply = fetch(this.b, seq, 7)) {
+			for (String slot : reply.slots()) {
+				assertThat(slots.add(slot)).as(slot).isTrue();
+			}
+			seq += (reply.status() == 200) ? 1 : 0;
+		}
+		assertThat(slots).hasSize(400);
+		assertThat(this.world.served).hasSize(400);
+	}
+
 	@Test
 	void withdrawnKeyStopsItsStepInMidStream() {
 		this.world.scripts.put("engine-1", (request, listener) -> {
--- a/bamboorelay-entry/src/test/java/org/bamboorelay/entry/request/RolloutWorld.java
+++ b/bamboorelay-entry/src/test/java/org/bamboorelay/entry/request/RolloutWorld.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -11,6 +12,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 
@@ -58,12 +60,12 @@
 
 	final Deque<Runnable> tasks = new ArrayDeque<>();
 
-	final List<Long> served = new ArrayList<>();
+	final List<Long> served = Collections.synchronizedList(new ArrayList<>());
 
 	/** Answers of the engines by endpoint; the default is one span at the head. */
 	final Map<String, EngineScript> scripts = new HashMap<>();
 
-	final List<EngineClient.EngineRequest> streams = new ArrayList<>();
+	final List<EngineClient.EngineRequest> streams = Collections.synchronizedList(new ArrayList<>());
 
 	long engineVersion = 1;
 
@@ -71,7 +73,7 @@
 
 	boolean keyWorks = true;
 
-	private int tokens;
+	private final AtomicInteger tokens = new AtomicInteger();
 
 	RolloutWorld(String... hostsByDomain) {
 		for (String host : hostsByDomain) {
@@ -141,7 +143,7 @@
 
 		final HostId id;
 
-		final Counters counters = Counters.create();
+		Counters counters = Counters.create();
 
 		final Map<Class<?>, Function<? super PeerMessage, PeerMessage>> handlers = new HashMap<>();
 
@@ -158,14 +160,18 @@
 
 		/** Starts a process without memory of the one before. */
 		void start() {
-			this.handlers.clear();
 			// Questions of other hosts are answered at once, since the asker waits on the
 			// only thread.
-			RolloutThreads threads = new RolloutThreads(RolloutWorld.this.tasks::add, Runnable::run,
-					(task, delay) -> RolloutWorld.this.tasks.add(task));
+			start(new RolloutThreads(RolloutWorld.this.tasks::add, Runnable::run,
+					(task, delay) -> RolloutWorld.this.tasks.add(task)));
+		}
+
+		void start(RolloutThreads threads) {
+			this.handlers.clear();
+			this.counters = Counters.create();
 			this.routes = RolloutRoutes.of(new RolloutParts(this, RolloutWorld.this.store, this, this, this,
 					(workspace, service, count) -> RolloutWorld.this.served.add(count), this.counters,
-					RolloutWorld.this.clock, threads, () -> "token-" + RolloutWorld.this.tokens++,
+					RolloutWorld.this.clock, threads, () -> "token-" + RolloutWorld.this.tokens.incrementAndGet(),
 					new RolloutParts.Limits(64, 1_000_000)), Problems.of(this.counters));
 		}
 
