--- a/bamboorelay-entry/src/test/java/org/bamboorelay/entry/request/RolloutWorld.java
+++ b/bamboorelay-entry/src/test/java/org/bamboorelay/entry/request/RolloutWorld.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -11,6 +12,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 
@@ -58,18 +60,20 @@
 
 	final Deque<Runnable> tasks = new ArrayDeque<>();
 
-	final List<Long> served = new ArrayList<>();
+	final List<Long> served = Collections.synchronizedList(new ArrayList<>());
 
 	/** Answers of the engines by endpoint; the default is one span at the head. */
 	final Map<String, EngineScript> scripts = new HashMap<>();
 
-	final List<EngineClient.EngineRequest> streams = new ArrayList<>();
+	final List<EngineClient.EngineRequest> streams = Collections.synchronizedList(new ArrayList<>());
 
 	long engineVersion = 1;
 
+	int maxVersions = 1;
+
 	boolean keyWorks = true;
 
-	private int tokens;
+	private final AtomicInteger tokens = new AtomicInteger();
 
 	RolloutWorld(String... hostsByDomain) {
 		for (String host : hostsByDomain) {
@@ -87,6 +91,15 @@
 		return new EngineClient.EngineEvent(index, " t", 1, (version != null) ? WeightVersion.parse(version) : null);
 	}
 
+	/** Returns the host that holds the second copies of a host's samples. */
+	Host secondHolder(Host owner) {
+		return this.hosts.values()
+			.stream()
+			.filter((host) -> host != owner && host.holdsSamples())
+			.findFirst()
+			.orElseThrow();
+	}
+
 	void runTasks() {
 		for (Runnable task = this.tasks.poll(); task != null; task = this.tasks.poll()) {
 			task.run();
@@ -130,7 +143,7 @@
 
 		final HostId id;
 
-		final Counters counters = Counters.create();
+		Counters counters = Counters.create();
 
 		final Map<Class<?>, Function<? super PeerMessage, PeerMessage>> handlers = new HashMap<>();
 
@@ -147,14 +160,18 @@
 
 		/** Starts a process without memory of the one before. */
 		void start() {
-			this.handlers.clear();
 			// Questions of other hosts are answered at once, since the asker waits on the
 			// only thread.
-			RolloutThreads threads = new RolloutThreads(RolloutWorld.this.tasks::add, Runnable::run,
-					(task, delay) -> RolloutWorld.this.tasks.add(task));
+			start(new RolloutThreads(RolloutWorld.this.tasks::add, Runnable::run,
+					(task, delay) -> RolloutWorld.this.tasks.add(task)));
+		}
+
+		void start(RolloutThreads threads) {
+			this.handlers.clear();
+			this.counters = Counters.create();
 			this.routes = RolloutRoutes.of(new RolloutParts(this, RolloutWorld.this.store, this, this, this,
 					(workspace, service, count) -> RolloutWorld.this.served.add(count), this.counters,
-					RolloutWorld.this.clock, threads, () -> "token-" + RolloutWorld.this.tokens++,
+					RolloutWorld.this.clock, threads, () -> "token-" + RolloutWorld.this.tokens.incrementAndGet(),
 					new RolloutParts.Limits(64, 1_000_000)), Problems.of(this.counters));
 		}
 
@@ -189,6 +206,10 @@
 					"max=" + max + "&trainer_version=" + version, new byte[0]);
 		}
 
+		boolean holdsSamples() {
+			return !this.counters.text().contains("sample_store_bytes 0\n");
+		}
+
 		@Override
 		public HostId self() {
 			return this.id;
@@ -276,7 +297,7 @@
 					List.of(new Inventory.WorkspaceEntry(WORKSPACE, 1, List.of(MODEL),
 							List.of(TrainerId.of("cartas"), TrainerId.of("avisos")))));
 			Rules rules = new Rules(
-					List.of(new Rules.StalenessRule(LineId.of("cartas"), MODEL, 1),
+					List.of(new Rules.StalenessRule(LineId.of("cartas"), MODEL, RolloutWorld.this.maxVersions),
 							new Rules.StalenessRule(LineId.of("avisos"), MODEL, 1)),
 					List.of(), new Rules.AdmissionRule(1, 1, 1), new Rules.UsageRule(1, 1),
 					new Rules.IsolationRule(Rules.WhenIsolated.REFUSE, 1),
