--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/CompletionRoute.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/CompletionRoute.java
@@ -412,7 +412,7 @@
 
 		private @Nullable Either<EngineFailure, Option<EngineEvent>> first;
 
-		private boolean whole;
+		private boolean ended;
 
 		private Attempt(Credit credit, EngineRequest engineRequest, CallerRequest request) {
 			this.credit = credit;
@@ -449,20 +449,26 @@
 
 		private Finish finish(CompletionRequest wanted) {
 			Finish finish = opened().end();
-			this.whole = true;
-			this.credit.end(Credit.Outcome.OK, finish.firstByteMillis(), finish.tokens());
+			endCredit(Credit.Outcome.OK, finish.firstByteMillis(), finish.tokens());
 			CompletionRoute.this.usage.served(Objects.requireNonNull(this.request.workspace(), "workspace"),
 					wanted.service(), finish.tokens());
 			return finish;
 		}
 
 		private void cancel(Credit.Outcome outcome) {
-			this.credit.end(outcome, opened().firstByteMillis(), opened().tokens());
+			endCredit(outcome, opened().firstByteMillis(), opened().tokens());
 			CompletionRoute.this.engines.cancel(this.credit.address(), this.engineRequest.requestId());
 		}
 
 		private void fail() {
-			this.credit.end(Credit.Outcome.FAILED, opened().firstByteMillis(), opened().tokens());
+			endCredit(Credit.Outcome.FAILED, opened().firstByteMillis(), opened().tokens());
+		}
+
+		private void endCredit(Credit.Outcome outcome, long firstByteMillis, long tokens) {
+			if (!this.ended) {
+				this.ended = true;
+				this.credit.end(outcome, firstByteMillis, tokens);
+			}
 		}
 
 		private EngineStream opened() {
@@ -476,10 +482,7 @@
 			}
 			if (this.stream != null) {
 				this.stream.close();
-				if (!this.whole) {
-					// Has no effect where the attempt was cancelled before.
-					fail();
-				}
+				fail();
 			}
 		}
 
