Keep renewing at an owner that only the holder takes for dead

Cause: renewals went to live hosts only, so a holder that wrongly took an owner for dead let the credit of a running request lapse there.

Change: renewals go to the former owner until the new one has adopted the request, whatever this host thinks of the former owner. Checks for this and for grants that arrive after they lapsed.

--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/CreditService.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/CreditService.java
@@ -224,7 +224,6 @@
 		Map<HostId, List<CreditShard.Keep>> adoptions = new HashMap<>();
 		this.shardsByIndex.forEach((shard) -> shard.collectHeld(renewals, adoptions));
 		Set<HostId> owners = new HashSet<>(renewals.keySet());
-		owners.retainAll(this.liveHosts);
 		owners.addAll(adoptions.keySet());
 		for (HostId owner : owners) {
 			List<CreditShard.Keep> toRenew = renewals.getOrDefault(owner, List.of());
--- a/bamboorelay-entry/src/test/java/org/bamboorelay/entry/process/CreditCluster.java
+++ b/bamboorelay-entry/src/test/java/org/bamboorelay/entry/process/CreditCluster.java
@@ -46,6 +46,12 @@
 
 	final Map<String, String> loads = new ConcurrentHashMap<>();
 
+	/** How long the next answer to a credit request takes, in milliseconds. */
+	long nextGrantMillis;
+
+	/** A host that another one holds for dead, by the host that does. */
+	final Map<HostId, HostId> unseen = new ConcurrentHashMap<>();
+
 	private final Map<HostId, Map<Class<?>, Function<PeerMessage, PeerMessage>>> handlers = new HashMap<>();
 
 	private final Set<HostId> live = Collections.synchronizedSet(new LinkedHashSet<>());
@@ -184,7 +190,9 @@
 		@Override
 		public Set<HostId> live() {
 			synchronized (CreditCluster.this.live) {
-				return Set.copyOf(CreditCluster.this.live);
+				Set<HostId> seen = new LinkedHashSet<>(CreditCluster.this.live);
+				seen.remove(CreditCluster.this.unseen.getOrDefault(this.self, HostId.of("none")));
+				return seen;
 			}
 		}
 
@@ -193,7 +201,12 @@
 			if (!CreditCluster.this.live.contains(host)) {
 				return Either.left(new PeerFailure.Unreachable("dead"));
 			}
-			return Either.right(CreditCluster.this.handlers.get(host).get(message.getClass()).apply(message));
+			PeerMessage answer = CreditCluster.this.handlers.get(host).get(message.getClass()).apply(message);
+			if (message instanceof PeerMessage.CreditRequest) {
+				CreditCluster.this.clock.advance(CreditCluster.this.nextGrantMillis);
+				CreditCluster.this.nextGrantMillis = 0;
+			}
+			return Either.right(answer);
 		}
 
 		@Override
--- a/bamboorelay-entry/src/test/java/org/bamboorelay/entry/process/CreditServiceTests.java
+++ b/bamboorelay-entry/src/test/java/org/bamboorelay/entry/process/CreditServiceTests.java
@@ -83,6 +83,30 @@
 		}
 	}
 
+	@Test
+	void grantThatArrivesAfterItLapsedIsNotUsed() throws Exception {
+		try (CreditCluster cluster = new CreditCluster(4, "a1", "b1")) {
+			cluster.list("b", 1, cluster.endpoint("e1", "b", false));
+			cluster.run(3_000);
+			cluster.nextGrantMillis = 3_500;
+			cluster.service("a1").acquire(REQUEST).get();
+			cluster.service("b1").tick();
+			assertThat(cluster.lent("e1")).isEqualTo(1);
+		}
+	}
+
+	@Test
+	void ownerThatOnlyTheHolderTakesForDeadKeepsCountingTheRequest() throws Exception {
+		try (CreditCluster cluster = new CreditCluster(4, "a1", "a2", "b1")) {
+			cluster.list("a", 1, cluster.endpoint("e1", "a", false));
+			cluster.run(3_000);
+			cluster.service("b1").acquire(REQUEST).get();
+			cluster.unseen.put(HostId.of("b1"), cluster.service("b1").status().get(0).owner());
+			cluster.run(10_000);
+			assertThat(cluster.lent("e1")).isEqualTo(1);
+		}
+	}
+
 	@Test
 	void waitingWorkThatNobodyServesIsRefusedAtItsDeadline() throws Exception {
 		try (CreditCluster cluster = new CreditCluster(1, "a1", "b1")) {
