--- a/bamboorelay-standins/src/main/java/org/bamboorelay/standins/connection/StandinServer.java
+++ b/bamboorelay-standins/src/main/java/org/bamboorelay/standins/connection/StandinServer.java
@@ -191,7 +191,10 @@
 		}
 		ClassicHttpResponse response = new BasicClassicHttpResponse(reply.status());
 		reply.headers().forEach(response::setHeader);
-		response.setEntity(new ReplyEntity(reply));
+		// With an entity, even an empty one, a client never got to see a 204.
+		if (reply.status() != 204) {
+			response.setEntity(new ReplyEntity(reply));
+		}
 		responder.send(response);
 	}
 
