Tell running steps of new weights, and give steps back when leaving

Cause: steps saw another host's new weights only after up to 5 s, and kept running on a host that leaves. Change: EntryComposition passes weight heads to RolloutRoutes and stops its steps on leave; spans carry weight_version like completions.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/request/SampleLabel.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/request/SampleLabel.java
@@ -62,7 +62,7 @@
 	 * @return the number of the version; {@link Long#MAX_VALUE} where there are no spans
 	 */
 	public long oldest() {
-		return this.spans.stream().mapToLong((span) -> span.version().number()).min().orElse(Long.MAX_VALUE);
+		return this.spans.stream().mapToLong((span) -> span.weightVersion().number()).min().orElse(Long.MAX_VALUE);
 	}
 
 	/**
@@ -99,7 +99,7 @@
 		}
 		List<Span> longer = new ArrayList<>(this.spans);
 		int last = longer.size() - 1;
-		if (last >= 0 && longer.get(last).version().equals(version)) {
+		if (last >= 0 && longer.get(last).weightVersion().equals(version)) {
 			longer.set(last, new Span(version, longer.get(last).tokens() + tokens));
 		}
 		else {
@@ -111,13 +111,13 @@
 	/**
 	 * Consecutive tokens from one weight version.
 	 *
-	 * @param version the version
+	 * @param weightVersion the version
 	 * @param tokens the number of tokens, positive
 	 */
-	public record Span(WeightVersion version, long tokens) {
+	public record Span(WeightVersion weightVersion, long tokens) {
 
 		public Span {
-			Objects.requireNonNull(version, "version");
+			Objects.requireNonNull(weightVersion, "weightVersion");
 			if (tokens <= 0) {
 				throw new IllegalArgumentException("tokens must be positive: " + tokens);
 			}
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/request/RolloutRunTests.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/request/RolloutRunTests.java
@@ -164,7 +164,7 @@
 				List<Long> labelled = new ArrayList<>();
 				this.labels.get(sample.id()).spans().forEach((span) -> {
 					for (int token = 0; token < span.tokens(); token++) {
-						labelled.add(span.version().number());
+						labelled.add(span.weightVersion().number());
 					}
 				});
 				assertThat(labelled).as("label of a delivered sample").isEqualTo(versions);
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/CreditService.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/CreditService.java
@@ -244,7 +244,7 @@
 	}
 
 	private void begin() {
-		this.mesh.register(PeerMessage.EndpointSet.class, this::onEndpointSet);
+		this.mesh.register(PeerMessage.EndpointSet.class, this::accept);
 		this.mesh.register(PeerMessage.CreditRequest.class, this::onRequest);
 		this.mesh.register(PeerMessage.CreditReturn.class, this::onReturn);
 		this.mesh.register(PeerMessage.CreditRenew.class, this::onRenew);
@@ -253,7 +253,13 @@
 		refresh();
 	}
 
-	private PeerMessage onEndpointSet(PeerMessage.EndpointSet set) {
+	/**
+	 * Takes the endpoints of a failure domain. Registered for the message; public for a
+	 * process that also wants the message for itself.
+	 * @param set the endpoints
+	 * @return the answer to the sender
+	 */
+	public PeerMessage accept(PeerMessage.EndpointSet set) {
 		if (!this.directory.accept(set)) {
 			return new PeerMessage.Rejected("old-sequence",
 					"sequence " + set.sequence() + " of " + set.domain() + " is not above the one known here");
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/EntryComposition.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/EntryComposition.java
@@ -1,10 +1,11 @@
 package org.bamboorelay.entry.process;
 
 import java.util.List;
+import java.util.Objects;
 import java.util.UUID;
-import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
+import org.bamboorelay.core.connection.PeerMessage;
 import org.bamboorelay.entry.request.CallerRoute;
 import org.bamboorelay.entry.request.CreditSource;
 import org.bamboorelay.entry.request.Problems;
@@ -34,6 +35,8 @@
 
 	private volatile @Nullable CreditService credits;
 
+	private volatile @Nullable RolloutRoutes rollouts;
+
 	@Override
 	public CreditSource credits(EntryParts parts) {
 		CreditService service = CreditService.builder()
@@ -60,9 +63,13 @@
 						parts.usage(), parts.counters(), parts.clock(), threads, () -> UUID.randomUUID().toString(),
 						new RolloutParts.Limits(MAX_RUNNING_PER_STEP, MAX_SAMPLE_BYTES)),
 				Problems.of(parts.counters()));
-		parts.timers()
-			.scheduleWithFixedDelay(rollouts::tick, RolloutRoutes.TICK_MILLIS, RolloutRoutes.TICK_MILLIS,
-					TimeUnit.MILLISECONDS);
+		CreditService service = Objects.requireNonNull(this.credits, "credits");
+		parts.mesh().register(PeerMessage.EndpointSet.class, (set) -> {
+			set.weightHeads().forEach(rollouts::newWeights);
+			return service.accept(set);
+		});
+		rollouts.start();
+		this.rollouts = rollouts;
 		return List.of(rollouts);
 	}
 
@@ -72,4 +79,16 @@
 		return (service != null) ? service.status() : List.of();
 	}
 
+	@Override
+	public void leave() {
+		RolloutRoutes routes = this.rollouts;
+		if (routes != null) {
+			routes.leave();
+		}
+		CreditService service = this.credits;
+		if (service != null) {
+			service.close();
+		}
+	}
+
 }
--- a/bamboorelay-entry/src/test/java/org/bamboorelay/entry/request/RolloutRoutesTests.java
+++ b/bamboorelay-entry/src/test/java/org/bamboorelay/entry/request/RolloutRoutesTests.java
@@ -398,7 +398,7 @@
 		reply.body()
 			.path("samples")
 			.forEach((sample) -> sample.path("spans")
-				.forEach((span) -> spans.add(span.get("version").asText() + ":" + span.get("tokens"))));
+				.forEach((span) -> spans.add(span.get("weight_version").asText() + ":" + span.get("tokens"))));
 		return spans;
 	}
 
--- a/bamboorelay-load/src/main/java/org/bamboorelay/load/request/RolloutPoint.java
+++ b/bamboorelay-load/src/main/java/org/bamboorelay/load/request/RolloutPoint.java
@@ -1,5 +1,6 @@
 package org.bamboorelay.load.request;
 
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -49,7 +50,7 @@
 		Checks.require(accepted.status() == 202,
 				"step: expected 202, found " + accepted.status() + " " + accepted.text());
 		Set<String> samples = new HashSet<>();
-		Set<String> endpoints = new HashSet<>();
+		Map<String, Long> before = streams();
 		Set<String> versions = new HashSet<>();
 		int sequence = 0;
 		while (true) {
@@ -63,14 +64,27 @@
 			Answer again = fetch(batchPath, key);
 			Checks.require(again.text().equals(batch.text()),
 					"batch " + sequence + ": a repeated fetch got another batch");
-			collect(batch.json(), samples, endpoints, versions);
+			collect(batch.json(), samples, versions);
 			sequence++;
 		}
 		Checks.require(samples.size() == PROMPTS * SAMPLES_PER_PROMPT,
 				"step: expected " + PROMPTS * SAMPLES_PER_PROMPT + " samples, found " + samples.size());
-		Checks.require(endpoints.size() > 1, "step: expected several engines, found " + endpoints);
-		return samples.size() + " samples in " + sequence + " batches from " + endpoints.size() + " engines, weights "
-				+ versions + ", repeated fetches equal";
+		Map<String, Long> after = streams();
+		long engines = after.keySet().stream().filter((engine) -> after.get(engine) > before.get(engine)).count();
+		Checks.require(engines > 1, "step: expected several engines, found " + engines);
+		return samples.size() + " samples in " + sequence + " batches from " + engines + " engines, weights " + versions
+				+ ", repeated fetches equal";
+	}
+
+	private Map<String, Long> streams() {
+		Map<String, Long> counts = new HashMap<>();
+		for (QuickstartSettings.Endpoint engine : this.settings.engines()) {
+			String record = this.client.send(engine.address(), "GET", "/_record", Map.of())
+				.getOrElseThrow((failure) -> new CheckFailedException(failure.detail()))
+				.text();
+			counts.put(engine.address(), record.lines().filter((line) -> line.contains("/v1/completions")).count());
+		}
+		return counts;
 	}
 
 	private Answer fetch(String path, Map<String, String> key) {
@@ -83,14 +97,13 @@
 		return last[0];
 	}
 
-	private static void collect(JsonNode batch, Set<String> samples, Set<String> endpoints, Set<String> versions) {
+	private static void collect(JsonNode batch, Set<String> samples, Set<String> versions) {
 		for (JsonNode sample : batch.path("samples")) {
 			String id = sample.path("id").asText();
 			Checks.require(!id.isEmpty() && samples.add(id), "sample \"" + id + "\" came twice or has no id");
 			Checks.require(!sample.path("spans").isEmpty(), "sample " + id + " has no weight versions");
 			for (JsonNode span : sample.path("spans")) {
 				versions.add(span.path("weight_version").asText());
-				endpoints.add(span.path("endpoint").asText());
 			}
 		}
 	}
