Route to owners in other domains by their digests

Cause: an entry host is told the endpoints of its own failure domain only, so with that domain out, or its endpoints held back by a new owner, it refused with no-endpoint or waited until the deadline, while other domains had room. Ruled out: listing all endpoints everywhere, 6,600 rows a node at the next size. Change: a host that sends a digest for a service is asked for credits even where its endpoints are not known here; digests name only services with an endpoint that takes new work.

--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/CreditService.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/CreditService.java
@@ -148,7 +148,7 @@
 	 * @return a digest for each service
 	 */
 	public List<PeerMessage.Digest> digests() {
-		return this.shardsByIndex.stream().map(CreditShard::digest).toList();
+		return this.shardsByIndex.stream().flatMap((shard) -> shard.digest().toJavaStream()).toList();
 	}
 
 	/**
@@ -157,12 +157,9 @@
 	 * @param digests its digests
 	 */
 	public void digestsFrom(HostId host, List<PeerMessage.Digest> digests) {
-		digests.forEach((digest) -> {
-			CreditShard shard = this.shards.get(digest.service());
-			if (shard != null) {
-				shard.digestFrom(host, digest);
-			}
-		});
+		Map<ServiceId, PeerMessage.Digest> byService = new HashMap<>();
+		digests.forEach((digest) -> byService.put(digest.service(), digest));
+		this.shardsByIndex.forEach((shard) -> shard.digestFrom(host, Option.of(byService.get(shard.service()))));
 	}
 
 	/**
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/CreditShard.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/CreditShard.java
@@ -104,6 +104,14 @@
 
 	private Map<HostId, OwnerView> owners = Map.of();
 
+	/**
+	 * Owners in other failure domains, known by their digests only: a host is told the
+	 * endpoints of its own domain, and an owner elsewhere chooses the endpoint itself.
+	 */
+	private final Map<HostId, OwnerView> farOwners = new LinkedHashMap<>();
+
+	private Set<HostId> farHosts = Set.of();
+
 	private int eligible;
 
 	private int eligibleSteady;
@@ -162,6 +170,7 @@
 				fresh.put(info.endpoint(), known);
 			}
 			this.endpoints = fresh;
+			this.farHosts = farHosts(configuration, hosts, this.mesh.domain(this.mesh.self()));
 			this.ejection.retain(fresh.keySet());
 			for (EndpointId owned : this.ledger.owned()) {
 				Known known = fresh.get(owned);
@@ -249,21 +258,40 @@
 		return locked(() -> this.endpoints.containsKey(endpoint));
 	}
 
-	PeerMessage.Digest digest() {
+	/**
+	 * Returns the free credits of the endpoints that this host owns.
+	 * @return the digest, or nothing where none of them takes new work
+	 */
+	Option<PeerMessage.Digest> digest() {
 		return locked(() -> {
+			HostId self = this.mesh.self();
+			boolean accepting = this.endpoints.values()
+				.stream()
+				.anyMatch((known) -> self.equals(known.owner) && known.accepting());
+			if (!accepting) {
+				return Option.none();
+			}
 			this.ledger.expire(this.clock.millis());
-			return new PeerMessage.Digest(this.service, this.ledger.free(true), this.ledger.free(false));
+			return Option.some(new PeerMessage.Digest(this.service, this.ledger.free(true), this.ledger.free(false)));
 		});
 	}
 
-	void digestFrom(HostId host, PeerMessage.Digest digest) {
+	/**
+	 * Takes what another host says of its free credits.
+	 * @param host the host
+	 * @param digest its digest, or nothing where it has no endpoint that takes new work
+	 */
+	void digestFrom(HostId host, Option<PeerMessage.Digest> digest) {
 		locked(() -> {
+			if (this.farHosts.contains(host)) {
+				followFar(host, digest.isDefined());
+			}
 			OwnerView owner = this.owners.get(host);
-			if (owner != null) {
-				owner.freeInteractive = digest.freeInteractive();
-				owner.freeRollout = digest.freeRollout();
-				dispatch(this.clock.millis());
+			if (owner != null && digest.isDefined()) {
+				owner.freeInteractive = digest.get().freeInteractive();
+				owner.freeRollout = digest.get().freeRollout();
 			}
+			dispatch(this.clock.millis());
 			return null;
 		});
 	}
@@ -602,6 +630,9 @@
 	}
 
 	private boolean servable(RouteRequest request) {
+		if (!this.farOwners.isEmpty()) {
+			return true;
+		}
 		int count = request.repeatable() ? this.eligible : this.eligibleSteady;
 		for (EndpointId endpoint : Set.copyOf(request.excluded())) {
 			Known known = this.endpoints.get(endpoint);
@@ -613,6 +644,31 @@
 		return count > 0;
 	}
 
+	private static Set<HostId> farHosts(Configuration configuration, Map<FailureDomain, List<HostId>> hosts,
+			FailureDomain here) {
+		Set<HostId> far = new HashSet<>();
+		hosts.forEach((domain, live) -> {
+			if (!domain.equals(here) && configuration.isInService(domain)) {
+				far.addAll(live);
+			}
+		});
+		return far;
+	}
+
+	private void followFar(HostId host, boolean lends) {
+		boolean known = this.farOwners.containsKey(host);
+		if (lends == known) {
+			return;
+		}
+		if (lends) {
+			this.farOwners.put(host, new OwnerView(host, false));
+		}
+		else {
+			this.farOwners.remove(host);
+		}
+		updateEligible();
+	}
+
 	private void updateEligible() {
 		this.eligible = 0;
 		this.eligibleSteady = 0;
@@ -634,6 +690,12 @@
 				owner.steady++;
 			}
 		}
+		this.farOwners.keySet().retainAll(this.farHosts);
+		this.farOwners.forEach((host, owner) -> {
+			// The owner itself keeps work that cannot be repeated off cheap endpoints.
+			owner.steady = 1;
+			fresh.putIfAbsent(host, owner);
+		});
 		this.owners = fresh;
 		this.eligibleChanged = true;
 	}
--- a/bamboorelay-entry/src/test/java/org/bamboorelay/entry/process/CreditCluster.java
+++ b/bamboorelay-entry/src/test/java/org/bamboorelay/entry/process/CreditCluster.java
@@ -118,6 +118,26 @@
 		this.handlers.values().forEach((host) -> host.get(PeerMessage.EndpointSet.class).apply(set));
 	}
 
+	/** Lists endpoints at the hosts of their domain only, as control processes do. */
+	void listInDomain(String domain, long sequence, PeerMessage.EndpointInfo... infos) {
+		PeerMessage.EndpointSet set = new PeerMessage.EndpointSet(FailureDomain.of(domain), sequence, List.of(infos),
+				List.of());
+		this.handlers.forEach((host, handlers) -> {
+			if (host.value().startsWith(domain)) {
+				handlers.get(PeerMessage.EndpointSet.class).apply(set);
+			}
+		});
+	}
+
+	/** Sends the digests of each live host to all others. */
+	void heartbeats() {
+		this.services.forEach((from, sender) -> this.services.forEach((to, receiver) -> {
+			if (!from.equals(to)) {
+				receiver.digestsFrom(from, sender.digests());
+			}
+		}));
+	}
+
 	void domainInService(String domain, boolean inService) {
 		this.configuration = this.configuration.withDomainInService(FailureDomain.of(domain), inService);
 		this.listeners.forEach((listener) -> listener.accept(this.configuration));
--- a/bamboorelay-entry/src/test/java/org/bamboorelay/entry/process/CreditServiceTests.java
+++ b/bamboorelay-entry/src/test/java/org/bamboorelay/entry/process/CreditServiceTests.java
@@ -15,6 +15,7 @@
 import org.bamboorelay.entry.request.Credit;
 import org.bamboorelay.entry.request.RouteRequest;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -22,6 +23,7 @@
  * Guards against work that reaches endpoints which must get none, and against more
  * running requests than an endpoint allows, over several hosts.
  */
+@Timeout(value = 30, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class CreditServiceTests {
 
 	private static final RouteRequest REQUEST = new RouteRequest(CreditCluster.SERVICE, null, true, true, 0, 10, null,
@@ -135,6 +137,42 @@
 		}
 	}
 
+	@Test
+	void hostWhoseDomainIsOutUsesOwnersKnownByDigestOnly() throws Exception {
+		try (CreditCluster cluster = new CreditCluster(4, "a1", "b1")) {
+			cluster.listInDomain("a", 1, cluster.endpoint("e1", "a", false));
+			cluster.listInDomain("b", 1, cluster.endpoint("e2", "b", false));
+			cluster.run(3_000);
+			cluster.heartbeats();
+			cluster.domainInService("a", false);
+			assertThat(cluster.service("a1").acquire(REQUEST).get().endpoint().value()).isEqualTo("e2");
+			assertThat(cluster.lent("e1")).isZero();
+		}
+	}
+
+	@Test
+	void newOwnerThatStillWaitsOutCreditsLeavesWorkToOtherDomains() throws Exception {
+		try (CreditCluster cluster = new CreditCluster(4, "a1", "b1")) {
+			cluster.listInDomain("b", 1, cluster.endpoint("e2", "b", false));
+			cluster.run(3_000);
+			cluster.heartbeats();
+			cluster.listInDomain("a", 1, cluster.endpoint("e1", "a", false));
+			assertThat(cluster.service("a1").acquire(REQUEST).get().endpoint().value()).isEqualTo("e2");
+		}
+	}
+
+	@Test
+	void digestOfADomainThatIsOutIsNotFollowed() throws Exception {
+		try (CreditCluster cluster = new CreditCluster(4, "a1", "b1")) {
+			cluster.listInDomain("b", 1, cluster.endpoint("e2", "b", false));
+			cluster.run(3_000);
+			cluster.heartbeats();
+			cluster.domainInService("b", false);
+			cluster.heartbeats();
+			assertThat(reason(cluster.service("a1").acquire(REQUEST))).isEqualTo(RefusalReason.NO_ENDPOINT);
+		}
+	}
+
 	@Test
 	void oldControlProcessCannotBringAnEndpointBack() throws Exception {
 		try (CreditCluster cluster = new CreditCluster(4, "a1")) {
