Let a fresh host wait for its endpoint list, and shorten swap turns

Cause: a restarted host was ready with a configuration but knew no endpoint, and refused its first requests; domains took turns of 20 s for the last swap of a small service, so new weights took 18 to 28 s of the allowed 30 s. Change: in its first 3 s a host lets requests wait instead of refusing them for want of an endpoint; turns are 6 s.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/WeightWaves.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/WeightWaves.java
@@ -32,10 +32,11 @@
 
 	/**
 	 * Length of the slots in which the domains take turns for the remainder of the
-	 * allowed swaps; swaps begin in the first half only, so that they are mostly over
-	 * when the next domain's turn begins.
+	 * allowed swaps, in milliseconds; swaps begin in the first half only, so that they
+	 * are mostly over when the next domain's turn begins. With 20 s a small deployment
+	 * needed 18 to 28 s of the 30 s that it has for new weights.
 	 */
-	private static final long TURN_MILLIS = 2 * SWAP_TIMEOUT_MILLIS;
+	private static final long TURN_MILLIS = 6_000;
 
 	private static final int SHARE = 3;
 
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/CreditShard.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/CreditShard.java
@@ -78,6 +78,12 @@
 	/** Failed polls in a row after which an endpoint gets nothing. */
 	private static final int FAILED_POLLS = 3;
 
+	/**
+	 * How long a fresh process lets requests wait rather than refuse them for want of an
+	 * endpoint, in milliseconds: endpoint lists and digests come once a second.
+	 */
+	private static final long LEARNING_MILLIS = 3_000;
+
 	private static final String OPEN_ROUTES = "(open)";
 
 	private final ReentrantLock lock = new ReentrantLock();
@@ -98,6 +104,8 @@
 
 	private final AdmissionQueue queue;
 
+	private final long startedMillis;
+
 	private final Set<HeldCredit> held = new LinkedHashSet<>();
 
 	private Map<EndpointId, Known> endpoints = Map.of();
@@ -120,10 +128,13 @@
 
 	private long lapsedBefore;
 
+	private boolean learning = true;
+
 	CreditShard(ServiceId service, PeerMesh mesh, Clock clock, RandomGenerator random, CreditIds ids, Returns returns) {
 		this.service = service;
 		this.mesh = mesh;
 		this.clock = clock;
+		this.startedMillis = clock.millis();
 		this.returns = returns;
 		this.ledger = CreditLedger.of(EndpointSelection.of(random), ids::next);
 		this.ownerSelection = OwnerSelection.of(random);
@@ -306,6 +317,10 @@
 			this.ledger.expire(now);
 			long lapsed = this.ledger.lapsed() - this.lapsedBefore;
 			this.lapsedBefore += lapsed;
+			if (this.learning && now - this.startedMillis >= LEARNING_MILLIS) {
+				this.learning = false;
+				this.eligibleChanged = true;
+			}
 			if (this.queue.size() > 0) {
 				dispatch(now);
 				refuse(this.queue.removeIf((ticket) -> ticket.deadlineMillis() <= now), RefusalReason.DEADLINE,
@@ -630,7 +645,7 @@
 	}
 
 	private boolean servable(RouteRequest request) {
-		if (!this.farOwners.isEmpty()) {
+		if (this.learning || !this.farOwners.isEmpty()) {
 			return true;
 		}
 		int count = request.repeatable() ? this.eligible : this.eligibleSteady;
--- a/bamboorelay-entry/src/test/java/org/bamboorelay/entry/process/CreditServiceTests.java
+++ b/bamboorelay-entry/src/test/java/org/bamboorelay/entry/process/CreditServiceTests.java
@@ -173,6 +173,16 @@
 		}
 	}
 
+	@Test
+	void freshProcessLetsRequestsWaitForItsFirstEndpointList() throws Exception {
+		try (CreditCluster cluster = new CreditCluster(4, "a1")) {
+			CompletableFuture<Either<Refusal, Credit>> request = waiting(cluster, "a1");
+			cluster.list("a", 1, cluster.endpoint("e1", "a", false));
+			cluster.run(3_000);
+			assertThat(request.get(10, TimeUnit.SECONDS).isRight()).isTrue();
+		}
+	}
+
 	@Test
 	void oldControlProcessCannotBringAnEndpointBack() throws Exception {
 		try (CreditCluster cluster = new CreditCluster(4, "a1")) {
