--- a/bamboorelay-load/src/main/java/org/bamboorelay/load/process/LoadMain.java
+++ b/bamboorelay-load/src/main/java/org/bamboorelay/load/process/LoadMain.java
@@ -20,18 +20,25 @@
 import org.apache.commons.cli.ParseException;
 import org.apache.hc.core5.http.HttpStatus;
 import org.bamboorelay.load.connection.Answer;
+import org.bamboorelay.load.connection.BareRelay;
+import org.bamboorelay.load.connection.BenchEndpoint;
 import org.bamboorelay.load.connection.CallerClient;
+import org.bamboorelay.load.request.Bench;
+import org.bamboorelay.load.request.BenchSettings;
 import org.bamboorelay.load.request.CheckFailedException;
 import org.bamboorelay.load.request.Quickstart;
 import org.bamboorelay.load.request.QuickstartSettings;
 import org.bamboorelay.runtime.connection.HttpFailure;
+import org.bamboorelay.runtime.connection.HttpListener;
 import org.bamboorelay.runtime.request.Json;
 import org.bamboorelay.runtime.version.SettingsFailure;
 import org.bamboorelay.runtime.version.SettingsReader;
 
 /**
  * The load program: {@code free-ports} prints free loopback ports, {@code quickstart}
- * runs one point of the quick start, {@code put} sets a switch of a stand-in.
+ * runs one point of the quick start, {@code put} sets a switch of a stand-in,
+ * {@code bench} compares the entry process with the bare relay, {@code relay} and
+ * {@code endpoint} are the other processes of that comparison.
  * <p>
  * Used by one thread.
  */
@@ -59,7 +66,11 @@
 			.addOption(option("count", "number of ports"))
 			.addOption(option("address", "address of a stand-in"))
 			.addOption(option("path", "path at the stand-in"))
-			.addOption(option("body", "JSON to put there"));
+			.addOption(option("body", "JSON to put there"))
+			.addOption(option("port", "port to listen on"))
+			.addOption(option("target", "address that the bare relay forwards to"))
+			.addOption(option("strip", "prefix of paths that the bare relay cuts off"))
+			.addOption(option("line", "line of weights of the bench endpoint"));
 		try {
 			CommandLine line = new DefaultParser().parse(options, args);
 			String command = line.getArgList().isEmpty() ? "" : line.getArgList().get(0);
@@ -67,8 +78,12 @@
 				case "free-ports" -> freePorts(Integer.parseInt(line.getOptionValue("count", "1")), out);
 				case "put" -> put(line, err);
 				case "quickstart" -> quickstart(line, out, err);
-				default -> throw new ParseException(
-						"unknown command \"" + command + "\", allowed: free-ports, put, quickstart");
+				case "bench" -> bench(line, out, err);
+				case "relay" -> listen(line,
+						new BareRelay(line.getOptionValue("target", ""), line.getOptionValue("strip", "")), out);
+				case "endpoint" -> listen(line, new BenchEndpoint(line.getOptionValue("line", "")), out);
+				default -> throw new ParseException("unknown command \"" + command
+						+ "\", allowed: free-ports, put, quickstart, bench, relay, endpoint");
 			};
 		}
 		catch (ParseException | NumberFormatException ex) {
@@ -114,6 +129,38 @@
 		}
 	}
 
+	private static int listen(CommandLine line, HttpListener.HttpHandler handler, PrintStream out) {
+		try (HttpListener listener = HttpListener.open("127.0.0.1", Integer.parseInt(line.getOptionValue("port", "0")),
+				handler, (ex) -> {
+					// A broken connection is seen by its client.
+				})) {
+			out.println(Json.text(Map.of("event", "ready", "kind", line.getArgList().get(0), "port", listener.port())));
+			// The process ends by a signal.
+			Thread.currentThread().join();
+			return 0;
+		}
+		catch (IOException ex) {
+			out.println(ex.getMessage());
+			return EXIT_FAILED;
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return EXIT_FAILED;
+		}
+	}
+
+	private static int bench(CommandLine line, PrintStream out, PrintStream err) {
+		Either<SettingsFailure, BenchSettings> settings = SettingsReader
+			.read(Path.of(line.getOptionValue("settings", "")), BenchSettings.class);
+		if (settings.isLeft()) {
+			err.println("bamboorelay-load: " + settings.getLeft().detail());
+			return EXIT_USAGE;
+		}
+		try (Bench bench = new Bench(settings.get(), out)) {
+			return bench.run() ? 0 : EXIT_FAILED;
+		}
+	}
+
 	private static int quickstart(CommandLine line, PrintStream out, PrintStream err) {
 		Either<SettingsFailure, QuickstartSettings> settings = SettingsReader
 			.read(Path.of(line.getOptionValue("settings", "")), QuickstartSettings.class);
