--- /dev/null
+++ b/bamboorelay-load/src/main/java/org/bamboorelay/load/process/CallerLoad.java
@@ -0,0 +1,198 @@
+package org.bamboorelay.load.process;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
+
+import io.vavr.control.Either;
+import org.bamboorelay.load.connection.Answer;
+import org.bamboorelay.load.connection.Balancer;
+import org.bamboorelay.load.connection.CallerClient;
+import org.bamboorelay.runtime.connection.HttpFailure;
+
+/**
+ * The callers of a run, in an open loop: their arrivals are planned from the seed and do
+ * not wait for answers.
+ * <p>
+ * Thread-safe.
+ */
+final class CallerLoad {
+
+	/** Most requests that wait for their answers at once; further arrivals are late. */
+	private static final int THREADS = 192;
+
+	private static final String DONE = "data: [DONE]";
+
+	private static final String TOKENS = "\"completion_tokens\":";
+
+	private final Map<String, CallerTally> tallies = new ConcurrentHashMap<>();
+
+	private final AtomicInteger done = new AtomicInteger();
+
+	private final Scenario scenario;
+
+	private final RunSettings settings;
+
+	private final String half;
+
+	private final CallerClient client;
+
+	private final Balancer balancer;
+
+	private final Map<String, String> keys;
+
+	CallerLoad(Scenario scenario, RunSettings settings, String half, CallerClient client, Balancer balancer,
+			Map<String, String> keys) {
+		this.scenario = scenario;
+		this.settings = settings;
+		this.half = half;
+		this.client = client;
+		this.balancer = balancer;
+		this.keys = keys;
+		scenario.callers().forEach((callers) -> tally(callers.service(), callers.workspace()));
+	}
+
+	/**
+	 * Plans the arrivals of a half.
+	 * @param scenario the scenario
+	 * @return the arrivals by time
+	 */
+	static List<Arrival> plan(Scenario scenario) {
+		List<Arrival> plan = new ArrayList<>();
+		for (int i = 0; i < scenario.callers().size(); i++) {
+			Scenario.Callers callers = scenario.callers().get(i);
+			Random random = new Random(scenario.seed() * 31 + i);
+			double until = Math.min(callers.untilMs(), scenario.seconds() * 1_000.0);
+			double at = callers.fromMs();
+			while ((at += -Math.log(1 - random.nextDouble()) * 1_000 / callers.rate()) < until) {
+				plan.add(new Arrival((long) (at * 1_000_000), callers, random.nextDouble() < callers.writeShare(),
+						random.nextInt(1_000)));
+			}
+		}
+		plan.sort(Comparator.comparingLong(Arrival::atNanos));
+		return plan.subList(0, Math.min(plan.size(), scenario.maxRequests()));
+	}
+
+	/**
+	 * Sends everything and waits for the answers.
+	 * @param start begin of the half, by {@link System#nanoTime()}
+	 * @throws InterruptedException where the waiting thread is interrupted
+	 */
+	void run(long start) throws InterruptedException {
+		List<Arrival> plan = plan(this.scenario);
+		AtomicInteger next = new AtomicInteger();
+		ExecutorService threads = Executors.newFixedThreadPool(THREADS);
+		for (int i = 0; i < THREADS; i++) {
+			threads.execute(() -> {
+				int index;
+				while ((index = next.getAndIncrement()) < plan.size()) {
+					Arrival arrival = plan.get(index);
+					long wait;
+					while ((wait = start + arrival.atNanos() - System.nanoTime()) > 0) {
+						LockSupport.parkNanos(wait);
+					}
+					send(arrival, index, start);
+				}
+			});
+		}
+		threads.shutdown();
+		threads.awaitTermination(this.scenario.seconds() + 60L, TimeUnit.SECONDS);
+	}
+
+	/**
+	 * Returns the requests that have ended.
+	 * @return the number
+	 */
+	int done() {
+		return this.done.get();
+	}
+
+	/**
+	 * Returns the tallies.
+	 * @return the tallies by {@code service/workspace}
+	 */
+	Map<String, CallerTally> tallies() {
+		return this.tallies;
+	}
+
+	private CallerTally tally(String service, String workspace) {
+		return this.tallies.computeIfAbsent(service + "/" + workspace,
+				(unused) -> new CallerTally(this.scenario.seconds() + 60));
+	}
+
+	private void send(Arrival arrival, int index, long start) {
+		Scenario.Callers callers = arrival.callers();
+		boolean plain = "plain".equals(callers.service());
+		CallerTally tally = tally(callers.service(), callers.workspace());
+		tally.offered(plain ? 1 : callers.maxTokens());
+		Either<HttpFailure, Answer> answer = plain ? plain(arrival, index) : completion(arrival);
+		long now = System.nanoTime();
+		long micros = (now - start - arrival.atNanos()) / 1_000;
+		int second = (int) ((now - start) / 1_000_000_000L);
+		this.done.incrementAndGet();
+		if (answer.isLeft()) {
+			tally.refused(answer.getLeft().code(), second);
+			return;
+		}
+		String text = answer.get().text();
+		if (!answer.get().isOk()) {
+			tally.refused(answer.get().status() + " " + answer.get().json().path("reason").asText("none"), second);
+		}
+		else if (plain) {
+			tally.served(1, micros, second);
+		}
+		else if (!text.strip().endsWith(DONE)) {
+			tally.refused("stream-ended-in-error", second);
+		}
+		else {
+			tally.served(tokens(text), micros, second);
+		}
+	}
+
+	private Either<HttpFailure, Answer> plain(Arrival arrival, int index) {
+		String base = "/services/" + this.settings.plainService();
+		Map<String, String> key = CallerClient.bearer(this.keys.get(arrival.callers().workspace()));
+		if (arrival.write()) {
+			// The number makes each payment another call.
+			return this.client.send(this.balancer.next(), "POST", base + "/payments/" + this.half + "-" + index, key,
+					Map.of("amount", arrival.number()));
+		}
+		return this.client.send(this.balancer.next(), "GET", base + "/balances/" + arrival.number(), key);
+	}
+
+	private Either<HttpFailure, Answer> completion(Arrival arrival) {
+		return this.client.send(this.balancer.next(), "POST", "/v1/completions",
+				CallerClient.bearer(this.keys.get(arrival.callers().workspace())),
+				Map.of("model", this.settings.modelService(), "prompt", "Carta " + arrival.number(), "max_tokens",
+						arrival.callers().maxTokens(), "stream", true));
+	}
+
+	private static long tokens(String stream) {
+		int at = stream.lastIndexOf(TOKENS) + TOKENS.length();
+		int end = at;
+		while (end < stream.length() && Character.isDigit(stream.charAt(end))) {
+			end++;
+		}
+		return (end > at && at >= TOKENS.length()) ? Long.parseLong(stream.substring(at, end)) : 0;
+	}
+
+	/**
+	 * A planned request.
+	 *
+	 * @param atNanos when it is due, in nanoseconds from the start
+	 * @param callers who sends it
+	 * @param write whether it must not run twice
+	 * @param number a drawn number that varies the request
+	 */
+	record Arrival(long atNanos, Scenario.Callers callers, boolean write, int number) {
+	}
+
+}
--- /dev/null
+++ b/bamboorelay-load/src/main/java/org/bamboorelay/load/process/CallerTally.java
@@ -0,0 +1,85 @@
+package org.bamboorelay.load.process;
+
+import java.util.Arrays;
+import java.util.Map;
+import java.util.TreeMap;
+
+import org.HdrHistogram.Histogram;
+
+/**
+ * What callers of one workspace got from one service.
+ * <p>
+ * Thread-safe, under its own lock.
+ */
+final class CallerTally {
+
+	private static final long HIGHEST_MICROS = 120_000_000;
+
+	private final Histogram latency = new Histogram(HIGHEST_MICROS, 3);
+
+	private final Map<String, Long> refusals = new TreeMap<>();
+
+	private final long[] servedBySecond;
+
+	private final long[] failedBySecond;
+
+	private long demand;
+
+	private long units;
+
+	private long requests;
+
+	CallerTally(int seconds) {
+		this.servedBySecond = new long[seconds];
+		this.failedBySecond = new long[seconds];
+	}
+
+	synchronized void offered(long amount) {
+		this.demand += amount;
+	}
+
+	synchronized void served(long amount, long micros, int second) {
+		this.units += amount;
+		this.requests++;
+		this.latency.recordValue(Math.min(HIGHEST_MICROS, Math.max(1, micros)));
+		this.servedBySecond[Math.min(second, this.servedBySecond.length - 1)]++;
+	}
+
+	synchronized void refused(String reason, int second) {
+		this.refusals.merge(reason, 1L, Long::sum);
+		this.failedBySecond[Math.min(second, this.failedBySecond.length - 1)]++;
+	}
+
+	synchronized long demand() {
+		return this.demand;
+	}
+
+	synchronized long units() {
+		return this.units;
+	}
+
+	synchronized long requests() {
+		return this.requests;
+	}
+
+	synchronized double p99Millis() {
+		return this.latency.getValueAtPercentile(99) / 1_000.0;
+	}
+
+	synchronized double p50Millis() {
+		return this.latency.getValueAtPercentile(50) / 1_000.0;
+	}
+
+	synchronized Map<String, Long> refusals() {
+		return new TreeMap<>(this.refusals);
+	}
+
+	synchronized long[] servedBySecond() {
+		return Arrays.copyOf(this.servedBySecond, this.servedBySecond.length);
+	}
+
+	synchronized long[] failedBySecond() {
+		return Arrays.copyOf(this.failedBySecond, this.failedBySecond.length);
+	}
+
+}
--- a/bamboorelay-load/src/main/java/org/bamboorelay/load/process/LoadMain.java
+++ b/bamboorelay-load/src/main/java/org/bamboorelay/load/process/LoadMain.java
@@ -48,6 +48,8 @@
 
 	private static final int EXIT_USAGE = 2;
 
+	private static final int WARM_UP_SECONDS = 5;
+
 	private LoadMain() {
 	}
 
@@ -70,6 +72,9 @@
 			.addOption(option("port", "port to listen on"))
 			.addOption(option("target", "address that the bare relay forwards to"))
 			.addOption(option("strip", "prefix of paths that the bare relay cuts off"))
+			.addOption(option("scenario", "file of the scenario"))
+			.addOption(option("half", "policy or baseline"))
+			.addOption(option("directory", "where results go"))
 			.addOption(option("line", "line of weights of the bench endpoint"));
 		try {
 			CommandLine line = new DefaultParser().parse(options, args);
@@ -79,11 +84,14 @@
 				case "put" -> put(line, err);
 				case "quickstart" -> quickstart(line, out, err);
 				case "bench" -> bench(line, out, err);
+				case "run" -> runHalf(line, out, err);
+				case "report" -> report(Path.of(line.getOptionValue("directory", ".")), out, err);
+				case "scenario" -> describe(line, out, err);
 				case "relay" -> listen(line,
 						new BareRelay(line.getOptionValue("target", ""), line.getOptionValue("strip", "")), out);
 				case "endpoint" -> listen(line, new BenchEndpoint(line.getOptionValue("line", "")), out);
 				default -> throw new ParseException("unknown command \"" + command
-						+ "\", allowed: free-ports, put, quickstart, bench, relay, endpoint");
+						+ "\", allowed: free-ports, put, quickstart, bench, relay, endpoint, run, report, scenario");
 			};
 		}
 		catch (ParseException | NumberFormatException ex) {
@@ -161,6 +169,57 @@
 		}
 	}
 
+	private static int runHalf(CommandLine line, PrintStream out, PrintStream err) {
+		Either<SettingsFailure, Scenario> scenario = scenario(line);
+		Either<SettingsFailure, RunSettings> settings = SettingsReader
+			.read(Path.of(line.getOptionValue("settings", "")), RunSettings.class);
+		if (scenario.isLeft() || settings.isLeft()) {
+			err.println("bamboorelay-load: " + (scenario.isLeft() ? scenario.getLeft() : settings.getLeft()).detail());
+			return EXIT_USAGE;
+		}
+		String half = line.getOptionValue("half", "policy");
+		Scenario played = "warm-up".equals(half) ? scenario.get().toWarmUp(WARM_UP_SECONDS) : scenario.get();
+		try (RunSession session = new RunSession(played, settings.get(), half, out)) {
+			List<String> violations = session.run(Path.of(line.getOptionValue("directory", ".")));
+			violations.forEach((violation) -> out.println("violation " + half + " " + violation));
+			return violations.isEmpty() ? 0 : EXIT_FAILED;
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return EXIT_FAILED;
+		}
+	}
+
+	private static int report(Path directory, PrintStream out, PrintStream err) {
+		try {
+			RunReport.write(directory, out);
+			return 0;
+		}
+		catch (IOException ex) {
+			err.println("bamboorelay-load: " + ex.getMessage());
+			return EXIT_FAILED;
+		}
+	}
+
+	// Prints what the script needs of a scenario, as one assignment a line.
+	private static int describe(CommandLine line, PrintStream out, PrintStream err) {
+		Either<SettingsFailure, Scenario> scenario = scenario(line);
+		if (scenario.isLeft()) {
+			err.println("bamboorelay-load: " + scenario.getLeft().detail());
+			return EXIT_USAGE;
+		}
+		out.println("deployment=" + scenario.get().deployment());
+		out.println("cheap_per_domain=" + scenario.get().cheapPerDomain());
+		out.println("cold_start_ms=" + scenario.get().coldStartMs());
+		out.println("ordered=" + scenario.get().ordered());
+		out.println("baseline=" + String.join(",", scenario.get().baseline()));
+		return 0;
+	}
+
+	private static Either<SettingsFailure, Scenario> scenario(CommandLine line) {
+		return SettingsReader.read(Path.of(line.getOptionValue("scenario", "")), Scenario.class);
+	}
+
 	private static int quickstart(CommandLine line, PrintStream out, PrintStream err) {
 		Either<SettingsFailure, QuickstartSettings> settings = SettingsReader
 			.read(Path.of(line.getOptionValue("settings", "")), QuickstartSettings.class);
--- /dev/null
+++ b/bamboorelay-load/src/main/java/org/bamboorelay/load/process/RunReport.java
@@ -0,0 +1,129 @@
+package org.bamboorelay.load.process;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import org.bamboorelay.runtime.request.Json;
+import org.jfree.chart.ChartFactory;
+import org.jfree.chart.ChartUtils;
+import org.jfree.chart.JFreeChart;
+import org.jfree.data.category.DefaultCategoryDataset;
+import org.jfree.data.xy.XYSeries;
+import org.jfree.data.xy.XYSeriesCollection;
+
+/**
+ * Puts the measures of the policy beside those of its baseline: as a table, as CSV and as
+ * charts.
+ * <p>
+ * Used by one thread.
+ */
+public final class RunReport {
+
+	private static final int WIDTH = 900;
+
+	private static final int HEIGHT = 450;
+
+	/** Measures of section 1.3 of the design page, in its order, then the others. */
+	private static final Map<String, List<String>> GROUPS = groups();
+
+	private RunReport() {
+	}
+
+	/**
+	 * Writes the report.
+	 * @param directory where the results of both halves are
+	 * @param out takes the table
+	 * @throws IOException where a file cannot be read or written
+	 */
+	public static void write(Path directory, PrintStream out) throws IOException {
+		JsonNode policy = read(directory.resolve("policy.json"));
+		JsonNode baseline = read(directory.resolve("baseline.json"));
+		List<String> rows = new ArrayList<>(List.of("group,measure,policy,baseline"));
+		GROUPS.forEach((group, measures) -> measures.forEach((measure) -> {
+			if (policy.has(measure) || baseline.has(measure)) {
+				rows.add(group + "," + measure + "," + text(policy.path(measure)) + "," + text(baseline.path(measure)));
+			}
+		}));
+		Files.write(directory.resolve("measures.csv"), rows, StandardCharsets.UTF_8);
+		rows.forEach((row) -> out.println(row.replace(',', '\t')));
+		List<String> seconds = new ArrayList<>(
+				List.of("second,policy_served,policy_failed,baseline_served,baseline_failed"));
+		for (int i = 0; i < policy.path("served_by_second").size(); i++) {
+			seconds.add(i + "," + policy.path("served_by_second").path(i).asLong() + ","
+					+ policy.path("failed_by_second").path(i).asLong() + ","
+					+ baseline.path("served_by_second").path(i).asLong() + ","
+					+ baseline.path("failed_by_second").path(i).asLong());
+		}
+		Files.write(directory.resolve("seconds.csv"), seconds, StandardCharsets.UTF_8);
+		charts(directory, policy, baseline);
+	}
+
+	private static void charts(Path directory, JsonNode policy, JsonNode baseline) throws IOException {
+		XYSeriesCollection lines = new XYSeriesCollection();
+		lines.addSeries(series("policy", policy.path("served_by_second")));
+		lines.addSeries(series("baseline", baseline.path("served_by_second")));
+		save(directory, "service-by-second",
+				ChartFactory.createXYLineChart(policy.path("scenario").asText(), "second", "requests served", lines));
+		for (Map.Entry<String, List<String>> group : GROUPS.entrySet()) {
+			DefaultCategoryDataset bars = new DefaultCategoryDataset();
+			group.getValue().forEach((measure) -> {
+				if (policy.path(measure).isNumber()) {
+					bars.addValue(policy.path(measure).asDouble(), "policy", measure);
+					bars.addValue(baseline.path(measure).asDouble(), "baseline", measure);
+				}
+			});
+			save(directory, group.getKey(), ChartFactory.createBarChart(group.getKey(), "", "", bars));
+		}
+	}
+
+	private static XYSeries series(String name, JsonNode values) {
+		XYSeries series = new XYSeries(name);
+		for (int i = 0; i < values.size(); i++) {
+			series.add(i, values.path(i).asLong());
+		}
+		return series;
+	}
+
+	private static void save(Path directory, String name, JFreeChart chart) throws IOException {
+		ChartUtils.saveChartAsPNG(directory.resolve(name + ".png").toFile(), chart, WIDTH, HEIGHT);
+	}
+
+	private static JsonNode read(Path file) throws IOException {
+		return Json.tree(Files.readAllBytes(file)).getOrElse(MissingNode.getInstance());
+	}
+
+	private static String text(JsonNode value) {
+		return value.isFloatingPointNumber() ? String.format(Locale.ROOT, "%.4f", value.asDouble()) : value.asText();
+	}
+
+	private static Map<String, List<String>> groups() {
+		Map<String, List<String>> groups = new LinkedHashMap<>();
+		groups.put("trainers",
+				List.of("trainer_idle_share", "trainer_steps", "trainer_samples", "staleness_versions_p50",
+						"staleness_versions_p99", "staleness_versions_max", "staleness_seconds_p50",
+						"staleness_seconds_p99", "staleness_seconds_max"));
+		groups.put("worst-workspace", List.of("plain_worst_workspace", "plain_worst_share", "plain_worst_p99_ms",
+				"model_worst_workspace", "model_worst_share", "model_worst_p99_ms"));
+		groups.put("spending", List.of("cost", "cost_of_fixed_fleet", "cost_share_of_fixed_fleet",
+				"cost_per_1000_requests", "mean_endpoints", "caller_requests_served", "caller_tokens"));
+		groups.put("usage-reports", List.of("usage_windows_late", "usage_windows_missing", "usage_figures_wrong",
+				"usage_difference", "usage_plain_reported", "usage_plain_executed_at_endpoints"));
+		groups.put("cheap-endpoints", List.of("streams_finished_since_start", "streams_finished_on_cheap_since_start",
+				"streams_lost_on_cheap_since_start", "streams_resumed_since_start"));
+		groups.put("service", List.of("seconds_of_lower_service", "caller_requests_failed"));
+		groups.put("control",
+				List.of("cores_per_node", "peak_resident_mb_of_a_process", "store_calls_per_node_and_second"));
+		return groups;
+	}
+
+}
--- /dev/null
+++ b/bamboorelay-load/src/main/java/org/bamboorelay/load/process/RunSettings.java
@@ -0,0 +1,51 @@
+package org.bamboorelay.load.process;
+
+import java.util.List;
+
+/**
+ * What runs where, written by the script that started it.
+ * <p>
+ * Immutable and thread-safe.
+ *
+ * @param entryAddresses {@code ip:port} of each entry host
+ * @param objectApiAddress the object API
+ * @param orderingAddress the ordering interface
+ * @param usageIntakeAddress the usage intake
+ * @param hostListAddress the host list
+ * @param weightStoreAddress the weight store
+ * @param modelService the model service
+ * @param plainService the plain service
+ * @param pids process ids of the entry and control processes
+ * @param windowMs length of a usage window, in milliseconds
+ * @param graceMs time after a window until its figures are frozen, in milliseconds
+ * @param workspaces the workspaces
+ * @param endpoints the endpoints
+ */
+public record RunSettings(List<String> entryAddresses, String objectApiAddress, String orderingAddress,
+		String usageIntakeAddress, String hostListAddress, String weightStoreAddress, String modelService,
+		String plainService, List<String> pids, int windowMs, int graceMs, List<Workspace> workspaces,
+		List<Endpoint> endpoints) {
+
+	/**
+	 * A workspace.
+	 *
+	 * @param name its name
+	 * @param weight its weight
+	 * @param key a key of it
+	 */
+	public record Workspace(String name, int weight, String key) {
+	}
+
+	/**
+	 * An endpoint.
+	 *
+	 * @param name its name
+	 * @param domain its failure domain
+	 * @param address {@code ip:port}
+	 * @param model whether it is a model engine
+	 * @param cheap whether it is cheap
+	 */
+	public record Endpoint(String name, String domain, String address, boolean model, boolean cheap) {
+	}
+
+}
--- a/bamboorelay-load/src/main/java/org/bamboorelay/load/request/Bench.java
+++ b/bamboorelay-load/src/main/java/org/bamboorelay/load/request/Bench.java
@@ -28,6 +28,9 @@
 
 	private static final int READ_TIMEOUT_MILLIS = 30_000;
 
+	/** Load before anything is measured, in seconds, so that the JIT compiler is done. */
+	private static final double WARM_UP_SECONDS = 8;
+
 	/** Threads of the open loop; the rates below half of the peak need far fewer. */
 	private static final int OPEN_THREADS = 64;
 
@@ -59,8 +62,8 @@
 				new Target("entry", this.settings.entryAddress(), this.settings.entryPid()));
 		double seconds = this.settings.seconds();
 		for (Target target : targets) {
-			new LoadRun(this.settings.connections(), (index) -> plain(target)).closed(seconds);
-			new LoadRun(this.settings.streams(), (index) -> stream(target)).closed(seconds / 2);
+			new LoadRun(this.settings.connections(), (index) -> plain(target)).closed(WARM_UP_SECONDS);
+			new LoadRun(this.settings.streams(), (index) -> stream(target)).closed(WARM_UP_SECONDS);
 		}
 		Map<String, Double> peaks = new LinkedHashMap<>();
 		Map<String, Double> tokens = new LinkedHashMap<>();
--- a/bin/lib/deployment.sh
+++ b/bin/lib/deployment.sh
@@ -35,10 +35,21 @@
 	return 1
 }
 
+# Sends a PUT without starting a JVM for it. Arguments: address, path, JSON.
+put_json() {
+	local line
+	exec 9<>"/dev/tcp/${1%:*}/${1##*:}" || return 1
+	printf 'PUT %s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s' \
+		"$2" "$1" "${#3}" "$3" >&9
+	IFS= read -r line <&9
+	exec 9>&-
+	[[ "$line" == "HTTP/1.1 200"* ]] || { echo "PUT $2: $line" >&2; return 1; }
+}
+
 # Puts an endpoint on the host list. Arguments: endpoint, address, domain, service, kind.
 register() {
-	"$bin/bamboorelay-load" put --address "$host_list" --path "/hosts/$1" \
-		--body "{\"address\":\"$2\",\"domain\":\"$3\",\"service\":\"$4\",\"kind\":\"$5\",\"state\":\"live\"}"
+	put_json "$host_list" "/hosts/$1" \
+		"{\"address\":\"$2\",\"domain\":\"$3\",\"service\":\"$4\",\"kind\":\"$5\",\"state\":\"live\"}"
 }
 
 # Starts the platform and sets the addresses of its interfaces.
@@ -50,3 +61,89 @@
 	host_list="127.0.0.1:$(port_of platform host-list)"
 	weight_store="127.0.0.1:$(port_of platform weight-store)"
 }
+
+# Sets the names of a deployment. Argument: its name.
+deployment_names() {
+	case "$1" in
+		parcela-viva)
+			domains="gt-centro-a gt-centro-b gt-centro-c"; prefix=gt-centro
+			model=modelo-huerto; model_places="a a b b c c"
+			plain=cuotas-app; plain_places="a b c"; lines=cartas,avisos ;;
+		vatuwaqa)
+			domains="suva-a suva-b suva-c"; prefix=suva
+			model=wording-servers; model_places="a a a b b b c c"
+			plain=ledger-api; plain_places="a a b c"; lines=wording,grades ;;
+		*) echo "unknown deployment \"$1\", allowed: parcela-viva, vatuwaqa" >&2; return 1 ;;
+	esac
+}
+
+operator() { "$bin/bamboorelay" --settings "$work/operator.toml" "$@"; }
+
+# Writes the settings of all hosts with free ports, applies the configuration and starts the entry and control
+# processes. Sets entries (a TOML list of HTTP addresses) and node_pids. The usage window is shortened to 2 s.
+start_entries() {
+	local token=scenario-operator ports i=0 k index domain http peer name domain_peers peers=""
+	mapfile -t ports < <("$bin/bamboorelay-load" free-ports --count 18)
+	cp "$home/config/$deployment/inventory.toml" "$work/inventory.toml"
+	sed -e 's/^window = .*/window = "2s"/' -e 's/^grace = .*/grace = "1s"/' "$home/config/$deployment/rules.toml" \
+		>"$work/rules.toml"
+	entries=""; node_pids=""
+	for domain in $domains; do
+		for k in 1 2; do
+			http="127.0.0.1:${ports[$i]}"; peer="127.0.0.1:${ports[$((i + 6))]}"
+			awk -v host="$domain-entry-$k" -v http="$http" -v peer="$peer" '
+				/^name = / { current = $3; gsub(/"/, "", current) }
+				/^http_address = / && current == host { print "http_address = \"" http "\""; next }
+				/^peer_address = / && current == host { print "peer_address = \"" peer "\""; next }
+				{ print }' "$work/inventory.toml" >"$work/inventory.new" && mv "$work/inventory.new" "$work/inventory.toml"
+			entries="$entries, \"$http\""; peers="$peers, \"$peer\""
+			i=$((i + 1))
+		done
+	done
+	entries="[${entries#, }]"; peers="[${peers#, }]"
+	cat >"$work/operator.toml" <<END
+object_api_address = "$store"
+entry_addresses = $entries
+operator_token = "$token"
+END
+	operator apply "$work/inventory.toml" "$work/rules.toml" || return 1
+	i=0
+	for domain in $domains; do
+		domain_peers=""
+		for k in 1 2; do
+			index=$((i + k - 1))
+			domain_peers="$domain_peers, \"127.0.0.1:${ports[$((index + 6))]}\""
+		done
+		for k in 1 2; do
+			name="$domain-entry-$k"
+			cat >"$work/$name.toml" <<END
+deployment = "$deployment"
+host = "$name"
+failure_domain = "$domain"
+http_address = "127.0.0.1:${ports[$i]}"
+peer_address = "127.0.0.1:${ports[$((i + 6))]}"
+object_api_address = "$store"
+operator_token = "$token"
+leave_delay = "500ms"
+peer_addresses = $peers
+END
+			cat >"$work/$name-control.toml" <<END
+deployment = "$deployment"
+host = "$name"
+failure_domain = "$domain"
+http_address = "127.0.0.1:${ports[$((i + 12))]}"
+object_api_address = "$store"
+ordering_address = "$ordering"
+usage_intake_address = "$intake"
+host_list_address = "$host_list"
+weight_store_rate = 20
+entry_addresses = [${domain_peers#, }]
+END
+			start "$name" "$bin/bamboorelay-entry" --settings "$work/$name.toml"
+			node_pids="$node_pids, \"$last_pid\""
+			start "$name-control" "$bin/bamboorelay-control" --settings "$work/$name-control.toml"
+			node_pids="$node_pids, \"$last_pid\""
+			i=$((i + 1))
+		done
+	done
+}
