End exchanges with silent engines on withdrawal, cancel and close

Cause: closing an entry process closed only idle connections, so a stream of a silent engine held its thread and its credit until the read timeout of 30 s. EngineClient.stream could be stopped only by an event, so a sample of a silent engine outlived its key, and RunningStreams knew a stream only after the head of the engine's answer. Change: the connection pool keeps its leased connections and closes them. EngineClient.Listener.onOpen hands out an abort before the request is sent; SampleRun runs it on cancel. Completions register with RunningStreams before the request is sent. An abort after the end of a stream does nothing, since the connection may then carry another exchange. A request whose key was withdrawn before the first event is cancelled at the engine. The new tests fail on scratch copies without: closing of the leased connections, abort on cancel, abort handed out before the request, and registration before the head. With them each ends within its bound of 5 s. Conclusion: shutdown no longer waits for an engine.

--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/connection/EngineClient.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/connection/EngineClient.java
@@ -75,6 +75,14 @@
 		 */
 		boolean onEvent(EngineEvent event);
 
+		/**
+		 * Takes a task that ends the stream from any thread, even while the engine is
+		 * silent. Called before the request is sent, on the calling thread.
+		 * @param abort ends the stream as cancelled; does nothing once it has ended
+		 */
+		default void onOpen(Runnable abort) {
+		}
+
 	}
 
 }
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/connection/EngineStream.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/connection/EngineStream.java
@@ -21,7 +21,7 @@
  * the stream counts as whole only after its last event, {@code [DONE]} and the end of the
  * HTTP framing.
  * <p>
- * Used by one thread at a time; {@link #abort()} may be called by any thread.
+ * Used by one thread at a time; {@link StreamAbort} ends it from any other thread.
  */
 public final class EngineStream implements AutoCloseable {
 
@@ -146,13 +146,6 @@
 		return false;
 	}
 
-	/**
-	 * Closes the connection at once; a waiting {@link #next()} fails.
-	 */
-	public void abort() {
-		this.exchange.abort();
-	}
-
 	@Override
 	public void close() {
 		this.exchange.close();
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/connection/HttpEngineClient.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/connection/HttpEngineClient.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.Executor;
+import java.util.function.Consumer;
 
 import io.vavr.control.Either;
 import io.vavr.control.Option;
@@ -58,39 +59,63 @@
 
 	@Override
 	public Either<EngineFailure, Finish> stream(String address, EngineRequest request, Listener listener) {
-		Either<EngineFailure, EngineStream> opened = open(address, request);
+		StreamAbort abort = new StreamAbort();
+		Either<EngineFailure, EngineStream> opened = open(address, request, (task) -> {
+			abort.start(task);
+			listener.onOpen(abort::abort);
+		});
 		if (opened.isLeft()) {
-			return Either.left(opened.getLeft());
+			return abort.isAborted() ? cancelled(address, request, 0, 0) : Either.left(opened.getLeft());
 		}
 		try (EngineStream stream = opened.get()) {
-			while (true) {
-				Either<EngineFailure, Option<EngineEvent>> event = stream.next();
-				if (event.isLeft()) {
-					return Either.left(event.getLeft());
-				}
-				if (event.get().isEmpty()) {
-					return Either.right(stream.end());
-				}
-				if (!listener.onEvent(event.get().get())) {
-					cancel(address, request.requestId());
-					return Either.right(new Finish("cancelled", stream.tokens(), stream.firstByteMillis()));
-				}
+			try {
+				return read(address, request, listener, stream, abort);
+			}
+			finally {
+				abort.end();
+			}
+		}
+	}
+
+	private Either<EngineFailure, Finish> read(String address, EngineRequest request, Listener listener,
+			EngineStream stream, StreamAbort abort) {
+		while (true) {
+			Either<EngineFailure, Option<EngineEvent>> event = stream.next();
+			if (event.isLeft()) {
+				return abort.isAborted() ? cancelled(address, request, stream.tokens(), stream.firstByteMillis())
+						: Either.left(event.getLeft());
+			}
+			if (event.get().isEmpty()) {
+				return Either.right(stream.end());
+			}
+			if (!listener.onEvent(event.get().get())) {
+				return cancelled(address, request, stream.tokens(), stream.firstByteMillis());
 			}
 		}
 	}
 
+	private Either<EngineFailure, Finish> cancelled(String address, EngineRequest request, long tokens,
+			long firstByteMillis) {
+		cancel(address, request.requestId());
+		return Either.right(new Finish("cancelled", tokens, firstByteMillis));
+	}
+
 	/**
 	 * Sends a request.
 	 * @param address {@code ip:port} of the engine
 	 * @param request the request
+	 * @param onConnected takes, before the request is sent, a task that closes the
+	 * connection at once; the task must not be run after the stream was closed
 	 * @return the stream, which the caller closes, or how the request failed
 	 */
-	public Either<EngineFailure, EngineStream> open(String address, EngineRequest request) {
+	public Either<EngineFailure, EngineStream> open(String address, EngineRequest request,
+			Consumer<Runnable> onConnected) {
 		long started = System.nanoTime();
 		ClassicHttpRequest message = new BasicClassicHttpRequest("POST", "/v1/completions");
 		message.setHeader(REQUEST_ID_HEADER, request.requestId());
 		message.setEntity(new ByteArrayEntity(Json.bytes(body(request)), ContentType.APPLICATION_JSON));
-		Either<HttpFailure, HttpExchange> result = this.pool.execute(address, message, true, READ_TIMEOUT_MILLIS);
+		Either<HttpFailure, HttpExchange> result = this.pool.execute(address, message, true, READ_TIMEOUT_MILLIS,
+				onConnected);
 		if (result.isLeft()) {
 			return Either.left(failure(result.getLeft()));
 		}
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/CompletionRoute.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/CompletionRoute.java
@@ -30,6 +30,7 @@
 import org.bamboorelay.entry.connection.EngineFailure;
 import org.bamboorelay.entry.connection.EngineStream;
 import org.bamboorelay.entry.connection.HttpEngineClient;
+import org.bamboorelay.entry.connection.StreamAbort;
 import org.bamboorelay.entry.process.UsageMeter;
 import org.bamboorelay.entry.version.LiveConfiguration;
 import org.bamboorelay.runtime.connection.HttpListener.Responder;
@@ -244,6 +245,9 @@
 			this.mayHaveRun |= !notRun;
 			this.excluded.add(attempt.credit.endpoint());
 			if (!this.request.stillAllowed().getAsBoolean()) {
+				if (!notRun) {
+					attempt.cancelAtEngine();
+				}
 				return truthful(withdrawn());
 			}
 			if (failure instanceof EngineFailure.Refused refused
@@ -406,6 +410,8 @@
 
 		private final CallerRequest request;
 
+		private final StreamAbort abort = new StreamAbort();
+
 		private @Nullable EngineStream stream;
 
 		private RunningStreams.@Nullable Running entry;
@@ -422,14 +428,16 @@
 
 		private Either<EngineFailure, Boolean> start() {
 			Either<EngineFailure, EngineStream> opened = CompletionRoute.this.engines.open(this.credit.address(),
-					this.engineRequest);
+					this.engineRequest, (task) -> {
+						this.abort.start(task);
+						this.entry = CompletionRoute.this.running.add(this.abort, this.request.stillAllowed());
+					});
 			if (opened.isLeft()) {
 				this.credit.end((opened.getLeft() instanceof EngineFailure.Refused) ? Credit.Outcome.REFUSED
 						: Credit.Outcome.FAILED, 0, 0);
 				return Either.left(opened.getLeft());
 			}
 			this.stream = opened.get();
-			this.entry = CompletionRoute.this.running.add(this.stream, this.request.stillAllowed());
 			this.first = this.stream.next();
 			return this.first.map((event) -> true);
 		}
@@ -457,6 +465,10 @@
 
 		private void cancel(Credit.Outcome outcome) {
 			endCredit(outcome, opened().firstByteMillis(), opened().tokens());
+			cancelAtEngine();
+		}
+
+		private void cancelAtEngine() {
 			CompletionRoute.this.engines.cancel(this.credit.address(), this.engineRequest.requestId());
 		}
 
@@ -480,6 +492,7 @@
 			if (this.entry != null) {
 				CompletionRoute.this.running.remove(this.entry);
 			}
+			this.abort.end();
 			if (this.stream != null) {
 				this.stream.close();
 				fail();
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/RunningStreams.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/RunningStreams.java
@@ -4,7 +4,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BooleanSupplier;
 
-import org.bamboorelay.entry.connection.EngineStream;
+import org.bamboorelay.entry.connection.StreamAbort;
 
 /**
  * The streams that run at this host, so that those of a withdrawn key are stopped even
@@ -16,8 +16,8 @@
 
 	private final Set<Running> running = ConcurrentHashMap.newKeySet();
 
-	Running add(EngineStream stream, BooleanSupplier stillAllowed) {
-		Running entry = new Running(stream, stillAllowed);
+	Running add(StreamAbort abort, BooleanSupplier stillAllowed) {
+		Running entry = new Running(abort, stillAllowed);
 		this.running.add(entry);
 		return entry;
 	}
@@ -32,12 +32,12 @@
 	public void stopWithdrawn() {
 		this.running.forEach((entry) -> {
 			if (!entry.stillAllowed().getAsBoolean()) {
-				entry.stream().abort();
+				entry.abort().abort();
 			}
 		});
 	}
 
-	record Running(EngineStream stream, BooleanSupplier stillAllowed) {
+	record Running(StreamAbort abort, BooleanSupplier stillAllowed) {
 
 		// Two streams are never equal, so identity is enough.
 		@Override
@@ -47,7 +47,7 @@
 
 		@Override
 		public int hashCode() {
-			return System.identityHashCode(this.stream);
+			return System.identityHashCode(this.abort);
 		}
 
 	}
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/SampleRun.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/SampleRun.java
@@ -18,6 +18,8 @@
 
 	private SampleLabel.@Nullable BadLabel badLabel;
 
+	private @Nullable Runnable abort;
+
 	private boolean cancelled;
 
 	SampleRun(SampleLabel label, String text) {
@@ -51,6 +53,20 @@
 
 	synchronized void cancel() {
 		this.cancelled = true;
+		if (this.abort != null) {
+			this.abort.run();
+		}
+	}
+
+	/**
+	 * Notes how the stream is ended, and ends it where the run was cancelled before.
+	 * @param task ends the stream from any thread
+	 */
+	synchronized void opened(Runnable task) {
+		this.abort = task;
+		if (this.cancelled) {
+			task.run();
+		}
 	}
 
 	/**
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/StepRunner.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/StepRunner.java
@@ -461,7 +461,7 @@
 		on(new StepState.Event.Started(attempt, endpoint, this.parts.clock().millis()));
 		on(new StepState.Event.Labelled(attempt, before.oldest()));
 		Either<EngineFailure, EngineClient.Finish> finish = this.parts.engines()
-			.stream(credit.get().address(), engineRequest(start, run, prompt), (event) -> take(event, attempt, run));
+			.stream(credit.get().address(), engineRequest(start, run, prompt), new SampleListener(attempt, run));
 		long tokens = run.label().tokens() - before.tokens();
 		Credit.Outcome outcome = outcome(finish, run);
 		credit.get().end(outcome, finish.map(EngineClient.Finish::firstByteMillis).getOrElse(0L), tokens);
@@ -561,4 +561,27 @@
 		return "delivery/" + trainer + "/" + step + "/" + seq;
 	}
 
+	private final class SampleListener implements EngineClient.Listener {
+
+		private final long attempt;
+
+		private final SampleRun run;
+
+		private SampleListener(long attempt, SampleRun run) {
+			this.attempt = attempt;
+			this.run = run;
+		}
+
+		@Override
+		public boolean onEvent(EngineClient.EngineEvent event) {
+			return take(event, this.attempt, this.run);
+		}
+
+		@Override
+		public void onOpen(Runnable abort) {
+			this.run.opened(abort);
+		}
+
+	}
+
 }
--- a/bamboorelay-entry/src/test/java/org/bamboorelay/entry/connection/EngineStreamTests.java
+++ b/bamboorelay-entry/src/test/java/org/bamboorelay/entry/connection/EngineStreamTests.java
@@ -3,12 +3,19 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 
 import io.vavr.control.Either;
 import org.bamboorelay.core.version.ServiceId;
 import org.bamboorelay.runtime.connection.HttpConnectionPool;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -80,6 +87,46 @@
 		}
 	}
 
+	/**
+	 * Guards against a stream that cannot be stopped while its engine sends nothing,
+	 * neither the head of its answer nor, later, an event.
+	 */
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	@Timeout(20)
+	void silentEngineIsCancelledAtOnce(boolean beforeTheHead) throws Exception {
+		CountDownLatch end = new CountDownLatch(1);
+		CountDownLatch reached = new CountDownLatch(1);
+		try (RawEndpoint engine = new RawEndpoint(new SilentEngine(beforeTheHead, reached, end));
+				HttpConnectionPool pool = new HttpConnectionPool()) {
+			List<Runnable> cancellations = new CopyOnWriteArrayList<>();
+			HttpEngineClient client = HttpEngineClient.of(pool, cancellations::add);
+			AtomicReference<Runnable> abort = new AtomicReference<>();
+			CompletableFuture<Either<EngineFailure, EngineClient.Finish>> result = CompletableFuture
+				.supplyAsync(() -> client.stream(engine.address(), request(), new EngineClient.Listener() {
+
+					@Override
+					public boolean onEvent(EngineClient.EngineEvent event) {
+						reached.countDown();
+						return true;
+					}
+
+					@Override
+					public void onOpen(Runnable task) {
+						abort.set(task);
+					}
+
+				}));
+			assertThat(reached.await(10, TimeUnit.SECONDS)).isTrue();
+			abort.get().run();
+			assertThat(result.get(5, TimeUnit.SECONDS).get().reason()).isEqualTo("cancelled");
+			assertThat(cancellations).hasSize(1);
+		}
+		finally {
+			end.countDown();
+		}
+	}
+
 	private Either<EngineFailure, EngineClient.Finish> run(String body, boolean whole) throws IOException {
 		return run((request, count) -> RawEndpoint.stream(request, body, whole));
 	}
@@ -108,4 +155,29 @@
 		return "data: {\"id\":\"" + id + "\",\"index\":" + index + ",\"text\":\" t\",\"tokens\":2" + more + "}\n\n";
 	}
 
+	private record SilentEngine(boolean beforeTheHead, CountDownLatch reached,
+			CountDownLatch end) implements RawEndpoint.Answers {
+
+		@Override
+		public String answer(HttpText request, int count) {
+			if (this.beforeTheHead) {
+				this.reached.countDown();
+				afterCut();
+				return null;
+			}
+			return RawEndpoint.stream(request, FIRST, false);
+		}
+
+		@Override
+		public void afterCut() {
+			try {
+				this.end.await();
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+			}
+		}
+
+	}
+
 }
--- a/bamboorelay-entry/src/test/java/org/bamboorelay/entry/process/EntryProcessTests.java
+++ b/bamboorelay-entry/src/test/java/org/bamboorelay/entry/process/EntryProcessTests.java
@@ -308,6 +308,61 @@
 		}
 	}
 
+	/**
+	 * Guards against a key that works on because the engine has not even answered.
+	 */
+	@Test
+	void withdrawnKeyStopsARequestThatItsEngineHasNotAnswered() throws IOException {
+		CountDownLatch reached = new CountDownLatch(1);
+		CountDownLatch end = new CountDownLatch(1);
+		try (RawEndpoint engine = new RawEndpoint((request, count) -> {
+			if (count == 1) {
+				reached.countDown();
+				await(end);
+			}
+			return RawEndpoint.ok(request, "200 OK", "");
+		}); TestEntry entry = TestEntry.with(engine.address()); Socket caller = entry.connect()) {
+			caller.getOutputStream().write(completion(COMPLETION).getBytes(StandardCharsets.US_ASCII));
+			await(reached);
+			long start = System.nanoTime();
+			entry.process().mesh().withdraw(List.of(KeyHash.ofKey(TestEntry.KEY_NORTE)));
+			HttpText answer = HttpText.read(caller.getInputStream());
+			assertThat(Duration.ofNanos(System.nanoTime() - start)).isLessThan(Duration.ofSeconds(5));
+			assertThat(answer.body()).contains("\"reason\":\"withdrawn-key\"", "\"run\":\"unknown\"");
+		}
+		finally {
+			end.countDown();
+		}
+	}
+
+	/**
+	 * Guards against a process that goes on for the length of the read timeout because an
+	 * engine is silent.
+	 */
+	@Test
+	void closeEndsAStreamOfASilentEngine() throws Exception {
+		CountDownLatch end = new CountDownLatch(1);
+		try (RawEndpoint engine = new RawEndpoint(new SilentAfterFirst(end));
+				TestEntry entry = TestEntry.with(engine.address());
+				Socket caller = entry.connect()) {
+			caller.getOutputStream().write(completion(COMPLETION).getBytes(StandardCharsets.US_ASCII));
+			StringBuilder seen = new StringBuilder();
+			while (seen.indexOf(" uno") < 0) {
+				seen.append((char) caller.getInputStream().read());
+			}
+			long start = System.nanoTime();
+			entry.process().close();
+			while (entry.outcomes().isEmpty()) {
+				assertThat(Duration.ofNanos(System.nanoTime() - start)).isLessThan(Duration.ofSeconds(5));
+				Thread.onSpinWait();
+			}
+			assertThat(entry.outcomes()).containsExactly(Credit.Outcome.FAILED);
+		}
+		finally {
+			end.countDown();
+		}
+	}
+
 	@Test
 	void leavingProcessFinishesItsRequests() throws Exception {
 		CountDownLatch reached = new CountDownLatch(1);
--- a/bamboorelay-entry/src/test/java/org/bamboorelay/entry/request/RolloutRoutesTests.java
+++ b/bamboorelay-entry/src/test/java/org/bamboorelay/entry/request/RolloutRoutesTests.java
@@ -161,13 +161,16 @@
 	@Test
 	void stragglerIsResumedElsewhereAndTheLoserCancelled() {
 		List<Boolean> goOn = new ArrayList<>();
+		List<String> aborted = new ArrayList<>();
 		this.world.scripts.put("engine-1", (request, listener) -> {
+			listener.onOpen(() -> aborted.add(request.requestId()));
 			this.world.clock.advance(10);
 			listener.onEvent(RolloutWorld.event(0, "cartas@1"));
 			if (this.world.streams.size() == 5) {
 				this.world.clock.advance(25);
 				this.a.routes.tick();
 				this.world.runTasks();
+				assertThat(aborted).containsExactly(request.requestId());
 				goOn.add(listener.onEvent(RolloutWorld.event(1, "cartas@1")));
 			}
 			return Either.right(new Finish("stop", 1, 1));
@@ -364,6 +367,25 @@
 		assertThat(fetch(this.a, 0, 9).slots()).hasSize(2);
 	}
 
+	/**
+	 * Guards against a sample that goes on after its key was withdrawn because its engine
+	 * sends no event that could be refused.
+	 */
+	@Test
+	void withdrawnKeyStopsASampleOfASilentEngine() {
+		List<String> ended = new ArrayList<>();
+		this.world.scripts.put("engine-1", (request, listener) -> {
+			listener.onOpen(() -> ended.add(request.requestId()));
+			this.world.keyWorks = false;
+			this.a.routes.tick();
+			assertThat(ended).containsExactly(request.requestId());
+			return Either.right(new Finish("cancelled", 0, 0));
+		});
+		start(1, 2);
+		assertThat(ended).hasSize(1);
+		assertThat(this.world.streams).hasSize(1);
+	}
+
 	private void start(int prompts, int samples) {
 		assertThat(this.a.post(TRAINER, 1, RolloutWorld.step(prompts, samples)).status()).isEqualTo(202);
 		this.world.runTasks();
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpConnectionPool.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpConnectionPool.java
@@ -6,7 +6,9 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
 
 import io.vavr.control.Either;
 import org.apache.hc.core5.http.ClassicHttpRequest;
@@ -59,6 +61,9 @@
 		.setMaxHeaderCount(HttpLimits.MAX_HEADERS)
 		.build();
 
+	/** Connections that carry an exchange, so that closing the pool ends them. */
+	private final Set<DefaultBHttpClientConnection> leased = ConcurrentHashMap.newKeySet();
+
 	private volatile boolean closed;
 
 	/**
@@ -73,6 +78,25 @@
 	 */
 	public Either<HttpFailure, HttpExchange> execute(String address, ClassicHttpRequest request, boolean reuse,
 			int readTimeoutMillis) {
+		return execute(address, request, reuse, readTimeoutMillis, (abort) -> {
+		});
+	}
+
+	/**
+	 * Sends a request that another thread may abort, and waits for the head of the
+	 * answer.
+	 * @param address {@code ip:port}
+	 * @param request the request; a body must be repeatable only for the caller's sake
+	 * @param reuse whether an idle connection may be used; false for requests that must
+	 * not be sent twice
+	 * @param readTimeoutMillis the longest pause between two bytes of the answer, in
+	 * milliseconds
+	 * @param onConnected takes, before the request is sent, a task that closes the
+	 * connection at once; the task must not be run after the exchange was closed
+	 * @return the exchange, which the caller closes
+	 */
+	public Either<HttpFailure, HttpExchange> execute(String address, ClassicHttpRequest request, boolean reuse,
+			int readTimeoutMillis, Consumer<Runnable> onConnected) {
 		DefaultBHttpClientConnection connection = reuse ? takeIdle(address) : null;
 		if (connection == null) {
 			try {
@@ -82,6 +106,13 @@
 				return Either.left(new HttpFailure.NotSent("cannot connect to " + address + ": " + ex.getMessage()));
 			}
 		}
+		DefaultBHttpClientConnection used = connection;
+		this.leased.add(connection);
+		if (this.closed) {
+			drop(connection);
+			return Either.left(new HttpFailure.NotSent("the connections of this process are closed"));
+		}
+		onConnected.accept(() -> used.close(CloseMode.IMMEDIATE));
 		try {
 			connection.setSocketTimeout(Timeout.ofMilliseconds(readTimeoutMillis));
 			HttpCoreContext context = HttpCoreContext.create();
@@ -92,14 +123,18 @@
 			return Either.right(new HttpExchange(this, address, connection, response, keep));
 		}
 		catch (IOException | HttpException | RuntimeException ex) {
-			connection.close(CloseMode.IMMEDIATE);
+			drop(connection);
 			return Either.left(new HttpFailure.Broken("exchange with " + address + " broke: " + ex));
 		}
 	}
 
+	/**
+	 * Closes all connections. Exchanges that run fail at once.
+	 */
 	@Override
 	public void close() {
 		this.closed = true;
+		this.leased.forEach((connection) -> connection.close(CloseMode.IMMEDIATE));
 		this.idle.values().forEach((shard) -> {
 			synchronized (shard) {
 				shard.forEach((entry) -> entry.connection().close(CloseMode.IMMEDIATE));
@@ -108,7 +143,13 @@
 		});
 	}
 
+	void drop(DefaultBHttpClientConnection connection) {
+		this.leased.remove(connection);
+		connection.close(CloseMode.IMMEDIATE);
+	}
+
 	void release(String address, DefaultBHttpClientConnection connection) {
+		this.leased.remove(connection);
 		Deque<Idle> shard = shard(address);
 		synchronized (shard) {
 			if (!this.closed && shard.size() < MAX_IDLE_PER_ADDRESS) {
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpExchange.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpExchange.java
@@ -109,7 +109,7 @@
 			this.pool.release(this.address, this.connection);
 		}
 		else {
-			this.connection.close(CloseMode.IMMEDIATE);
+			this.pool.drop(this.connection);
 		}
 	}
 
