--- /dev/null
+++ b/bamboorelay-control/src/test/java/org/bamboorelay/control/process/EndpointDirectoryTests.java
@@ -0,0 +1,197 @@
+package org.bamboorelay.control.process;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.HttpException;
+import org.bamboorelay.control.connection.EntryLinks;
+import org.bamboorelay.control.connection.PlatformClient;
+import org.bamboorelay.control.version.ControlSettings;
+import org.bamboorelay.core.connection.PeerMessage;
+import org.bamboorelay.core.connection.PeerProtocol;
+import org.bamboorelay.core.store.ObjectStore;
+import org.bamboorelay.core.store.StoreFailure;
+import org.bamboorelay.core.store.StoredObject;
+import org.bamboorelay.core.version.EndpointId;
+import org.bamboorelay.core.version.FailureDomain;
+import org.bamboorelay.core.version.HostId;
+import org.bamboorelay.runtime.connection.HttpConnectionPool;
+import org.bamboorelay.runtime.connection.HttpListener;
+import org.bamboorelay.runtime.process.Counters;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against new work for a leaving endpoint: each sign that it leaves must be enough
+ * alone, since lists lag and an endpoint may say nothing.
+ */
+@Timeout(30)
+class EndpointDirectoryTests {
+
+	private static final FailureDomain DOMAIN = FailureDomain.of("gt-centro-a");
+
+	private static final EndpointId ENDPOINT = EndpointId.of("e1");
+
+	private final HttpConnectionPool pool = new HttpConnectionPool();
+
+	private final Map<String, String> answers = new TreeMap<>();
+
+	private final OneObjectStore store = new OneObjectStore();
+
+	private HttpListener platform;
+
+	private EndpointDirectory directory;
+
+	@BeforeEach
+	void open() throws IOException {
+		this.platform = HttpListener.open("127.0.0.1", 0, this::answer, (ex) -> {
+		});
+		String address = "127.0.0.1:" + this.platform.port();
+		ControlSettings settings = new ControlSettings("huerto", HostId.of("control-1"), DOMAIN, address, address,
+				address, address, 1, List.of(), address);
+		EntryLinks links = new EntryLinks(
+				new PeerMessage.Hello(PeerProtocol.MAGIC, "huerto", settings.host(), DOMAIN, "control", "incarnation"),
+				Runnable::run);
+		this.directory = new EndpointDirectory(new ControlContext(settings, "incarnation", this.store,
+				PlatformClient.of(this.pool), links, Counters.create(), Runnable::run));
+		hosts("live");
+		orders("live");
+		load(false);
+	}
+
+	@AfterEach
+	void close() {
+		this.platform.close();
+		this.pool.close();
+	}
+
+	@Test
+	void endpointWithoutASignTakesWork() {
+		this.directory.run();
+		this.directory.readStore();
+		this.directory.run();
+		assertThat(isLeaving()).isFalse();
+	}
+
+	@Test
+	void hostListAloneIsEnough() {
+		hosts("leaving");
+		this.directory.run();
+		assertThat(isLeaving()).isTrue();
+	}
+
+	@Test
+	void ownSignAloneIsEnough() {
+		load(true);
+		this.directory.run();
+		assertThat(isLeaving()).isTrue();
+	}
+
+	@Test
+	void ownStopOrderAloneIsEnough() {
+		this.directory.run();
+		this.directory.onStopOrdered(ENDPOINT);
+		this.directory.run();
+		assertThat(isLeaving()).isTrue();
+	}
+
+	@Test
+	void stopOrderOfAnotherHolderAloneIsEnough() {
+		this.store.body = "{\"token\":\"t\",\"fencing\":1,\"open\":[{\"order_id\":\"a-1-1\",\"action\":\"stop\","
+				+ "\"service\":\"cuotas-app\",\"domain\":\"gt-centro-a\",\"kind\":\"steady\",\"endpoint\":\"e1\"}],"
+				+ "\"shortages\":[]}";
+		this.directory.readStore();
+		this.directory.run();
+		assertThat(isLeaving()).isTrue();
+	}
+
+	@Test
+	void orderingListAloneIsEnough() {
+		orders("stopping");
+		this.directory.run();
+		assertThat(isLeaving()).isTrue();
+	}
+
+	@Test
+	void endpointThatTheOrderingListDroppedIsLeavingWhileTheHostListLags() {
+		this.directory.run();
+		this.answers.put("/endpoints", "[]");
+		this.directory.run();
+		assertThat(isLeaving()).isTrue();
+	}
+
+	private boolean isLeaving() {
+		assertThat(this.directory.endpoints()).hasSize(1);
+		return this.directory.endpoints().get(0).info().leaving();
+	}
+
+	private void hosts(String state) {
+		this.answers.put("/hosts", "[" + endpoint(state) + "]");
+	}
+
+	private void orders(String state) {
+		this.answers.put("/endpoints", "[" + endpoint(state) + "]");
+	}
+
+	private void load(boolean leaving) {
+		this.answers.put("/load",
+				"{\"incarnation\":\"one\",\"warm\":true,\"running\":0,\"waiting\":0,\"capacity\":4,\"leaving\":"
+						+ leaving + ",\"weight_versions\":{},\"at_ms\":1}");
+	}
+
+	private String endpoint(String state) {
+		return "{\"endpoint\":\"e1\",\"address\":\"127.0.0.1:" + this.platform.port()
+				+ "\",\"domain\":\"gt-centro-a\",\"service\":\"cuotas-app\",\"kind\":\"steady\",\"state\":\"" + state
+				+ "\"}";
+	}
+
+	private void answer(ClassicHttpRequest request, HttpListener.Responder responder)
+			throws HttpException, IOException {
+		String path = request.getPath().replaceAll("\\?.*", "");
+		responder.send(200, "application/json", this.answers.get(path));
+	}
+
+	/** Holds the order log only. */
+	private static final class OneObjectStore implements ObjectStore {
+
+		private String body = "";
+
+		@Override
+		public Either<StoreFailure, Option<StoredObject>> read(String key) {
+			return Either.right(this.body.isEmpty() ? Option.none()
+					: Option.some(new StoredObject(key, 1, this.body.getBytes(StandardCharsets.UTF_8))));
+		}
+
+		@Override
+		public Either<StoreFailure, Long> create(String key, byte[] body) {
+			throw new UnsupportedOperationException("the directory writes nothing");
+		}
+
+		@Override
+		public Either<StoreFailure, Long> replace(String key, byte[] body, long expectedVersion) {
+			throw new UnsupportedOperationException("the directory writes nothing");
+		}
+
+		@Override
+		public Either<StoreFailure, Long> delete(String key, long expectedVersion) {
+			throw new UnsupportedOperationException("the directory writes nothing");
+		}
+
+		@Override
+		public Either<StoreFailure, List<Entry>> list(String prefix) {
+			return Either.right(List.of());
+		}
+
+	}
+
+}
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/CallerFront.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/CallerFront.java
@@ -173,6 +173,10 @@
 			return Either.right(new Accepted(this.processRoute,
 					new CallerRequest(requestId, method, path, query, Map.of(), body, null, () -> true)));
 		}
+		if (key != null && KeyHiding.exposes(key, path, query, Map.of(), new byte[0])) {
+			// Checked before the path is parsed, since later refusals name its service.
+			return keyInRequest();
+		}
 		Either<Refusal, Caller> authenticated = caller(key, path);
 		if (authenticated.isLeft()) {
 			return Either.left(authenticated.getLeft());
@@ -186,8 +190,7 @@
 			Caller caller, String path, @Nullable String query, byte[] body) {
 		Map<String, String> headers = headers(request);
 		if (key != null && KeyHiding.exposes(key, path, query, headers, body)) {
-			return refusal(RefusalReason.KEY_IN_REQUEST,
-					"the key appears outside the Authorization header, where the endpoint would see it");
+			return keyInRequest();
 		}
 		CallerRequest accepted = new CallerRequest(requestId, request.getMethod(), path, query, headers, body,
 				caller.workspace(), caller.stillAllowed());
@@ -266,6 +269,11 @@
 		return headers;
 	}
 
+	private static <T> Either<Refusal, T> keyInRequest() {
+		return refusal(RefusalReason.KEY_IN_REQUEST,
+				"the key appears outside the Authorization header, where the endpoint would see it");
+	}
+
 	private static <T> Either<Refusal, T> tooLarge() {
 		return refusal(RefusalReason.BODY_TOO_LARGE,
 				"the body has more than " + HttpLimits.MAX_REQUEST_BYTES + " bytes");
