--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/version/ConfigurationAssembly.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/version/ConfigurationAssembly.java
@@ -223,10 +223,11 @@
 	private static Map<String, byte[]> split(Configuration configuration) {
 		KeyTable keys = configuration.keys();
 		List<String> withdrawn = keys.withdrawn().stream().map(KeyHash::value).sorted().toList();
-		return Map.of(INVENTORY, CoreJson.bytes(configuration.inventory()), RULES,
+		// Sorted, so that every process writes the parts in the same order.
+		return new TreeMap<>(Map.of(INVENTORY, CoreJson.bytes(configuration.inventory()), RULES,
 				CoreJson.bytes(configuration.rules()), KEYS,
 				CoreJson.bytes(Map.of("granted", keys.granted(), "withdrawn", withdrawn)), DOMAINS,
-				CoreJson.bytes(configuration.domainsOut().stream().sorted().toList()));
+				CoreJson.bytes(configuration.domainsOut().stream().sorted().toList())));
 	}
 
 	private static String sha256(byte[] body) {
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/store/FakeObjectStore.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/store/FakeObjectStore.java
@@ -38,6 +38,9 @@
 	private Consumer<StoredObject> onWritten = (object) -> {
 	};
 
+	private CallListener onCall = (call, key, body, result) -> {
+	};
+
 	public FakeObjectStore(ManualClock clock) {
 		this.clock = clock;
 	}
@@ -64,6 +67,11 @@
 		this.onWritten = hook;
 	}
 
+	/** Tells of each call that reached the store, with its answer. */
+	public void onCall(CallListener listener) {
+		this.onCall = listener;
+	}
+
 	/** Lets the writes take effect whose answers were given up. */
 	public void deliverLate() {
 		List<Runnable> due = new ArrayList<>(this.late);
@@ -85,17 +93,23 @@
 
 	@Override
 	public Either<StoreFailure, Option<StoredObject>> read(String key) {
-		return call(() -> Either.right(peek(key)));
+		Either<StoreFailure, Option<StoredObject>> result = call(() -> Either.right(peek(key)));
+		this.onCall.called("read", key, new byte[0], result.map((found) -> found.map(StoredObject::version)));
+		return result;
 	}
 
 	@Override
 	public Either<StoreFailure, Long> create(String key, byte[] body) {
-		return write(key, body, 0);
+		Either<StoreFailure, Long> result = write(key, body, 0);
+		this.onCall.called("create", key, body, result);
+		return result;
 	}
 
 	@Override
 	public Either<StoreFailure, Long> replace(String key, byte[] body, long expectedVersion) {
-		return write(key, body, expectedVersion);
+		Either<StoreFailure, Long> result = write(key, body, expectedVersion);
+		this.onCall.called("replace", key, body, result);
+		return result;
 	}
 
 	@Override
@@ -146,6 +160,15 @@
 		return result;
 	}
 
+	/** Hears of calls. */
+	@FunctionalInterface
+	public interface CallListener {
+
+		/** Takes a call with the answer that its caller gets. */
+		void called(String call, String key, byte[] body, Either<StoreFailure, ?> result);
+
+	}
+
 	/** What happens to a write. */
 	public enum Fault {
 
