--- /dev/null
+++ b/bamboorelay-slopes/src/main/java/org/bamboorelay/slopes/process/CountingStore.java
@@ -0,0 +1,114 @@
+package org.bamboorelay.slopes.process;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import org.bamboorelay.core.store.ObjectStore;
+import org.bamboorelay.core.store.StoreFailure;
+import org.bamboorelay.core.store.StoredObject;
+
+/**
+ * Object API in memory that counts its calls by the first part of the key, and notes the
+ * largest value.
+ * <p>
+ * Not thread-safe.
+ */
+final class CountingStore implements ObjectStore {
+
+	private final Map<String, StoredObject> objects = new TreeMap<>();
+
+	private final Map<String, Calls> calls = new TreeMap<>();
+
+	private long revision;
+
+	/**
+	 * Returns the calls so far.
+	 * @return the calls by the first part of the key
+	 */
+	Map<String, Calls> calls() {
+		return this.calls;
+	}
+
+	void clearCalls() {
+		this.calls.clear();
+	}
+
+	@Override
+	public Either<StoreFailure, Option<StoredObject>> read(String key) {
+		count(key).reads++;
+		return Either.right(Option.of(this.objects.get(key)));
+	}
+
+	@Override
+	public Either<StoreFailure, Long> create(String key, byte[] body) {
+		return write(key, body, 0);
+	}
+
+	@Override
+	public Either<StoreFailure, Long> replace(String key, byte[] body, long expectedVersion) {
+		return write(key, body, expectedVersion);
+	}
+
+	@Override
+	public Either<StoreFailure, Long> delete(String key, long expectedVersion) {
+		count(key).writes++;
+		this.objects.remove(key);
+		return Either.right(++this.revision);
+	}
+
+	@Override
+	public Either<StoreFailure, List<Entry>> list(String prefix) {
+		count(prefix).reads++;
+		return Either.right(this.objects.values()
+			.stream()
+			.filter((object) -> object.key().startsWith(prefix))
+			.map((object) -> new Entry(object.key(), object.version()))
+			.toList());
+	}
+
+	private Either<StoreFailure, Long> write(String key, byte[] body, long expectedVersion) {
+		Calls counted = count(key);
+		counted.writes++;
+		counted.largest = Math.max(counted.largest, body.length);
+		if (body.length > MAX_VALUE_BYTES) {
+			return Either.left(new StoreFailure.TooLarge(key, body.length));
+		}
+		StoredObject present = this.objects.get(key);
+		if (((present != null) ? present.version() : 0) != expectedVersion) {
+			return Either.left(new StoreFailure.ConditionFailed(key));
+		}
+		this.objects.put(key, new StoredObject(key, ++this.revision, body));
+		return Either.right(this.revision);
+	}
+
+	private Calls count(String key) {
+		int slash = key.indexOf('/');
+		return this.calls.computeIfAbsent((slash > 0) ? key.substring(0, slash) : key, (unused) -> new Calls());
+	}
+
+	static final class Calls {
+
+		private long reads;
+
+		private long writes;
+
+		private long largest;
+
+		long reads() {
+			return this.reads;
+		}
+
+		long writes() {
+			return this.writes;
+		}
+
+		long largest() {
+			return this.largest;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bamboorelay-slopes/src/main/java/org/bamboorelay/slopes/process/PeerSlopes.java
@@ -0,0 +1,211 @@
+package org.bamboorelay.slopes.process;
+
+import java.io.ByteArrayInputStream;
+import java.io.DataInputStream;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+
+import org.bamboorelay.core.connection.PeerMessage;
+import org.bamboorelay.core.process.Membership;
+import org.bamboorelay.core.process.OwnerSelection;
+import org.bamboorelay.core.process.ReaderElection;
+import org.bamboorelay.core.process.RendezvousHash;
+import org.bamboorelay.core.version.EndpointId;
+import org.bamboorelay.core.version.FailureDomain;
+import org.bamboorelay.core.version.HostId;
+import org.bamboorelay.core.version.KeyHash;
+import org.bamboorelay.core.version.Rules;
+import org.bamboorelay.core.version.ViewFreshness;
+import org.bamboorelay.runtime.connection.PeerCodec;
+
+/**
+ * Costs by the number of peers, and of single peer messages.
+ * <p>
+ * Stateless.
+ */
+final class PeerSlopes {
+
+	private static final int[] PEERS = { 6, 24, 45, 96, 192, 360 };
+
+	private static final int[] SERVICES = { 0, 2, 8, 32 };
+
+	/** Ticks of the mesh in a second. */
+	private static final int MESH_TICKS = 10;
+
+	/** Ticks of the credit service in a second; each asks for the live hosts. */
+	private static final int CREDIT_TICKS = 20;
+
+	/** Each of two hosts opens a link, and heartbeats go both ways on each. */
+	private static final int HEARTBEATS_PER_PEER = 2;
+
+	private static final int DIGESTS = 2;
+
+	private PeerSlopes() {
+	}
+
+	static List<Slope> measure() {
+		List<Slope> slopes = new ArrayList<>();
+		byte[] heartbeat = PeerCodec.encode(0, Samples.heartbeat(DIGESTS));
+		slopes.add(Slope.measure("heartbeat.sent", "B/s", "peers", PEERS, (peers) -> {
+			long bytes = 0;
+			for (int i = 0; i < HEARTBEATS_PER_PEER * (peers - 1); i++) {
+				bytes += PeerCodec.encode(0, Samples.heartbeat(DIGESTS)).length;
+			}
+			return bytes;
+		}));
+		slopes.add(Slope.measure("heartbeat.codec", "us/s", "peers", PEERS, (peers) -> Meter.micros(() -> {
+			PeerMessage message = Samples.heartbeat(DIGESTS);
+			for (int i = 0; i < HEARTBEATS_PER_PEER * (peers - 1); i++) {
+				PeerCodec.encode(0, message);
+				decode(heartbeat);
+			}
+		})));
+		slopes.add(Slope.measure("heartbeat.bytes", "B", "digests", SERVICES,
+				(services) -> PeerCodec.encode(0, Samples.heartbeat(services)).length));
+		slopes.add(Slope.measure("heartbeat.encode", "us", "digests", SERVICES, (services) -> {
+			PeerMessage message = Samples.heartbeat(services);
+			return Meter.micros(() -> PeerCodec.encode(0, message));
+		}));
+		slopes.add(Slope.measure("heartbeat.decode", "us", "digests", SERVICES, (services) -> {
+			byte[] frame = PeerCodec.encode(0, Samples.heartbeat(services));
+			return Meter.micros(() -> decode(frame));
+		}));
+		int[] hashes = { 100, 1_000, 4_000, 16_000 };
+		slopes.add(Slope.measure("withdraw.bytes", "B", "withdrawn", hashes,
+				(count) -> PeerCodec.encode(1, withdrawal(count)).length));
+		slopes.add(Slope.measure("withdraw.codec", "us", "withdrawn", hashes, (count) -> {
+			PeerMessage withdrawal = withdrawal(count);
+			byte[] frame = PeerCodec.encode(1, withdrawal);
+			return Meter.micros(() -> {
+				PeerCodec.encode(1, withdrawal);
+				decode(frame);
+			});
+		}));
+		slopes.addAll(creditMessages());
+		slopes.addAll(decisions());
+		return slopes;
+	}
+
+	static void decode(byte[] frame) {
+		if (PeerCodec.read(new DataInputStream(new ByteArrayInputStream(frame))).isLeft()) {
+			throw new IllegalStateException("a frame of " + frame.length + " bytes cannot be decoded");
+		}
+	}
+
+	private static List<Slope> creditMessages() {
+		int[] credits = { 1, 8, 64, 512 };
+		List<Slope> slopes = new ArrayList<>();
+		PeerMessage ask = new PeerMessage.CreditRequest(Samples.service(0), true, true, 0x123456789abcdefL, 400, null,
+				List.of());
+		PeerMessage grant = new PeerMessage.CreditGrant(1L << 60, EndpointId.of("region-0-domain-0-sampler-800"),
+				"10.1.2.3:8000", 3_000);
+		byte[] asked = PeerCodec.encode(1, ask);
+		byte[] granted = PeerCodec.encode(-1, grant);
+		slopes.add(Slope.measure("credit.ask-grant-bytes", "B", "credits", credits,
+				(count) -> (double) count * (asked.length + granted.length)));
+		slopes.add(Slope.measure("credit.ask-grant-codec", "us", "credits", credits, (count) -> Meter.micros(() -> {
+			for (int i = 0; i < count; i++) {
+				PeerCodec.encode(1, ask);
+				decode(asked);
+				PeerCodec.encode(-1, grant);
+				decode(granted);
+			}
+		})));
+		slopes.add(Slope.measure("credit.renew-bytes", "B", "credits", credits,
+				(count) -> PeerCodec.encode(1, renewal(count)).length));
+		slopes.add(Slope.measure("credit.renew-codec", "us", "credits", credits, (count) -> {
+			PeerMessage renewal = renewal(count);
+			byte[] frame = PeerCodec.encode(1, renewal);
+			return Meter.micros(() -> {
+				PeerCodec.encode(1, renewal);
+				decode(frame);
+			});
+		}));
+		slopes.add(Slope.measure("credit.return-bytes", "B", "credits", credits,
+				(count) -> PeerCodec.encode(1, new PeerMessage.CreditReturn(Collections.nCopies(count,
+						new PeerMessage.ReturnedCredit(1L << 60, "ok", 80, 6_000, 390)))).length));
+		return slopes;
+	}
+
+	private static PeerMessage withdrawal(int count) {
+		List<KeyHash> keys = new ArrayList<>();
+		for (int i = 0; i < count; i++) {
+			keys.add(KeyHash.ofKey("key-" + i));
+		}
+		return new PeerMessage.Withdraw(keys);
+	}
+
+	private static PeerMessage renewal(int count) {
+		List<Long> ids = new ArrayList<>();
+		for (int i = 0; i < count; i++) {
+			ids.add((1L << 60) + i);
+		}
+		return new PeerMessage.CreditRenew(ids);
+	}
+
+	private static List<Slope> decisions() {
+		List<Slope> slopes = new ArrayList<>();
+		slopes.add(Slope.measure("membership.second", "us/s", "peers", PEERS, (peers) -> {
+			Membership membership = membership(peers);
+			List<HostId> hosts = Samples.hosts(peers);
+			long[] now = { 0 };
+			return Meter.micros(() -> {
+				for (int i = 1; i < peers; i++) {
+					for (int k = 0; k < HEARTBEATS_PER_PEER; k++) {
+						membership.heartbeat(hosts.get(i), Samples.domain(0), false, now[0]);
+					}
+				}
+				for (int i = 0; i < MESH_TICKS; i++) {
+					now[0] += 100;
+					membership.tick(now[0]);
+				}
+			});
+		}));
+		slopes.add(Slope.measure("membership.live", "us/s", "peers", PEERS, (peers) -> {
+			Membership membership = membership(peers);
+			return Meter.micros(() -> {
+				for (int i = 0; i < CREDIT_TICKS; i++) {
+					Set.copyOf(membership.live());
+				}
+			});
+		}));
+		slopes.add(Slope.measure("freshness.check", "us", "peers", PEERS, (peers) -> {
+			Membership membership = membership(peers);
+			ViewFreshness freshness = new ViewFreshness();
+			freshness.heard(100, 0);
+			Rules.IsolationRule rule = new Rules.IsolationRule(Rules.WhenIsolated.REFUSE, 4_000);
+			Set<FailureDomain> domains = Set.of(Samples.domain(0), Samples.domain(1), Samples.domain(2));
+			return Meter.micros(() -> freshness.servesKeyed(9_000, rule, membership.hears(domains)));
+		}));
+		slopes.add(Slope.measure("rendezvous.owner", "us", "peers", PEERS, (peers) -> {
+			List<HostId> hosts = Samples.hosts(peers);
+			return Meter.micros(() -> RendezvousHash.owner("region-0-domain-0-sampler-800", hosts));
+		}));
+		slopes.add(Slope.measure("rendezvous.readers", "us", "peers", PEERS, (peers) -> {
+			List<HostId> hosts = Samples.hosts(peers);
+			return Meter.micros(() -> ReaderElection.readers(Samples.domain(0), hosts));
+		}));
+		slopes.add(Slope.measure("owner.choose", "us", "owners", PEERS, (peers) -> {
+			OwnerSelection selection = OwnerSelection.of(new Random(peers));
+			List<OwnerSelection.Owner> owners = new ArrayList<>();
+			for (HostId host : Samples.hosts(peers)) {
+				owners.add(new OwnerSelection.Owner(host, false, true, 10));
+			}
+			return Meter.micros(() -> selection.choose(owners, 0x123456789abcdefL));
+		}));
+		return slopes;
+	}
+
+	static Membership membership(int peers) {
+		List<HostId> hosts = Samples.hosts(peers);
+		Membership membership = Membership.of(hosts.get(0), Samples.domain(0));
+		for (int i = 1; i < peers; i++) {
+			membership.heartbeat(hosts.get(i), Samples.domain(i % Samples.DOMAINS), false, 0);
+		}
+		return membership;
+	}
+
+}
--- /dev/null
+++ b/bamboorelay-slopes/src/main/java/org/bamboorelay/slopes/process/SlopesMain.java
@@ -0,0 +1,80 @@
+package org.bamboorelay.slopes.process;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+
+/**
+ * The program {@code bamboorelay-slopes}.
+ */
+public final class SlopesMain {
+
+	private static final int BAD_OPTIONS = 2;
+
+	private static final Map<String, Supplier<List<Slope>>> GROUPS = new LinkedHashMap<>();
+
+	static {
+		GROUPS.put("state", StateSlopes::measure);
+		GROUPS.put("peers", PeerSlopes::measure);
+		GROUPS.put("endpoints", EndpointSlopes::measure);
+		GROUPS.put("configuration", ConfigurationSlopes::measure);
+		GROUPS.put("usage", UsageSlopes::measure);
+		GROUPS.put("weights", WeightSlopes::measure);
+		GROUPS.put("store", StoreSlopes::measure);
+	}
+
+	private SlopesMain() {
+	}
+
+	/**
+	 * Measures and prints a line for each slope.
+	 * @param args {@code --json file} also writes JSON lines, {@code --only group} leaves
+	 * the other groups out
+	 * @throws IOException where the file cannot be written
+	 */
+	public static void main(String[] args) throws IOException {
+		Options options = new Options()
+			.addOption(Option.builder().longOpt("json").hasArg().argName("file").desc("JSON lines").get())
+			.addOption(Option.builder().longOpt("only").hasArg().argName("group").desc("one group").get());
+		CommandLine line;
+		try {
+			line = new DefaultParser().parse(options, args);
+		}
+		catch (ParseException ex) {
+			System.err.println("bamboorelay-slopes: " + ex.getMessage());
+			System.exit(BAD_OPTIONS);
+			return;
+		}
+		String only = line.getOptionValue("only");
+		if (only != null && !GROUPS.containsKey(only)) {
+			System.err.println("bamboorelay-slopes: unknown group \"" + only + "\", allowed: " + GROUPS.keySet());
+			System.exit(BAD_OPTIONS);
+		}
+		List<String> lines = new ArrayList<>();
+		for (Map.Entry<String, Supplier<List<Slope>>> group : GROUPS.entrySet()) {
+			if (only == null || only.equals(group.getKey())) {
+				long start = System.nanoTime();
+				for (Slope slope : group.getValue().get()) {
+					System.out.println(slope.text());
+					lines.add(slope.json());
+				}
+				System.out.println("# " + group.getKey() + " took " + (System.nanoTime() - start) / 1_000_000 + " ms");
+			}
+		}
+		if (line.hasOption("json")) {
+			Files.write(Path.of(line.getOptionValue("json")), lines);
+		}
+	}
+
+}
--- /dev/null
+++ b/bamboorelay-slopes/src/main/java/org/bamboorelay/slopes/process/StoreSlopes.java
@@ -0,0 +1,291 @@
+package org.bamboorelay.slopes.process;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+
+import io.vavr.control.Option;
+import org.bamboorelay.core.connection.PeerMessage;
+import org.bamboorelay.core.process.LeaseState;
+import org.bamboorelay.core.process.OrderLog;
+import org.bamboorelay.core.process.StoreDecision;
+import org.bamboorelay.core.process.StoreStep;
+import org.bamboorelay.core.process.UsageParts;
+import org.bamboorelay.core.process.UsageWindows;
+import org.bamboorelay.core.request.BatchRecord;
+import org.bamboorelay.core.request.DeliveryState;
+import org.bamboorelay.core.request.SampleSlot;
+import org.bamboorelay.core.request.StalenessBound;
+import org.bamboorelay.core.request.StepPlan;
+import org.bamboorelay.core.time.ManualClock;
+import org.bamboorelay.core.version.ConfigurationAssembly;
+import org.bamboorelay.core.version.CoreJson;
+import org.bamboorelay.core.version.FailureDomain;
+
+/**
+ * Calls on the object API in a second by the number of hosts, each with an entry and a
+ * control process. Decisions run as they are; the intervals at which the control process
+ * drives them are repeated here, as its loops need its network.
+ * <p>
+ * Stateless.
+ */
+final class StoreSlopes {
+
+	private static final int[] HOSTS = { 6, 24, 96, 360 };
+
+	private static final int WARM_UP_MILLIS = 30_000;
+
+	private static final int MEASURED_MILLIS = 60_000;
+
+	private static final long WINDOW_MILLIS = 60_000;
+
+	private static final long GRACE_MILLIS = 5_000;
+
+	private static final int MAX_STEPS = 128;
+
+	private static final int[] DOMAINS = { 2, 3, 5, 8 };
+
+	private static final int FEW_HOSTS = 40;
+
+	/** 7,700 configuration changes a day. */
+	private static final int CHANGE_INTERVAL_MILLIS = 11_221;
+
+	private StoreSlopes() {
+	}
+
+	static List<Slope> measure() {
+		Map<Integer, Map<String, double[]>> rates = new LinkedHashMap<>();
+		for (int hosts : HOSTS) {
+			rates.put(hosts, new Deployment(hosts, (hosts < 96) ? 3 : Samples.DOMAINS).run());
+		}
+		Map<Integer, Map<String, double[]>> byDomains = new LinkedHashMap<>();
+		for (int domains : DOMAINS) {
+			byDomains.put(domains, new Deployment(FEW_HOSTS, domains).run());
+		}
+		List<Slope> slopes = new ArrayList<>();
+		for (String writer : List.of("leases", "config", "orders", "weights", "usage")) {
+			slopes.add(Slope.measure("store.reads/" + writer, "1/s", "hosts", HOSTS,
+					(hosts) -> rates.get(hosts).getOrDefault(writer, new double[2])[0]));
+			slopes.add(Slope.measure("store.writes/" + writer, "1/s", "domains", DOMAINS,
+					(domains) -> byDomains.get(domains).getOrDefault(writer, new double[2])[1]));
+		}
+		for (int size : new int[] { 64, 1_024 }) {
+			slopes.add(Slope.measure("store.writes-of-step/batch-" + size, "writes", "samples",
+					new int[] { 2_048, 4_096, 8_192 }, (samples) -> batches(samples, size)));
+		}
+		slopes.add(Slope.measure("store.batch-record", "B", "samples", new int[] { 64, 256, 1_024 },
+				(samples) -> CoreJson.bytes(record(samples)).length));
+		return slopes;
+	}
+
+	static void drive(StoreDecision decision, CountingStore store) {
+		for (int i = 0; i < MAX_STEPS; i++) {
+			StoreStep step = decision.next();
+			if (step == null) {
+				return;
+			}
+			decision.onResult(step, step.perform(store));
+		}
+	}
+
+	/**
+	 * Gives a domain's parts the counters of 45 hosts.
+	 * @param parts the parts
+	 * @param workspaces the workspaces that each host served
+	 */
+	static void count(UsageParts parts, int workspaces) {
+		for (int i = 0; i < 45; i++) {
+			PeerMessage.UsageCounters counters = Samples.usage(workspaces);
+			parts.onCounters(Samples.host(i),
+					new PeerMessage.UsageCounters(counters.incarnation().substring(2) + i, false, counters.counts()));
+		}
+	}
+
+	private static double batches(int samples, int size) {
+		DeliveryState delivery = DeliveryState.of(samples, 1);
+		StepPlan plan = new StepPlan(new ArrayList<>(Collections.nCopies(samples / 8, 400L)), 8);
+		plan.order().forEach((slot) -> delivery.ready(entry(slot)));
+		int writes = 0;
+		while (!delivery.isComplete()) {
+			for (DeliveryState.Action action : delivery.fetch(delivery.next(), size, 1, new StalenessBound(2), "t")) {
+				if (action instanceof DeliveryState.Action.Propose propose) {
+					delivery.recorded(propose.record());
+					writes++;
+				}
+			}
+		}
+		return writes;
+	}
+
+	private static BatchRecord record(int samples) {
+		List<BatchRecord.Entry> entries = new ArrayList<>();
+		for (int i = 0; i < samples; i++) {
+			entries.add(entry(new SampleSlot(i / 8, i % 8)));
+		}
+		return new BatchRecord(7, 1, "0b1c2d3e-4f50-6172-8394-a5b6c7d8e9f0", entries, false, false);
+	}
+
+	private static BatchRecord.Entry entry(SampleSlot slot) {
+		return new BatchRecord.Entry("0b1c2d3e-4f50-6172-8394-" + slot.group() + "-" + slot.index(), slot, 1, 400,
+				2_000, List.of(Samples.host(0), Samples.host(1)));
+	}
+
+	/**
+	 * The control processes of a deployment in simulated time.
+	 */
+	private static final class Deployment {
+
+		private final ManualClock clock = ManualClock.of(10_000_000);
+
+		private final CountingStore store = new CountingStore();
+
+		private final Random random = new Random(1);
+
+		private final List<FailureDomain> domains = new ArrayList<>();
+
+		private final List<Control> controls = new ArrayList<>();
+
+		private final Map<Integer, Integer> readers = new TreeMap<>();
+
+		private Deployment(int hosts, int count) {
+			for (int i = 0; i < count; i++) {
+				this.domains.add(Samples.domain(i));
+			}
+			for (int i = 0; i < hosts; i++) {
+				boolean reader = this.readers.merge(i % count, 1, Integer::sum) <= 2;
+				this.controls.add(new Control(i, Samples.domain(i % count), reader));
+			}
+			ConfigurationAssembly writer = ConfigurationAssembly.over(this.store, () -> "t" + this.random.nextLong());
+			writer.write(Samples.configuration(1, hosts, 8, 8), Option.none());
+		}
+
+		private Map<String, double[]> run() {
+			ConfigurationAssembly operator = ConfigurationAssembly.over(this.store, () -> "t" + this.random.nextLong());
+			for (int at = 0; at < WARM_UP_MILLIS + MEASURED_MILLIS; at += 100) {
+				if (at == WARM_UP_MILLIS) {
+					this.store.clearCalls();
+				}
+				if (at % CHANGE_INTERVAL_MILLIS < 100) {
+					boolean out = at % (2 * CHANGE_INTERVAL_MILLIS) < 100;
+					operator.update((present) -> present.withDomainInService(Samples.domain(0), out), 2);
+				}
+				int now = at;
+				this.controls.forEach((control) -> control.run(now));
+				this.clock.advance(100);
+			}
+			Map<String, double[]> rates = new TreeMap<>();
+			double seconds = MEASURED_MILLIS / 1_000.0;
+			this.store.calls()
+				.forEach((key, calls) -> rates.put(key,
+						new double[] { calls.reads() / seconds, calls.writes() / seconds }));
+			return rates;
+		}
+
+		/**
+		 * One control process, with the loops of {@code ControlProcess}.
+		 */
+		private final class Control {
+
+			private final int index;
+
+			private final FailureDomain domain;
+
+			private final boolean reader;
+
+			private final LeaseState domainLease;
+
+			private final LeaseState usageLease;
+
+			private final ConfigurationAssembly assembly;
+
+			private final OrderLog orders;
+
+			private final UsageParts parts;
+
+			private final UsageWindows windows;
+
+			private Control(int index, FailureDomain domain, boolean reader) {
+				Deployment deployment = Deployment.this;
+				this.index = index;
+				this.domain = domain;
+				this.reader = reader;
+				this.domainLease = lease("leases/" + domain, true);
+				this.usageLease = lease("leases/usage", false);
+				this.assembly = ConfigurationAssembly.over(deployment.store, () -> "t" + index);
+				this.orders = OrderLog.of(domain, "holder-" + index, deployment.clock, this.domainLease::isHeld,
+						deployment.random::nextDouble);
+				this.parts = UsageParts.of(domain, "holder-" + index, deployment.clock, this.domainLease::isHeld,
+						deployment.random::nextDouble);
+				this.windows = UsageWindows.of("holder-" + index, deployment.clock, this.usageLease::isHeld,
+						deployment.random::nextDouble);
+			}
+
+			private LeaseState lease(String key, boolean fenced) {
+				return LeaseState.of(key, "holder-" + this.index, Deployment.this.clock,
+						() -> LeaseState.Terms.standard(fenced), Deployment.this.random::nextDouble);
+			}
+
+			private void run(int at) {
+				CountingStore api = Deployment.this.store;
+				drive(this.domainLease, api);
+				drive(this.usageLease, api);
+				int turn = at + 100 * (this.index % 5);
+				if (turn % (this.reader ? 500 : 2_000) == 0) {
+					this.assembly.read();
+				}
+				if (turn % 1_000 == 0) {
+					api.list("weights/");
+					usage(api);
+				}
+				if (turn % 2_000 == 0) {
+					api.read(OrderLog.key(this.domain));
+				}
+				if (this.domainLease.isHeld()) {
+					orders(api, turn);
+				}
+			}
+
+			private void usage(CountingStore api) {
+				long wall = Deployment.this.clock.millis();
+				if (this.domainLease.isHeld()) {
+					this.parts.begin(this.domainLease.fencing());
+					this.parts.onTick(wall, WINDOW_MILLIS, GRACE_MILLIS);
+					// Without counters a part is never dirty and has no checkpoint.
+					StoreSlopes.count(this.parts, 1 + (int) (wall / 1_000 % 7));
+					drive(this.parts, api);
+				}
+				if (this.usageLease.isHeld()) {
+					this.windows.begin(this.usageLease.fencing());
+					this.windows.onTick(wall, Deployment.this.domains, WINDOW_MILLIS, GRACE_MILLIS);
+					drive(this.windows, api);
+					this.windows.sendable().forEach((record) -> this.windows.sent(record.window()));
+					drive(this.windows, api);
+				}
+			}
+
+			private void orders(CountingStore api, int turn) {
+				this.orders.begin(this.domainLease.fencing());
+				drive(this.orders, api);
+				if (turn % 5_000 == 0) {
+					Deployment.this.domains.stream()
+						.filter((other) -> !other.equals(this.domain))
+						.forEach((other) -> api.read(OrderLog.key(other)));
+				}
+				// Two orders a minute: a start or stop each, recorded and completed.
+				if (turn % 30_000 == 0) {
+					String id = this.orders.add("start", Samples.service(0), "steady", null).orderId();
+					drive(this.orders, api);
+					this.orders.complete(id);
+					drive(this.orders, api);
+				}
+			}
+
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bamboorelay-slopes/src/main/java/org/bamboorelay/slopes/process/WeightSlopes.java
@@ -0,0 +1,113 @@
+package org.bamboorelay.slopes.process;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.bamboorelay.core.process.WeightWaves;
+import org.bamboorelay.core.version.EndpointId;
+import org.bamboorelay.core.version.LineId;
+
+/**
+ * Time until all endpoints have a version, and the cost of deciding on it.
+ * <p>
+ * Stateless.
+ */
+final class WeightSlopes {
+
+	private static final int[] ENDPOINTS = { 800, 1_600, 3_200, 6_600 };
+
+	private static final LineId LINE = LineId.of("line-0");
+
+	private static final long TICK_MILLIS = 250;
+
+	private static final long LIMIT_MILLIS = 1_200_000;
+
+	private WeightSlopes() {
+	}
+
+	static List<Slope> measure() {
+		List<Slope> slopes = new ArrayList<>();
+		for (int rate : new int[] { 20, 220, 400 }) {
+			slopes.add(Slope.measure("weights.all-have-it/rate-" + rate + "-swap-2s", "s", "endpoints", ENDPOINTS,
+					(endpoints) -> new Rollout(endpoints, rate, 2_000).run()));
+		}
+		slopes.add(Slope.measure("weights.all-have-it/rate-400-swap-8s", "s", "endpoints", ENDPOINTS,
+				(endpoints) -> new Rollout(endpoints, 400, 8_000).run()));
+		slopes.add(Slope.measure("weights.decide-idle", "us", "endpoints", new int[] { 100, 400, 825 },
+				(endpoints) -> new Rollout(endpoints * Samples.DOMAINS, 400, 2_000).idleMicros()));
+		slopes.add(Slope.measure("weights.decide-wave", "us", "endpoints", new int[] { 100, 200, 400, 825 },
+				(endpoints) -> new Rollout(endpoints * Samples.DOMAINS, 4_000, 60_000).waveMicros()));
+		return slopes;
+	}
+
+	/**
+	 * One domain of eight, which are alike.
+	 */
+	private static final class Rollout {
+
+		private final int endpoints;
+
+		private final int rate;
+
+		private final long swapMillis;
+
+		private final WeightWaves waves = WeightWaves.of(() -> 0.5);
+
+		private final Map<EndpointId, Long> versions = new HashMap<>();
+
+		private Rollout(int endpoints, int rate, long swapMillis) {
+			this.endpoints = endpoints;
+			this.rate = rate;
+			this.swapMillis = swapMillis;
+			for (int i = 0; i < endpoints / Samples.DOMAINS; i++) {
+				this.versions.put(EndpointId.of("sampler-" + i), 0L);
+			}
+		}
+
+		private double run() {
+			Map<EndpointId, Long> doneAt = new HashMap<>();
+			int done = 0;
+			for (long now = 0; now < LIMIT_MILLIS; now += TICK_MILLIS) {
+				for (WeightWaves.Swap swap : this.waves.decide(view(1, now), now)) {
+					doneAt.put(swap.endpoint(), now + this.swapMillis);
+				}
+				long upTo = now;
+				List<EndpointId> finished = doneAt.entrySet()
+					.stream()
+					.filter((entry) -> entry.getValue() <= upTo)
+					.map(Map.Entry::getKey)
+					.toList();
+				finished.forEach((endpoint) -> this.versions.put(endpoint, 1L));
+				finished.forEach(doneAt::remove);
+				done += finished.size();
+				if (done == this.versions.size()) {
+					return now / 1_000.0;
+				}
+			}
+			throw new IllegalStateException("not done after " + LIMIT_MILLIS + " ms");
+		}
+
+		private double idleMicros() {
+			return Meter.micros(() -> this.waves.decide(view(0, 0), 0));
+		}
+
+		private double waveMicros() {
+			// A third of the endpoints swaps, and goes on swapping while it is measured.
+			this.waves.decide(view(1, 0), 0);
+			return Meter.micros(() -> this.waves.decide(view(1, 1), 1));
+		}
+
+		private WeightWaves.View view(long head, long now) {
+			List<WeightWaves.EndpointView> views = new ArrayList<>();
+			this.versions.forEach((endpoint, version) -> views
+				.add(new WeightWaves.EndpointView(endpoint, Samples.service(0), Map.of(LINE, version))));
+			return new WeightWaves.View(views, Map.of(Samples.service(0), Map.of(LINE, head)),
+					Map.of(Samples.service(0), WeightWaves.allowed(this.endpoints, Samples.DOMAINS, 0, now)),
+					(double) this.rate / Samples.DOMAINS, false);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bamboorelay-slopes/src/main/java/org/bamboorelay/slopes/process/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Measurements of how costs grow with the size of a deployment.
+ */
+@NullMarked
+package org.bamboorelay.slopes.process;
+
+import org.jspecify.annotations.NullMarked;
