--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/connection/TcpPeerMesh.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/connection/TcpPeerMesh.java
@@ -126,6 +126,7 @@
 		register(PeerMessage.ConfigOffer.class, this::onOffer);
 		register(PeerMessage.Withdraw.class, this::onWithdraw);
 		configuration.onChange(this::follow);
+		counters.gauge("peer_bytes_sent", this::bytesSent);
 	}
 
 	/**
@@ -359,6 +360,7 @@
 	private PeerMessage onFetch(PeerMessage.ConfigFetch fetch) {
 		return this.configuration.held()
 			.filter((held) -> held.version() > fetch.have())
+			.peek((held) -> this.counters.counter("config_bodies_sent_total").inc())
 			.map((held) -> new PeerMessage.ConfigBody(held.version(), Json.bytes(held),
 					this.configuration.viewAgeMillis()))
 			.getOrElse(() -> new PeerMessage.ConfigBody(0, new byte[0], this.configuration.viewAgeMillis()));
@@ -606,6 +608,16 @@
 		return List.copyOf(open.values());
 	}
 
+	// Counts open links only, so the value falls when a link ends.
+	private long bytesSent() {
+		long sent = this.accepted.values().stream().filter(PeerLink::isOpen).mapToLong(PeerLink::bytesOut).sum();
+		for (Peer peer : this.peers.values()) {
+			PeerLink link = peer.link;
+			sent += (link != null && link.isOpen()) ? link.bytesOut() : 0;
+		}
+		return sent;
+	}
+
 	private static final class Peer {
 
 		private final String address;
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/IdempotencyRecords.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/IdempotencyRecords.java
@@ -69,7 +69,7 @@
 	 * @param send sends the request
 	 * @return the answer or the recorded one, or the refusal
 	 */
-	Either<Refusal, PlainAnswer> once(Call call, Supplier<Either<Refusal, PlainAnswer>> send) {
+	public Either<Refusal, PlainAnswer> once(Call call, Supplier<Either<Refusal, PlainAnswer>> send) {
 		String token = UUID.randomUUID().toString();
 		Claim claim = claim(call, token);
 		if (claim.recorded() != null) {
@@ -157,7 +157,7 @@
 	 * @param objectKey key of the record in the object API
 	 * @param fingerprint SHA-256 of method, path, query and body
 	 */
-	record Call(String objectKey, String fingerprint) {
+	public record Call(String objectKey, String fingerprint) {
 
 		static Call of(WorkspaceId workspace, String key, CallerRequest request) {
 			String head = request.method() + " " + request.path() + "?" + request.query() + "\n";
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/PlainAnswer.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/PlainAnswer.java
@@ -19,11 +19,11 @@
  * @param body the body, empty where there is none
  * @param replayed whether the answer was recorded for an earlier call
  */
-record PlainAnswer(int status, List<Map.Entry<String, String>> headers, byte[] body, boolean replayed) {
+public record PlainAnswer(int status, List<Map.Entry<String, String>> headers, byte[] body, boolean replayed) {
 
 	private static final String REPLAYED = "Idempotency-Replayed";
 
-	PlainAnswer {
+	public PlainAnswer {
 		headers = List.copyOf(headers);
 	}
 
--- a/bamboorelay-slopes/src/main/java/org/bamboorelay/slopes/process/SlopesMain.java
+++ b/bamboorelay-slopes/src/main/java/org/bamboorelay/slopes/process/SlopesMain.java
@@ -26,6 +26,7 @@
 
 	static {
 		GROUPS.put("state", StateSlopes::measure);
+		GROUPS.put("requests", RequestSlopes::measure);
 		GROUPS.put("peers", PeerSlopes::measure);
 		GROUPS.put("endpoints", EndpointSlopes::measure);
 		GROUPS.put("configuration", ConfigurationSlopes::measure);
@@ -40,12 +41,14 @@
 	/**
 	 * Measures and prints a line for each slope.
 	 * @param args {@code --json file} also writes JSON lines, {@code --only group} leaves
-	 * the other groups out
+	 * the other groups out, {@code --fit file} fits points of other measurements instead:
+	 * lines of name, unit, variable, size and cost, separated by tabs
 	 * @throws IOException where the file cannot be written
 	 */
 	public static void main(String[] args) throws IOException {
 		Options options = new Options()
 			.addOption(Option.builder().longOpt("json").hasArg().argName("file").desc("JSON lines").get())
+			.addOption(Option.builder().longOpt("fit").hasArg().argName("file").desc("points to fit").get())
 			.addOption(Option.builder().longOpt("only").hasArg().argName("group").desc("one group").get());
 		CommandLine line;
 		try {
@@ -56,6 +59,13 @@
 			System.exit(BAD_OPTIONS);
 			return;
 		}
+		if (line.hasOption("fit")) {
+			fit(Path.of(line.getOptionValue("fit"))).forEach((slope) -> {
+				System.out.println(slope.text());
+				System.out.println(slope.json());
+			});
+			return;
+		}
 		String only = line.getOptionValue("only");
 		if (only != null && !GROUPS.containsKey(only)) {
 			System.err.println("bamboorelay-slopes: unknown group \"" + only + "\", allowed: " + GROUPS.keySet());
@@ -77,4 +87,19 @@
 		}
 	}
 
+	private static List<Slope> fit(Path file) throws IOException {
+		Map<String, String[]> heads = new LinkedHashMap<>();
+		Map<String, List<Fit.Point>> points = new LinkedHashMap<>();
+		for (String text : Files.readAllLines(file)) {
+			String[] cells = text.split("\t");
+			heads.put(cells[0], cells);
+			points.computeIfAbsent(cells[0], (unused) -> new ArrayList<>())
+				.add(new Fit.Point(Double.parseDouble(cells[3]), Double.parseDouble(cells[4])));
+		}
+		return points.entrySet().stream().map((entry) -> {
+			String[] head = heads.get(entry.getKey());
+			return new Slope(head[0], head[1], head[2], entry.getValue(), Fit.of(entry.getValue()));
+		}).toList();
+	}
+
 }
