Let a restarted process listen on its port at once

Cause: the HTTP listener was opened without address reuse, so connections that it had closed itself kept the port for a minute. bin/measure-mesh saw an entry process fail to start again with "Address already in use" after it had answered requests with Connection: close. Change: the listener sets address reuse. Before: the new test fails with a bind error for 5 s. After: it passes, and bin/measure-mesh starts the killed process again. Conclusion: a process that was killed can start again on its host at once.

--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpListener.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpListener.java
@@ -62,6 +62,9 @@
 			.setMaxHeaderCount(HttpLimits.MAX_HEADERS)
 			.build();
 		SocketConfig socketConfig = SocketConfig.custom()
+			// Connections that this side closed keep the port for a minute, in which a
+			// restarted process could not listen.
+			.setSoReuseAddress(true)
 			.setTcpNoDelay(true)
 			.setBacklogSize(BACKLOG)
 			.setSoTimeout(Timeout.of(IDLE_TIMEOUT_SECONDS, TimeUnit.SECONDS))
--- a/bamboorelay-runtime/src/test/java/org/bamboorelay/runtime/connection/HttpListenerTests.java
+++ b/bamboorelay-runtime/src/test/java/org/bamboorelay/runtime/connection/HttpListenerTests.java
@@ -2,7 +2,10 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
+import java.net.BindException;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
 
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.io.entity.HttpEntities;
@@ -13,7 +16,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Guards against a cut answer that looks whole to its caller.
+ * Guards against a cut answer that looks whole to its caller, and against a port that a
+ * restarted process cannot use.
  */
 class HttpListenerTests {
 
@@ -34,6 +38,43 @@
 		}
 	}
 
+	@Test
+	void portCanBeUsedAgainAfterConnectionsThatTheListenerClosed() throws IOException {
+		HttpListener.HttpHandler handler = (request, responder) -> responder.send(200, "text/plain", "whole");
+		int port;
+		try (HttpListener listener = HttpListener.open("127.0.0.1", 0, handler, (ex) -> {
+		}); Socket caller = new Socket("127.0.0.1", listener.port())) {
+			port = listener.port();
+			caller.getOutputStream()
+				.write("GET / HTTP/1.1\r\nHost: relay\r\nConnection: close\r\n\r\n"
+					.getBytes(StandardCharsets.US_ASCII));
+			assertThat(new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII)).contains("whole");
+		}
+		try (HttpListener again = reopen(port, handler)) {
+			assertThat(again.port()).isEqualTo(port);
+		}
+	}
+
+	/**
+	 * Opens a listener on a port that was closed just before. The accepting thread lets
+	 * go of it a moment later; a connection that blocks it does so for a minute.
+	 */
+	private static HttpListener reopen(int port, HttpListener.HttpHandler handler) throws IOException {
+		long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+		while (true) {
+			try {
+				return HttpListener.open("127.0.0.1", port, handler, (ex) -> {
+				});
+			}
+			catch (BindException ex) {
+				if (System.nanoTime() > deadline) {
+					throw ex;
+				}
+				Thread.onSpinWait();
+			}
+		}
+	}
+
 	private static void writePart(OutputStream out) throws IOException {
 		out.write("part".getBytes(StandardCharsets.US_ASCII));
 		out.flush();
