Do not parse an unchanged configuration again

Cause: each read of the configuration parsed all parts, also where the head had not changed. Change: ConfigurationAssembly keeps the last reading and returns it for the same head. Conclusion: readers pay for changes only.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/version/ConfigurationAssembly.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/version/ConfigurationAssembly.java
@@ -19,6 +19,7 @@
 import org.bamboorelay.core.store.ObjectStore;
 import org.bamboorelay.core.store.StoreFailure;
 import org.bamboorelay.core.store.StoredObject;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Reads the configuration from the object API and writes new versions of it: immutable
@@ -42,6 +43,8 @@
 
 	private final Map<String, byte[]> parts = new ConcurrentHashMap<>();
 
+	private volatile @Nullable Reading last;
+
 	private ConfigurationAssembly(ObjectStore store, Supplier<String> tokens) {
 		this.store = Objects.requireNonNull(store, "store");
 		this.tokens = Objects.requireNonNull(tokens, "tokens");
@@ -77,7 +80,8 @@
 
 	/**
 	 * Reads the version in force. Parts that were read before are not read again, so that
-	 * an unchanged configuration costs one call.
+	 * an unchanged configuration costs one call. It is not parsed again either, as that
+	 * takes milliseconds for a large one and readers read twice a second.
 	 * @return the version in force, or nothing before the first one
 	 */
 	public Either<Failure, Option<Reading>> read() {
@@ -88,7 +92,12 @@
 		if (head.get().isEmpty()) {
 			return Either.right(Option.none());
 		}
-		return assemble(head.get().get()).map(Option::some);
+		StoredObject found = head.get().get();
+		Reading known = this.last;
+		if (known != null && known.storeVersion() == found.version()) {
+			return Either.right(Option.some(known));
+		}
+		return assemble(found).peek((reading) -> this.last = reading).map(Option::some);
 	}
 
 	/**
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/version/ConfigurationAssemblyTests.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/version/ConfigurationAssemblyTests.java
@@ -61,6 +61,16 @@
 		assertThat(this.store.calls() - before).isEqualTo(1);
 	}
 
+	@Test
+	void onlyAChangedConfigurationIsParsedAgain() {
+		Configuration before = this.second.read().get().get().configuration();
+		assertThat(this.second.read().get().get().configuration()).isSameAs(before);
+		this.first.update(grant("one"), 1);
+		Configuration after = this.second.read().get().get().configuration();
+		assertThat(after.version()).isEqualTo(before.version() + 1);
+		assertThat(after).isEqualTo(this.first.read().get().get().configuration());
+	}
+
 	@Test
 	void partWithOtherBytesIsRefused() {
 		String part = this.store.list(ConfigurationHead.PART_PREFIX).get().get(0).key();
