--- /dev/null
+++ b/bamboorelay-process-tests/src/test/java/org/bamboorelay/processtests/ConfigurationTests.java
@@ -0,0 +1,86 @@
+package org.bamboorelay.processtests;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.bamboorelay.processtests.Deployment.Operator;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against a configuration that is late, goes back or is lost to another operator's
+ * change.
+ */
+class ConfigurationTests {
+
+	/**
+	 * Two operators change the same version at once; later an entry host restarts while
+	 * the object API is down. Fails where a write is not conditional, where changes are
+	 * not passed on, and where a restarting host does not ask its peers.
+	 */
+	@Test
+	void newestVersionIsInForceEverywhere() throws Exception {
+		try (Deployment deployment = new Deployment("configuration", 2, "valle-a", "valle-b")) {
+			deployment.set("plain_steady", "0");
+			deployment.set("model_steady", "0");
+			deployment.apply().ok();
+			deployment.startAll();
+			deployment.hostNames().forEach((host) -> awaitVersion(deployment, host, 1, Wait.START_MILLIS));
+
+			// Both operators read the version before either of them can move the head.
+			deployment.platform("object-api").fault("slow", "{\"ms\":500,\"match\":\"config/\"}");
+			deployment.set("window", "7s");
+			Program first = deployment.applyStart("first", "--expect", "1");
+			deployment.set("window", "9s");
+			Program second = deployment.applyStart("second", "--expect", "1");
+			Operator firstAnswer = Operator.of(first);
+			Operator secondAnswer = Operator.of(second);
+			deployment.platform("object-api").clear("slow");
+			boolean firstWon = firstAnswer.code() == 0;
+			Operator winner = firstWon ? firstAnswer : secondAnswer;
+			Operator loser = firstWon ? secondAnswer : firstAnswer;
+			assertThat(List.of(winner.code(), loser.code())).as(firstAnswer + " " + secondAnswer).containsExactly(0, 3);
+			long version = winner.json().path("version").asLong();
+			assertThat(version).isEqualTo(2);
+			assertThat(loser.json().toString()).as("winning version in the loser's answer").contains(":" + version);
+			awaitEverywhere(deployment, version, System.nanoTime());
+			assertThat(deployment.operator("show").text()).contains("\"window_millis\":" + (firstWon ? 7 : 9) + "000");
+
+			deployment.set("window", "5s");
+			long newest = deployment.apply().ok().json().path("version").asLong();
+			awaitEverywhere(deployment, newest, System.nanoTime());
+			deployment.platform("object-api").fault("down", "true");
+			String restarted = "valle-b-2";
+			deployment.program(restarted).restart();
+			List<Long> seen = new ArrayList<>();
+			Wait.until(Wait.START_MILLIS, "ready without the store", () -> {
+				Http.Reply health = Http.get(deployment.http(restarted), "/health/ready");
+				if (health.status() != 0) {
+					seen.add(health.json().path("config_version").asLong());
+				}
+				return health.isOk();
+			});
+			awaitVersion(deployment, restarted, newest, Wait.BOUND_MILLIS);
+			assertThat(seen).as("versions of the restarted host").isSubsetOf(0L, newest);
+			assertThat(seen.get(seen.size() - 1)).as("version when ready").isEqualTo(newest);
+			deployment.platform("object-api").clear("down");
+			deployment.set("window", "6s");
+			long last = deployment.apply().ok().json().path("version").asLong();
+			assertThat(last).isEqualTo(newest + 1);
+			awaitEverywhere(deployment, last, System.nanoTime());
+		}
+	}
+
+	private static void awaitEverywhere(Deployment deployment, long version, long acceptedNanos) {
+		deployment.hostNames()
+			.forEach((host) -> awaitVersion(deployment, host, version,
+					Wait.BOUND_MILLIS - Wait.millisSince(acceptedNanos)));
+	}
+
+	private static void awaitVersion(Deployment deployment, String host, long version, long limitMillis) {
+		Wait.until(limitMillis, "version " + version + " at " + host,
+				() -> deployment.status(host).path("config_version").asLong() == version);
+	}
+
+}
--- a/bamboorelay-process-tests/src/test/java/org/bamboorelay/processtests/Deployment.java
+++ b/bamboorelay-process-tests/src/test/java/org/bamboorelay/processtests/Deployment.java
@@ -74,7 +74,7 @@
 		Runtime.getRuntime().addShutdownHook(this.hook);
 		try {
 			Files.createDirectories(this.directory);
-			standin("platform", "platform", List.of("--lag-ms", "100"));
+			startPlatform();
 			for (String domain : domains) {
 				this.storeAddresses.put(domain, Ports.freeAddress());
 				this.stores.put(domain,
@@ -109,10 +109,6 @@
 		return this.standins.get(kind);
 	}
 
-	Standin standin(String name) {
-		return this.standins.get(name);
-	}
-
 	/**
 	 * Starts an endpoint and lists it, unless it is pooled for the ordering interface.
 	 * @param name its name
@@ -129,7 +125,12 @@
 			all.addAll(List.of("--lines", TRAINER, "--weight-store", platform("weight-store").address()));
 		}
 		all.addAll(List.of(args));
-		Standin endpoint = standin(name, service.equals(MODEL) ? "model-engine" : "plain-service", all);
+		// With a port chosen here, many endpoints start at the same time.
+		Standin endpoint = new Standin(Ports.freeAddress());
+		this.standins.put(name, endpoint);
+		all.addAll(List.of("--kind", service.equals(MODEL) ? "model-engine" : "plain-service", "--port",
+				endpoint.address().substring(endpoint.address().lastIndexOf(':') + 1)));
+		start(name, "bamboorelay-standins", "org.bamboorelay.standins.process.StandinMain", all);
 		Map<String, String> entry = Map.of("address", endpoint.address(), "domain", domain, "service", service, "kind",
 				"steady", "state", "live");
 		if (pooled) {
@@ -151,7 +152,7 @@
 				peer_address = "%s"
 				object_api_address = "%s"
 				operator_token = "%s"
-				leave_delay = "300ms"
+				leave_delay = "1s"
 				peer_addresses = [%s]
 				""".formatted(host, at.domain(), at.http(), at.realPeer(), this.storeAddresses.get(at.domain()), TOKEN,
 				addresses(this.hosts.values(), Host::peer))));
@@ -258,12 +259,16 @@
 				.cutFrom(host.domain().equals(domain) ? others : Set.of(domain)));
 	}
 
-	/** Runs {@code apply}; the operator sees all values that were set. */
+	/** Runs {@code apply} with all values that were set. */
 	Operator apply(String... options) {
-		List<String> args = new ArrayList<>(List.of("apply", settings("inventory.toml", inventory()).toString(),
-				settings("rules.toml", rules()).toString()));
+		return Operator.of(applyStart("operator", options));
+	}
+
+	Program applyStart(String name, String... options) {
+		List<String> args = new ArrayList<>(List.of("apply", settings(name + "-inventory.toml", inventory()).toString(),
+				settings(name + "-rules.toml", rules()).toString()));
 		args.addAll(List.of(options));
-		return operator(args.toArray(String[]::new));
+		return operatorStart(args.toArray(String[]::new));
 	}
 
 	String grant() {
@@ -271,9 +276,7 @@
 	}
 
 	Operator operator(String... args) {
-		Program program = operatorStart(args);
-		int code = program.await(Wait.START_MILLIS);
-		return new Operator(code, program.output() + program.log());
+		return Operator.of(operatorStart(args));
 	}
 
 	Program operatorStart(String... args) {
@@ -309,23 +312,18 @@
 		}
 	}
 
-	private Standin standin(String name, String kind, List<String> args) {
-		List<String> all = new ArrayList<>(List.of("--kind", kind));
-		all.addAll(args);
-		Program program = start(name, "bamboorelay-standins", "org.bamboorelay.standins.process.StandinMain", all);
-		Set<String> kinds = kind.equals("platform") ? PLATFORM : Set.of(kind);
-		Map<String, Integer> ports = new TreeMap<>();
-		Wait.until(Wait.START_MILLIS, "ports of " + name, () -> {
+	private void startPlatform() {
+		Program program = start("platform", "bamboorelay-standins", "org.bamboorelay.standins.process.StandinMain",
+				List.of("--kind", "platform", "--lag-ms", "100"));
+		Wait.until(Wait.START_MILLIS, "ports of the platform", () -> {
 			program.output().lines().map((line) -> new Reply(200, line).json()).forEach((line) -> {
 				if (line.path("event").asText().equals("ready")) {
-					ports.put(line.path("kind").asText(), line.path("port").asInt());
+					this.standins.put(line.path("kind").asText(),
+							new Standin("127.0.0.1:" + line.path("port").asInt()));
 				}
 			});
-			return ports.keySet().containsAll(kinds);
+			return this.standins.keySet().containsAll(PLATFORM);
 		});
-		ports.forEach((served, port) -> this.standins.put(kind.equals("platform") ? served : name,
-				new Standin("127.0.0.1:" + port)));
-		return this.standins.get(kind.equals("platform") ? "object-api" : name);
 	}
 
 	private Program start(String name, String module, String main, List<String> args) {
@@ -441,6 +439,11 @@
 	 */
 	record Operator(int code, String text) {
 
+		static Operator of(Program program) {
+			int code = program.await(Wait.START_MILLIS);
+			return new Operator(code, program.output() + program.log());
+		}
+
 		Operator ok() {
 			if (this.code != 0) {
 				throw new AssertionError("operator: expected exit code 0, found " + this.code + " " + this.text);
--- /dev/null
+++ b/bamboorelay-process-tests/src/test/java/org/bamboorelay/processtests/UsageTests.java
@@ -0,0 +1,164 @@
+package org.bamboorelay.processtests;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.bamboorelay.processtests.Http.Seen;
+import org.bamboorelay.processtests.Http.Standin;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against a usage window that is reported with two sets of figures, by two
+ * processes that both believe they are in charge, or with figures that are not true.
+ */
+class UsageTests {
+
+	private static final String DOMAIN = "valle-a";
+
+	/**
+	 * Window, its grace, the wait for a domain's part and the start of a process, in
+	 * milliseconds.
+	 */
+	private static final long REPORT_MILLIS = 5_000 + 1_000 + 15_000 + Wait.START_MILLIS;
+
+	/**
+	 * The reporter is killed after its report arrived and its answer was lost; later its
+	 * successor is frozen, replaced and continued. Fails where a window's figures are not
+	 * read back from its record, and where a report goes out without a lease.
+	 */
+	@Test
+	void windowKeepsItsFiguresThroughTwoReporters() throws Exception {
+		try (Deployment deployment = new Deployment("usage", 2, DOMAIN)) {
+			Standin endpoint = deployment.endpoint("cuotas-1", Deployment.PLAIN, DOMAIN, false, "--latency-ms", "20");
+			Standin intake = deployment.platform("usage-intake");
+			deployment.set("model_steady", "0");
+			deployment.apply().ok();
+			deployment.startAll();
+			String key = deployment.grant();
+			deployment.hostNames().forEach((host) -> deployment.awaitService(host, key, Deployment.PLAIN));
+			Traffic traffic = new Traffic(deployment, key);
+			Wait.until(REPORT_MILLIS, "a report with figures", () -> requests(intake) > 0);
+
+			intake.fault("lose-answers", "true");
+			long reports = intake.seen("/reports").size();
+			Wait.until(REPORT_MILLIS, "a report whose answer was lost", () -> intake.seen("/reports").size() > reports);
+			String killed = reporter(deployment);
+			deployment.program(killed + "-control").kill();
+			intake.clear("lose-answers");
+			String successor = other(deployment, killed);
+			Wait.until(Wait.TAKEOVER_MILLIS, "successor of the killed reporter", () -> reports(deployment, successor));
+			deployment.program(killed + "-control").restart();
+			Wait.until(Wait.START_MILLIS, "restarted control process",
+					() -> deployment.controlHealth(killed).path("config_version").asLong() > 0);
+
+			intake.fault("slow", "{\"ms\":1000,\"match\":\"/reports\"}");
+			long before = intake.seen("/reports").size();
+			Wait.until(REPORT_MILLIS, "a report of the successor", () -> intake.seen("/reports").size() > before);
+			deployment.program(successor + "-control").freeze();
+			Wait.until(Wait.TAKEOVER_MILLIS, "successor of the frozen reporter", () -> reports(deployment, killed));
+			deployment.program(successor + "-control").resume();
+			Wait.until(Wait.START_MILLIS, "end of the frozen reporter's term",
+					() -> deployment.controlHealth(successor).has("usage_lease_fencing")
+							&& !reports(deployment, successor));
+			intake.clear("slow");
+
+			traffic.stop();
+			assertThat(traffic.failures).as("answers that were no 200").isEmpty();
+			// The requests that waited for the service count, too.
+			long served = endpoint.count("executions");
+			Wait.until(REPORT_MILLIS, served + " requests in reports", () -> requests(intake) >= served);
+			assertThat(requests(intake)).as("reported requests").isEqualTo(served);
+			requireOneSetOfFigures(intake);
+		}
+	}
+
+	private static void requireOneSetOfFigures(Standin intake) {
+		Map<Long, String> figures = new TreeMap<>();
+		long highest = 0;
+		for (Seen seen : intake.seen("/reports")) {
+			long fencing = seen.body().path("fencing").asLong();
+			assertThat(fencing).as("fencing number of " + seen).isGreaterThanOrEqualTo(highest);
+			highest = fencing;
+			String text = seen.body().path("figures") + " " + seen.body().path("corrections") + " "
+					+ seen.body().path("gaps");
+			String known = figures.putIfAbsent(seen.body().path("window").asLong(), text);
+			assertThat((known != null) ? known : text).as("figures of window " + seen.body().path("window"))
+				.isEqualTo(text);
+		}
+		assertThat(highest).as("terms of reporters").isGreaterThanOrEqualTo(3);
+	}
+
+	/** Sums each window once, corrections included. */
+	private static long requests(Standin intake) {
+		Map<Long, JsonNode> windows = new TreeMap<>();
+		intake.seen("/reports").forEach((seen) -> windows.put(seen.body().path("window").asLong(), seen.body()));
+		long sum = 0;
+		for (JsonNode window : windows.values()) {
+			sum += sum(window.path("figures"));
+			for (JsonNode correction : window.path("corrections")) {
+				sum += sum(correction.path("figures"));
+			}
+		}
+		return sum;
+	}
+
+	private static long sum(JsonNode figures) {
+		long sum = 0;
+		for (JsonNode figure : figures) {
+			sum += figure.path("requests").asLong();
+		}
+		return sum;
+	}
+
+	private static boolean reports(Deployment deployment, String host) {
+		return deployment.controlHealth(host).path("usage_lease_fencing").asLong() > 0;
+	}
+
+	private static String reporter(Deployment deployment) {
+		return deployment.hostNames().stream().filter((host) -> reports(deployment, host)).findFirst().orElseThrow();
+	}
+
+	private static String other(Deployment deployment, String host) {
+		return deployment.hostNames().stream().filter((name) -> !name.equals(host)).findFirst().orElseThrow();
+	}
+
+	private static final class Traffic {
+
+		private final AtomicBoolean running = new AtomicBoolean(true);
+
+		private final AtomicLong served = new AtomicLong();
+
+		private final List<String> failures = new java.util.concurrent.CopyOnWriteArrayList<>();
+
+		private final List<Thread> threads = new ArrayList<>();
+
+		private Traffic(Deployment deployment, String key) {
+			deployment.hostNames().forEach((host) -> this.threads.add(new Thread(() -> {
+				while (this.running.get()) {
+					Http.Reply reply = deployment.plain(host, key);
+					this.served.incrementAndGet();
+					if (!reply.isOk()) {
+						this.failures.add(reply.toString());
+					}
+				}
+			})));
+			this.threads.forEach(Thread::start);
+		}
+
+		private void stop() throws InterruptedException {
+			this.running.set(false);
+			for (Thread thread : this.threads) {
+				thread.join(Wait.START_MILLIS);
+			}
+		}
+
+	}
+
+}
