Refuse keyed requests until a thawed host has looked at its peers

Cause: after a freeze, a request could be checked before the first tick of the mesh. The membership still counted every peer as heard, and offers of control processes that had waited in their links carried an age from before the freeze. So a host served a key that was withdrawn during the freeze, up to 9.9 s after the withdrawal (invariant 6, 5 s).

Change: LiveConfiguration keeps the time of the last tick. Until the first tick after a gap of 1.5 s it refuses keyed requests as stale-view and ignores the ages of views. The mesh then closes all accepted links, those of control processes included, not only those of entry hosts.

--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/KeyHiding.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/request/KeyHiding.java
@@ -1,4 +1,4 @@
-package org.bamboorelay.entry.request;
+package org.bamboorelay.core.request;
 
 import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
@@ -19,9 +19,9 @@
 public final class KeyHiding {
 
 	/** Headers that endpoints see, in lower case. */
-	static final Set<String> TO_ENDPOINT = Set.of("accept", "accept-charset", "accept-encoding", "accept-language",
-			"content-encoding", "content-language", "content-type", "if-match", "if-modified-since", "if-none-match",
-			"idempotency-key", "if-unmodified-since", "range", "user-agent");
+	public static final Set<String> TO_ENDPOINT = Set.of("accept", "accept-charset", "accept-encoding",
+			"accept-language", "content-encoding", "content-language", "content-type", "if-match", "if-modified-since",
+			"if-none-match", "idempotency-key", "if-unmodified-since", "range", "user-agent");
 
 	/** Headers of answers that callers do not see, in lower case. */
 	private static final Set<String> NOT_TO_CALLER = Set.of("connection", "content-length", "date", "keep-alive",
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/version/ConfigurationSource.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/version/ConfigurationSource.java
@@ -1,9 +1,8 @@
-package org.bamboorelay.entry.version;
+package org.bamboorelay.core.version;
 
 import java.util.function.Consumer;
 
 import io.vavr.control.Option;
-import org.bamboorelay.core.version.Configuration;
 
 /**
  * The configuration in force at this host.
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/version/LiveConfiguration.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/version/LiveConfiguration.java
@@ -1,4 +1,4 @@
-package org.bamboorelay.entry.version;
+package org.bamboorelay.core.version;
 
 import java.util.HashMap;
 import java.util.HashSet;
@@ -16,15 +16,6 @@
 import org.bamboorelay.core.failure.Refusal;
 import org.bamboorelay.core.failure.RefusalReason;
 import org.bamboorelay.core.time.Clock;
-import org.bamboorelay.core.version.Configuration;
-import org.bamboorelay.core.version.ConfigurationState;
-import org.bamboorelay.core.version.FailureDomain;
-import org.bamboorelay.core.version.Inventory;
-import org.bamboorelay.core.version.KeyHash;
-import org.bamboorelay.core.version.ServiceId;
-import org.bamboorelay.core.version.ViewFreshness;
-import org.bamboorelay.core.version.WithdrawnKeys;
-import org.bamboorelay.core.version.WorkspaceId;
 
 /**
  * The configuration, the withdrawn keys and the age of the view at this host.
@@ -34,6 +25,13 @@
  */
 public final class LiveConfiguration implements ConfigurationSource {
 
+	/**
+	 * Gap between two ticks after which this process counts as having been frozen, in
+	 * milliseconds. What waited meanwhile is older than it says, and the membership is of
+	 * the time before.
+	 */
+	public static final long FROZEN_MILLIS = 1_500;
+
 	private static final long RETRY_AFTER_MILLIS = 2_000;
 
 	private final Clock clock;
@@ -54,9 +52,12 @@
 
 	private volatile boolean peersAsked;
 
+	private volatile long tickedAtMillis;
+
 	private LiveConfiguration(Clock clock, Predicate<Set<FailureDomain>> hears) {
 		this.clock = Objects.requireNonNull(clock, "clock");
 		this.hears = Objects.requireNonNull(hears, "hears");
+		this.tickedAtMillis = clock.millis();
 	}
 
 	/**
@@ -147,12 +148,12 @@
 			this.state.accept(configuration, this.clock.millis());
 		}
 		noteView(configuration.version(), ageMillis);
-		tick();
+		settle();
 	}
 
 	/**
 	 * Notes the age of another process's view. It counts only where this host holds the
-	 * version that the other saw.
+	 * version that the other saw, and not before the first tick after a freeze.
 	 * @param version the version that the other process holds
 	 * @param ageMillis age of its view, in milliseconds; negative for unknown
 	 * @return whether this host holds the version
@@ -161,6 +162,9 @@
 		if (version > this.state.heldVersion()) {
 			return false;
 		}
+		if (wasFrozen()) {
+			return true;
+		}
 		this.freshness.heard(ageMillis, this.clock.millis());
 		return true;
 	}
@@ -173,13 +177,28 @@
 		synchronized (this) {
 			this.state.peerHolds(version);
 		}
-		tick();
+		settle();
 	}
 
 	/**
-	 * Puts a settled version in force and tells the listeners.
+	 * Tells whether this process has not run for a while and has not noticed it yet.
+	 * @return whether the last tick is longer ago than {@value #FROZEN_MILLIS} ms
 	 */
-	public synchronized void tick() {
+	public boolean wasFrozen() {
+		return this.clock.millis() - this.tickedAtMillis > FROZEN_MILLIS;
+	}
+
+	/**
+	 * Puts a settled version in force and tells the listeners. To be called several times
+	 * a second, after the membership was updated and, where {@link #wasFrozen()}, after
+	 * all links were closed.
+	 */
+	public void tick() {
+		this.tickedAtMillis = this.clock.millis();
+		settle();
+	}
+
+	private synchronized void settle() {
 		Option<Configuration> settled = this.state.settle(this.clock.millis());
 		if (settled.isDefined()) {
 			Configuration configuration = settled.get();
@@ -203,7 +222,7 @@
 			return Either.left(Refusal.notRun(RefusalReason.WITHDRAWN_KEY, "the key was withdrawn"));
 		}
 		Configuration configuration = present.get().configuration();
-		if (!servesKeyed(configuration)) {
+		if (wasFrozen() || !servesKeyed(configuration)) {
 			return Either.left(Refusal
 				.notRun(RefusalReason.STALE_VIEW, "this host cannot check keys: it is cut off from its peers")
 				.withRetryAfter(RETRY_AFTER_MILLIS));
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/connection/TcpPeerMesh.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/connection/TcpPeerMesh.java
@@ -25,7 +25,7 @@
 import org.bamboorelay.core.version.HostId;
 import org.bamboorelay.core.version.Inventory;
 import org.bamboorelay.core.version.KeyHash;
-import org.bamboorelay.entry.version.LiveConfiguration;
+import org.bamboorelay.core.version.LiveConfiguration;
 import org.bamboorelay.runtime.connection.PeerFailure;
 import org.bamboorelay.runtime.connection.PeerLink;
 import org.bamboorelay.runtime.connection.PeerListener;
@@ -63,12 +63,6 @@
 	 */
 	private static final long EXCHANGE_MILLIS = 2_000;
 
-	/**
-	 * Gap between two ticks after which this process counts as having been frozen, in
-	 * milliseconds. Messages that waited meanwhile are older than they say.
-	 */
-	private static final long FROZEN_MILLIS = 1_500;
-
 	private final PeerMessage.Hello hello;
 
 	private final LiveConfiguration configuration;
@@ -257,13 +251,17 @@
 	 */
 	public void tick() {
 		long now = this.clock.millis();
-		boolean frozen = now - this.lastTickMillis > FROZEN_MILLIS;
-		if (frozen) {
+		if (this.configuration.wasFrozen()) {
 			LOG.atWarn()
 				.addKeyValue("event", "process.was-frozen")
 				.addKeyValue("gap_ms", now - this.lastTickMillis)
 				.log("process.was-frozen");
+			// Messages that waited, those of control processes included, are too old.
 			links().forEach(PeerLink::close);
+			PeerListener opened = this.listener;
+			if (opened != null) {
+				opened.closeLinks();
+			}
 		}
 		synchronized (this.membership) {
 			this.membership.tick(now);
@@ -334,7 +332,7 @@
 			return;
 		}
 		long now = this.clock.millis();
-		if (now - this.lastTickMillis > FROZEN_MILLIS) {
+		if (this.configuration.wasFrozen()) {
 			return;
 		}
 		if (!outgoing) {
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/EntryParts.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/EntryParts.java
@@ -5,9 +5,9 @@
 
 import org.bamboorelay.core.store.ObjectStore;
 import org.bamboorelay.core.time.Clock;
+import org.bamboorelay.core.version.LiveConfiguration;
 import org.bamboorelay.entry.connection.HttpEngineClient;
 import org.bamboorelay.entry.connection.TcpPeerMesh;
-import org.bamboorelay.entry.version.LiveConfiguration;
 import org.bamboorelay.runtime.connection.HttpConnectionPool;
 import org.bamboorelay.runtime.process.Counters;
 
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/RolloutParts.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/RolloutParts.java
@@ -5,10 +5,10 @@
 
 import org.bamboorelay.core.store.ObjectStore;
 import org.bamboorelay.core.time.Clock;
+import org.bamboorelay.core.version.ConfigurationSource;
 import org.bamboorelay.entry.connection.EngineClient;
 import org.bamboorelay.entry.connection.PeerMesh;
 import org.bamboorelay.entry.process.UsageMeter;
-import org.bamboorelay.entry.version.ConfigurationSource;
 import org.bamboorelay.runtime.process.Counters;
 
 /**
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/PeerListener.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/PeerListener.java
@@ -55,6 +55,13 @@
 		return this.server.getLocalPort();
 	}
 
+	/**
+	 * Closes the links that were accepted so far; new ones are still accepted.
+	 */
+	public void closeLinks() {
+		this.links.forEach(PeerLink::close);
+	}
+
 	@Override
 	public void close() {
 		try {
@@ -63,7 +70,7 @@
 		catch (IOException ex) {
 			// The process ends; a failure to close its listener changes nothing.
 		}
-		this.links.forEach(PeerLink::close);
+		closeLinks();
 	}
 
 	private void acceptLoop(PeerMessage.Hello hello, PeerLink.Handler handler, Consumer<PeerFailure> onFailure,
