Add a seeded scenario generator with checkers for eight invariants

Each run draws one of the 28 pairs of faults, 1, 3 or 4 failure domains with two hosts each, and runs hosts made of the decision classes over a manual clock. Invariants 1-4, 6-8 and 16 are checked after each step.

--- /dev/null
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/scenario/RolloutNode.java
@@ -0,0 +1,430 @@
+package org.bamboorelay.core.scenario;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.LongConsumer;
+
+import io.vavr.control.Either;
+import org.bamboorelay.core.failure.RetryReason;
+import org.bamboorelay.core.process.StoreStep;
+import org.bamboorelay.core.request.BatchRecord;
+import org.bamboorelay.core.request.DeliveryState;
+import org.bamboorelay.core.request.SampleLabel;
+import org.bamboorelay.core.request.SampleSlot;
+import org.bamboorelay.core.request.StalenessBound;
+import org.bamboorelay.core.request.StepPlan;
+import org.bamboorelay.core.request.StepState;
+import org.bamboorelay.core.store.StoreFailure;
+import org.bamboorelay.core.store.StoredObject;
+import org.bamboorelay.core.version.EndpointId;
+import org.bamboorelay.core.version.HostId;
+import org.bamboorelay.core.version.WeightVersion;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The part of a process that runs a trainer's steps: attempts at engines, samples held in
+ * memory here and on a second host, and batch records in the store.
+ */
+final class RolloutNode {
+
+	static final StepPlan PLAN = new StepPlan(List.of(4L, 6L), 4);
+
+	static final StalenessBound BOUND = new StalenessBound(1);
+
+	private static final int MAX_ROUNDS = 30;
+
+	private static final int TOKEN_MILLIS = 120;
+
+	private final World world;
+
+	private final SimProcess process;
+
+	/** Samples in this process's memory. */
+	private final Map<String, Attempt> held = new HashMap<>();
+
+	private final Map<Integer, Step> steps = new TreeMap<>();
+
+	RolloutNode(World world, SimProcess process) {
+		this.world = world;
+		this.process = process;
+		world.loop.every(500, process,
+				() -> this.steps.values().forEach((step) -> step.on(new StepState.Event.Tick(world.loop.now()))));
+	}
+
+	boolean runs(int step) {
+		Step present = this.steps.get(step);
+		return present != null && present.delivery != null;
+	}
+
+	void published(long version) {
+		this.steps.values().forEach((step) -> step.on(new StepState.Event.NewVersion(version, BOUND)));
+	}
+
+	void fetch(Trainer.Fetch fetch) {
+		Step step = this.steps.computeIfAbsent(fetch.step(), Step::new);
+		if (step.busy) {
+			return;
+		}
+		step.busy = true;
+		if (step.delivery != null) {
+			step.serve(fetch, 0);
+		}
+		else {
+			step.takeOver(() -> step.serve(fetch, 0));
+		}
+	}
+
+	@Nullable Attempt held(String id) {
+		return this.held.get(id);
+	}
+
+	void drop(String id) {
+		this.held.remove(id);
+	}
+
+	private static byte[] bytes(String token) {
+		return token.getBytes(StandardCharsets.UTF_8);
+	}
+
+	private String newToken() {
+		return this.process.name() + "/" + this.world.nextId();
+	}
+
+	/** One step at this host. */
+	private final class Step {
+
+		private final int number;
+
+		private final Map<Long, Attempt> attempts = new TreeMap<>();
+
+		private @Nullable StepState state;
+
+		private @Nullable DeliveryState delivery;
+
+		private boolean busy;
+
+		private Step(int number) {
+			this.number = number;
+		}
+
+		private String key(long seq) {
+			return "delivery/t/" + this.number + "/" + seq;
+		}
+
+		private void read(String key, Consumer<@Nullable StoredObject> then) {
+			RolloutNode.this.world.network.store(RolloutNode.this.process, new StoreStep.Read(key), (result) -> {
+				if (result.isLeft()) {
+					this.busy = false;
+				}
+				else {
+					then.accept(result.get().getOrNull());
+				}
+			});
+		}
+
+		private void takeOver(Runnable then) {
+			String key = "steps/t/" + this.number;
+			read(key, (found) -> {
+				long ownership = (found != null) ? Long.parseLong(new String(found.body(), StandardCharsets.UTF_8)) + 1
+						: 1;
+				long version = (found != null) ? found.version() : 0;
+				StoreStep write = new StoreStep.Write(key, bytes(Long.toString(ownership)), version);
+				RolloutNode.this.world.network.store(RolloutNode.this.process, write, (result) -> {
+					if (result.isLeft()) {
+						this.busy = false;
+						return;
+					}
+					RolloutNode.this.world.journal
+						.trace(() -> RolloutNode.this.process + " runs step " + this.number + " as owner " + ownership);
+					this.attempts.values().forEach((attempt) -> attempt.over = true);
+					this.attempts.clear();
+					DeliveryState delivery = DeliveryState.of(PLAN.size(), ownership);
+					this.state = null;
+					readChain(delivery, () -> {
+						this.delivery = delivery;
+						this.state = StepState.of(PLAN, new StepState.Settings(BOUND, 6, true, 3));
+						on(new StepState.Event.Delivered(delivery.delivered()));
+						then.run();
+					});
+				});
+			});
+		}
+
+		private void readChain(DeliveryState chain, Runnable then) {
+			read(key(chain.next()), (found) -> {
+				if (found == null) {
+					then.run();
+					return;
+				}
+				chain.recorded(RolloutNode.this.world.record(found.body()));
+				readChain(chain, then);
+			});
+		}
+
+		private void serve(Trainer.Fetch fetch, int round) {
+			if (round > MAX_ROUNDS) {
+				this.busy = false;
+				return;
+			}
+			head((head) -> {
+				long newest = (RolloutNode.this.world.variant == Variant.NO_STALENESS_CHECK) ? 0
+						: Math.max(head, fetch.trainerVersion());
+				on(new StepState.Event.NewVersion(newest, BOUND));
+				DeliveryState.Action answer = null;
+				for (DeliveryState.Action action : this.delivery.fetch(fetch.seq(),
+						1 + RolloutNode.this.world.random.nextInt(4), newest, BOUND, newToken())) {
+					if (action instanceof DeliveryState.Action.Drop
+							|| action instanceof DeliveryState.Action.Regenerate) {
+						carryOut(List.of(action));
+					}
+					else {
+						answer = action;
+					}
+				}
+				if (answer instanceof DeliveryState.Action.Propose propose) {
+					propose(propose.record(), fetch, round);
+				}
+				else if (answer instanceof DeliveryState.Action.Serve serve) {
+					serve(serve, fetch, round);
+				}
+				else if (answer instanceof DeliveryState.Action.OutOfOrder) {
+					catchUp(() -> this.busy = false);
+				}
+				else {
+					this.busy = false;
+					RolloutNode.this.world.trainer.answer(fetch, answer, Map.of());
+				}
+			});
+		}
+
+		private void head(LongConsumer then) {
+			read("weights/s/cartas", (found) -> then
+				.accept((found != null) ? Long.parseLong(new String(found.body(), StandardCharsets.UTF_8)) : 1));
+		}
+
+		private void serve(DeliveryState.Action.Serve serve, Trainer.Fetch fetch, int round) {
+			Map<String, Attempt> bodies = new HashMap<>();
+			serve.samples().forEach((sample) -> {
+				Attempt body = RolloutNode.this.world.sample(RolloutNode.this.process, sample);
+				if (body != null) {
+					bodies.put(sample.id(), body);
+				}
+			});
+			if (bodies.size() == serve.samples().size()) {
+				this.busy = false;
+				RolloutNode.this.world.trainer.answer(fetch, serve, bodies);
+				return;
+			}
+			DeliveryState.Action lost = this.delivery.lost(fetch.seq(), newToken());
+			if (lost instanceof DeliveryState.Action.Propose propose) {
+				propose(propose.record(), fetch, round);
+			}
+			else {
+				this.busy = false;
+				RolloutNode.this.world.trainer.answer(fetch, lost, Map.of());
+			}
+		}
+
+		private void propose(BatchRecord record, Trainer.Fetch fetch, int round) {
+			RolloutNode.this.world.records.put(record.token(), record);
+			if (RolloutNode.this.world.variant == Variant.UNCONDITIONAL_RECORDS) {
+				RolloutNode.this.world.network.store.put(key(record.seq()), bytes(record.token()));
+			}
+			StoreStep write = new StoreStep.Write(key(record.seq()), bytes(record.token()), 0);
+			RolloutNode.this.world.network.store(RolloutNode.this.process, write,
+					(result) -> afterWrite(result, fetch, round));
+		}
+
+		private void afterWrite(Either<StoreFailure, ?> result, Trainer.Fetch fetch, int round) {
+			if (result.isLeft() && !(result.getLeft() instanceof StoreFailure.ConditionFailed)
+					&& !(result.getLeft() instanceof StoreFailure.OutcomeUnknown)) {
+				this.busy = false;
+				return;
+			}
+			// Whoever made the record at this place, the store's one counts.
+			catchUp(() -> serve(fetch, round + 1));
+		}
+
+		private void catchUp(Runnable then) {
+			long seq = this.delivery.next();
+			read(key(seq), (found) -> {
+				if (found != null) {
+					BatchRecord record = RolloutNode.this.world.record(found.body());
+					RolloutNode.this.world.journal.trace(() -> RolloutNode.this.process + " applies " + record);
+					carryOut(this.delivery.recorded(record));
+				}
+				then.run();
+			});
+		}
+
+		private void carryOut(List<DeliveryState.Action> actions) {
+			for (DeliveryState.Action action : actions) {
+				if (action instanceof DeliveryState.Action.Drop drop) {
+					drop.samples()
+						.forEach((sample) -> RolloutNode.this.world.drop(RolloutNode.this.process, sample.id()));
+				}
+				else if (action instanceof DeliveryState.Action.Regenerate again) {
+					on(new StepState.Event.Reopened(again.slots()));
+				}
+				else if (action instanceof DeliveryState.Action.Close close) {
+					on(new StepState.Event.Delivered(close.slots()));
+				}
+			}
+		}
+
+		private void on(StepState.Event event) {
+			if (this.state == null) {
+				return;
+			}
+			for (StepState.Action action : this.state.on(event)) {
+				if (action instanceof StepState.Action.Start start) {
+					Attempt attempt = new Attempt(start.attempt(), this.attempts.get(start.resumeOf()),
+							RolloutNode.this.world.trainer.published());
+					this.attempts.put(start.attempt(), attempt);
+					StepState owner = this.state;
+					RolloutNode.this.world.loop.after(5 + start.delayMillis(), RolloutNode.this.process,
+							() -> begin(attempt, owner));
+				}
+				else if (action instanceof StepState.Action.Cancel cancel) {
+					this.attempts.get(cancel.attempt()).over = true;
+				}
+				else if (action instanceof StepState.Action.Keep keep) {
+					keep(this.attempts.get(keep.attempt()), keep.slot());
+				}
+			}
+		}
+
+		private void begin(Attempt attempt, StepState owner) {
+			if (attempt.over || owner != this.state) {
+				return;
+			}
+			attempt.engine = RolloutNode.this.world.engines.pick();
+			on(new StepState.Event.Started(attempt.number, EndpointId.of("engine-" + attempt.engine),
+					RolloutNode.this.world.loop.now()));
+			generate(attempt, owner, 2 + RolloutNode.this.world.random.nextInt(4));
+		}
+
+		private void generate(Attempt attempt, StepState owner, int left) {
+			// The engine goes on while this process is frozen.
+			RolloutNode.this.world.loop.after(20 + RolloutNode.this.world.random.nextInt(TOKEN_MILLIS), () -> {
+				long truth = RolloutNode.this.world.engines.version(attempt.engine);
+				WeightVersion reported = RolloutNode.this.world.engines.reported(attempt.engine, attempt.streamVersion);
+				boolean truncated = RolloutNode.this.world.random.nextInt(40) == 0;
+				boolean lie = reported == null || reported.number() != truth;
+				attempt.streamVersion = truth;
+				RolloutNode.this.world.loop.after(1, RolloutNode.this.process, () -> {
+					if (!attempt.over && owner == this.state) {
+						token(attempt, truth, reported, truncated, lie);
+					}
+				});
+				if (!lie && !truncated) {
+					if (left > 1) {
+						generate(attempt, owner, left - 1);
+					}
+					else {
+						RolloutNode.this.world.loop.after(2, RolloutNode.this.process, () -> finish(attempt, owner));
+					}
+				}
+			});
+		}
+
+		private void token(Attempt attempt, long truth, @Nullable WeightVersion reported, boolean truncated,
+				boolean lie) {
+			Either<SampleLabel.BadLabel, SampleLabel> label = attempt.label.plus(reported, 1);
+			if (label.isLeft() || truncated) {
+				attempt.over = true;
+				RetryReason reason = label.isLeft() ? RetryReason.BAD_LABEL : RetryReason.STREAM_TRUNCATED;
+				on(new StepState.Event.Failed(attempt.number, reason, label.isRight()));
+				return;
+			}
+			attempt.versions.add(truth);
+			attempt.label = label.get();
+			on(new StepState.Event.Labelled(attempt.number, attempt.label.oldest()));
+		}
+
+		private void finish(Attempt attempt, StepState owner) {
+			if (!attempt.over && owner == this.state) {
+				attempt.over = true;
+				on(new StepState.Event.Finished(attempt.number, attempt.label.oldest(),
+						RolloutNode.this.world.loop.now()));
+			}
+		}
+
+		private void keep(Attempt attempt, SampleSlot slot) {
+			String id = slot + "/" + RolloutNode.this.world.nextId();
+			RolloutNode.this.held.put(id, attempt);
+			SimProcess second = RolloutNode.this.world.secondHolder(RolloutNode.this.process);
+			if (second == null) {
+				// Without a second copy the sample is made again.
+				on(new StepState.Event.Reopened(List.of(slot)));
+				return;
+			}
+			DeliveryState present = this.delivery;
+			RolloutNode.this.world.network.send(RolloutNode.this.process, second, () -> {
+				RolloutNode.this.world.rollouts.get(second).held.put(id, attempt);
+				RolloutNode.this.world.network.send(second, RolloutNode.this.process, () -> {
+					if (present == this.delivery) {
+						List<HostId> holders = List.of(RolloutNode.this.process.host, second.host);
+						carryOut(present.ready(new BatchRecord.Entry(id, slot, attempt.label.oldest(),
+								attempt.label.tokens(), 100, holders)));
+					}
+				});
+			});
+			RolloutNode.this.world.loop.after(Network.TIMEOUT_MILLIS, RolloutNode.this.process, () -> {
+				if (present == this.delivery && !RolloutNode.this.world.isCopied(second, id)) {
+					on(new StepState.Event.Reopened(List.of(slot)));
+				}
+			});
+		}
+
+	}
+
+	/** One stream of a sample, with the text of the streams before it. */
+	static final class Attempt {
+
+		private final long number;
+
+		private final List<Long> versions = new ArrayList<>();
+
+		private final long headAtStart;
+
+		private SampleLabel label = SampleLabel.of(FakeEngines.LINE);
+
+		private long streamVersion;
+
+		private int engine;
+
+		private boolean over;
+
+		private Attempt(long number, @Nullable Attempt before, long head) {
+			this.number = number;
+			this.headAtStart = head;
+			if (before != null) {
+				this.versions.addAll(before.versions);
+				this.label = before.label.withNewStream();
+			}
+		}
+
+		List<Long> truth() {
+			return this.versions;
+		}
+
+		List<Long> labelled(Variant variant) {
+			List<Long> labelled = new ArrayList<>();
+			this.label.spans().forEach((span) -> {
+				for (int token = 0; token < span.tokens(); token++) {
+					labelled
+						.add((variant == Variant.LABEL_FROM_HEAD) ? this.headAtStart : span.weightVersion().number());
+				}
+			});
+			return labelled;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/scenario/UsageTally.java
@@ -0,0 +1,32 @@
+package org.bamboorelay.core.scenario;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.bamboorelay.core.connection.PeerMessage.UsageCount;
+import org.bamboorelay.core.connection.PeerMessage.UsageCounters;
+import org.bamboorelay.core.version.WorkspaceId;
+
+/**
+ * Cumulative counters of every incarnation of an entry process.
+ */
+final class UsageTally {
+
+	private final Map<String, Map<WorkspaceId, Long>> counts = new HashMap<>();
+
+	void served(SimProcess process, WorkspaceId workspace) {
+		this.counts.computeIfAbsent(process.name(), (unused) -> new HashMap<>()).merge(workspace, 1L, Long::sum);
+	}
+
+	UsageCounters counters(SimProcess process) {
+		List<UsageCount> list = this.counts.getOrDefault(process.name(), Map.of())
+			.entrySet()
+			.stream()
+			.sorted(Map.Entry.comparingByKey(java.util.Comparator.comparing(WorkspaceId::value)))
+			.map((entry) -> new UsageCount(entry.getKey(), World.SERVICE, entry.getValue(), entry.getValue() * 10))
+			.toList();
+		return new UsageCounters(process.name(), false, list);
+	}
+
+}
--- /dev/null
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/scenario/Variant.java
@@ -0,0 +1,45 @@
+package org.bamboorelay.core.scenario;
+
+/**
+ * A mechanism that is switched off or replaced by a naive one, to show that the checker
+ * of its invariant can fail.
+ */
+enum Variant {
+
+	NONE,
+
+	/** Labels come from the weight head at the start of a sample. */
+	LABEL_FROM_HEAD(Invariant.TRUE_LABELS),
+
+	/** The age of samples is not compared with the trainer's version. */
+	NO_STALENESS_CHECK(Invariant.STALENESS_BOUND),
+
+	/** Batch records are written without a condition. */
+	UNCONDITIONAL_RECORDS(Invariant.DELIVERED_ONCE),
+
+	/** The workspace of a key is remembered by connection instead of looked up. */
+	CACHED_WORKSPACE(Invariant.OWN_WORKSPACE),
+
+	/** A cut-off host goes on serving keyed requests. */
+	SERVE_ISOLATED(Invariant.WITHDRAWN_KEYS),
+
+	/** A contender takes over before the holder's lease has ended. */
+	EARLY_TAKEOVER(Invariant.ONE_ORDERING_HOLDER),
+
+	/** Each send of a usage window reads the counters again. */
+	LIVE_FIGURES(Invariant.ONE_USAGE_REPORT),
+
+	/** A host takes any configuration it is offered. */
+	TAKE_ANY_VERSION(Invariant.CONFIGURATION_IN_FORCE);
+
+	final Invariant broken;
+
+	Variant() {
+		this.broken = null;
+	}
+
+	Variant(Invariant broken) {
+		this.broken = broken;
+	}
+
+}
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/store/FakeObjectStore.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/store/FakeObjectStore.java
@@ -46,6 +46,10 @@
 		this.down = isDown;
 	}
 
+	public boolean isDown() {
+		return this.down;
+	}
+
 	/** Makes each call take this long before and after it takes effect. */
 	public void slow(long millis) {
 		this.slowMillis = millis;
