--- a/bamboorelay-process-tests/src/test/java/org/bamboorelay/processtests/ShutdownTests.java
+++ b/bamboorelay-process-tests/src/test/java/org/bamboorelay/processtests/ShutdownTests.java
@@ -53,7 +53,7 @@
 				callers.add(new Thread(load::stream));
 			}
 			callers.forEach(Thread::start);
-			Wait.until(Wait.START_MILLIS, "answers and whole streams before the shutdown",
+			Wait.until(Wait.START_MILLIS, "answers and running streams before the shutdown",
 					() -> load.answers.get() >= 2 * PLAIN_CALLERS && load.streams.get() >= STREAM_CALLERS);
 			deployment.program(host).terminate();
 			load.terminated.set(true);
@@ -100,7 +100,8 @@
 
 	private static final class Load {
 
-		private static final int STREAM_TOKENS = 150;
+		/** 8 s, longer than all other waits of a shutdown together. */
+		private static final int STREAM_TOKENS = 800;
 
 		private final AtomicBoolean accepting = new AtomicBoolean(true);
 
@@ -148,8 +149,9 @@
 			while (this.accepting.get()) {
 				boolean before = !this.terminated.get();
 				CallerStream stream = CallerStream.open(this.deployment.http(this.host), this.key, STREAM_TOKENS);
-				Wait.until(Wait.START_MILLIS, "end of a stream", stream::isEnded);
+				Wait.until(Wait.START_MILLIS, "tokens of a stream", () -> stream.hasTokens() || stream.isEnded());
 				this.streams.incrementAndGet();
+				Wait.until(Wait.START_MILLIS, "end of a stream", stream::isEnded);
 				if (before && this.terminated.get()) {
 					this.streamsAcross.incrementAndGet();
 				}
