Choose no test port twice, and check the successor's order at its end only

In a full run two processes of one deployment got the same port, since a port stays free until its process starts; one of them ended with 'Address already in use'. Chosen ports are now remembered. The early check of the ordering record asked for an order of the successor that could still wait for its answer, and failed twice in one run; the early check is now that fencing rises, and the presence of the successor's order is checked at the end as before.

Not tried: UsageTests, ConfigurationTests, ColdEndpointTests, StoreOutageTests, and leavingEntryCutsNoRequest in its present form.

--- a/bamboorelay-process-tests/src/test/java/org/bamboorelay/processtests/LeaseHolderTests.java
+++ b/bamboorelay-process-tests/src/test/java/org/bamboorelay/processtests/LeaseHolderTests.java
@@ -71,7 +71,10 @@
 			Wait.until(Wait.START_MILLIS, "next order of the first holder",
 					() -> deployment.program(first + "-control").log().contains("lease-lost")
 							|| !fencingRises(ordering.seen("/orders")));
-			requireFencingRises("ordering", ordering.seen("/orders"));
+			// The successor's first order may still wait for its answer; its presence is
+			// checked at the end.
+			assertThat(fencingRises(ordering.seen("/orders"))).as("rising fencing: " + ordering.seen("/orders"))
+				.isTrue();
 			Wait.until(Wait.START_MILLIS, "end of the first holder's term", () -> fencing(deployment, first) == 0);
 			Wait.until(Wait.START_MILLIS, "all endpoints started", () -> started(ordering).size() >= ENDPOINTS);
 			Wait.until(Wait.START_MILLIS, "weights 2 on all engines", () -> engines.stream().allMatch(onVersion(2)));
--- a/bamboorelay-process-tests/src/test/java/org/bamboorelay/processtests/Ports.java
+++ b/bamboorelay-process-tests/src/test/java/org/bamboorelay/processtests/Ports.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.util.HashSet;
+import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 
 /**
@@ -20,6 +22,9 @@
 
 	private static final int ATTEMPTS = 1_000;
 
+	/** A port is free until its process starts, so that it could be chosen twice. */
+	private static final Set<Integer> CHOSEN = new HashSet<>();
+
 	private Ports() {
 	}
 
@@ -27,6 +32,9 @@
 		int fork = Integer.getInteger("fork.number", 1) % 3;
 		for (int i = 0; i < ATTEMPTS; i++) {
 			int port = FIRST + fork * RANGE + ThreadLocalRandom.current().nextInt(RANGE);
+			if (!CHOSEN.add(port)) {
+				continue;
+			}
 			try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
 				return "127.0.0.1:" + socket.getLocalPort();
 			}
