--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/scenario/Checkers.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/scenario/Checkers.java
@@ -26,7 +26,7 @@
 
 	static List<Checker> all(World world) {
 		return List.of(new TrueLabels(world), new Staleness(world), new DeliveredOnce(world), new OwnWorkspace(world),
-				new Withdrawn(world), new Orders(world), new Usage(world), new InForce(world));
+				new HiddenKeys(world), new Withdrawn(world), new Orders(world), new Usage(world), new InForce(world));
 	}
 
 	/** Returns the invariants that have a checker. */
@@ -129,6 +129,25 @@
 
 	}
 
+	private static final class HiddenKeys extends Checker {
+
+		HiddenKeys(World world) {
+			super(world, Invariant.HIDDEN_KEYS);
+		}
+
+		@Override
+		void on(Fact fact) {
+			if (fact instanceof Fact.Sent sent) {
+				if (sent.request().isExposed()) {
+					occurred();
+				}
+				require(sent.seen().stream().noneMatch(sent.request()::isIn),
+						() -> "an endpoint sees a caller's key in " + sent.seen());
+			}
+		}
+
+	}
+
 	private static final class Withdrawn extends Checker {
 
 		Withdrawn(World world) {
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/scenario/Fact.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/scenario/Fact.java
@@ -37,6 +37,10 @@
 	record Asked(SimProcess host, int connection, KeyHash key, boolean ran) implements Fact {
 	}
 
+	/** An endpoint got a request; it sees nothing of one that was refused. */
+	record Sent(RequestText request, List<String> seen) implements Fact {
+	}
+
 	/** A request began to run. */
 	record Ran(SimProcess host, KeyHash key, WorkspaceId as) implements Fact {
 	}
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/scenario/KeyRing.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/scenario/KeyRing.java
@@ -20,15 +20,23 @@
 	/** The time at which each withdrawal was accepted, in milliseconds. */
 	final Map<KeyHash, Long> withdrawn = new HashMap<>();
 
+	private final Map<KeyHash, String> texts = new HashMap<>();
+
 	private final List<KeyHash> order = new ArrayList<>();
 
 	KeyHash grant(WorkspaceId workspace) {
-		KeyHash key = KeyHash.ofKey("key-" + this.order.size() + "-of-" + workspace);
+		String text = "key-" + this.order.size() + "-of-" + workspace;
+		KeyHash key = KeyHash.ofKey(text);
+		this.texts.put(key, text);
 		this.granted.put(key, workspace);
 		this.order.add(key);
 		return key;
 	}
 
+	String text(KeyHash key) {
+		return this.texts.get(key);
+	}
+
 	List<KeyHash> all() {
 		return this.order;
 	}
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/scenario/Variant.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/scenario/Variant.java
@@ -20,6 +20,9 @@
 	/** The workspace of a key is remembered by connection instead of looked up. */
 	CACHED_WORKSPACE(Invariant.OWN_WORKSPACE),
 
+	/** Headers pass to endpoints without the allow list. */
+	ALL_HEADERS(Invariant.HIDDEN_KEYS),
+
 	/** A cut-off host goes on serving keyed requests. */
 	SERVE_ISOLATED(Invariant.WITHDRAWN_KEYS),
 
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/scenario/World.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/scenario/World.java
@@ -231,7 +231,12 @@
 		boolean streaming = this.random.nextInt(8) == 0;
 		this.loop.after(this.network.latency(), process, () -> {
 			EntryNode entry = this.entries.get(process);
-			emit(new Fact.Asked(process, connection, key, entry.request(connection, key, streaming).isRight()));
+			boolean ran = entry.request(connection, key, streaming).isRight();
+			emit(new Fact.Asked(process, connection, key, ran));
+			if (ran) {
+				RequestText text = new RequestText(this.keys.text(key), this.random);
+				emit(new Fact.Sent(text, text.toEndpoint(this.variant)));
+			}
 		});
 		this.loop.after(REQUEST_MILLIS / 2 + this.random.nextInt((int) REQUEST_MILLIS), this::call);
 	}
