--- a/bamboorelay-slopes/src/main/java/org/bamboorelay/slopes/process/ConfigurationSlopes.java
+++ b/bamboorelay-slopes/src/main/java/org/bamboorelay/slopes/process/ConfigurationSlopes.java
@@ -14,7 +14,7 @@
 import org.bamboorelay.core.version.Configuration;
 import org.bamboorelay.core.version.ConfigurationAssembly;
 import org.bamboorelay.core.version.CoreJson;
-import org.bamboorelay.entry.version.LiveConfiguration;
+import org.bamboorelay.core.version.LiveConfiguration;
 import org.bamboorelay.runtime.connection.PeerCodec;
 import org.bamboorelay.runtime.request.Json;
 
--- a/bamboorelay-slopes/src/main/java/org/bamboorelay/slopes/process/RequestSlopes.java
+++ b/bamboorelay-slopes/src/main/java/org/bamboorelay/slopes/process/RequestSlopes.java
@@ -9,9 +9,9 @@
 import org.bamboorelay.core.request.AdmissionQueue;
 import org.bamboorelay.core.time.ManualClock;
 import org.bamboorelay.core.version.KeyHash;
+import org.bamboorelay.core.version.LiveConfiguration;
 import org.bamboorelay.entry.request.IdempotencyRecords;
 import org.bamboorelay.entry.request.PlainAnswer;
-import org.bamboorelay.entry.version.LiveConfiguration;
 import org.bamboorelay.runtime.process.Counters;
 
 /**
--- a/bamboorelay-slopes/src/main/java/org/bamboorelay/slopes/process/StateSlopes.java
+++ b/bamboorelay-slopes/src/main/java/org/bamboorelay/slopes/process/StateSlopes.java
@@ -12,8 +12,8 @@
 import org.bamboorelay.core.request.StepPlan;
 import org.bamboorelay.core.request.StepState;
 import org.bamboorelay.core.time.ManualClock;
+import org.bamboorelay.core.version.LiveConfiguration;
 import org.bamboorelay.entry.process.UsageTable;
-import org.bamboorelay.entry.version.LiveConfiguration;
 
 /**
  * Memory by the number of endpoints, workspaces, running requests, peers and samples.
