--- a/bamboorelay-cli/src/main/java/org/bamboorelay/cli/request/StatusCommands.java
+++ b/bamboorelay-cli/src/main/java/org/bamboorelay/cli/request/StatusCommands.java
@@ -116,8 +116,8 @@
 
 	private static String summary(JsonNode status) {
 		return status.path("host").asText() + "  version " + status.path("config_version").asLong() + "  view age "
-				+ status.path("view_age_ms").asLong() + " ms  running " + status.path("running").asLong() + "  peers "
-				+ status.path("peers").size();
+				+ status.path("view_age_ms").asLong() + " ms  running " + status.path("running_requests").asLong()
+				+ "  peers " + status.path("peers").size();
 	}
 
 }
