--- /dev/null
+++ b/bamboorelay-cli/src/test/java/org/bamboorelay/cli/process/OperatorMainTests.java
@@ -0,0 +1,76 @@
+package org.bamboorelay.cli.process;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against exit codes and messages that scripts and operators cannot rely on.
+ */
+class OperatorMainTests {
+
+	private static final Path SAMPLE = Path.of("..", "config", "parcela-viva");
+
+	private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+
+	private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+
+	@Test
+	void checkAcceptsTheSample() {
+		assertThat(run("check", SAMPLE.resolve("inventory.toml").toString(), SAMPLE.resolve("rules.toml").toString()))
+			.isEqualTo(ExitCode.OK);
+	}
+
+	@Test
+	void unknownServiceOfAWorkspaceIsNamedWithItsLine(@TempDir Path folder) throws IOException {
+		Path inventory = folder.resolve("inventory.toml");
+		String text = Files.readString(SAMPLE.resolve("inventory.toml"));
+		Files.writeString(inventory, text.replaceFirst("services = \\[\"cuotas-app\"]", "services = [\"cuotas\"]"));
+		assertThat(run("check", inventory.toString(), SAMPLE.resolve("rules.toml").toString()))
+			.isEqualTo(ExitCode.INVALID);
+		int line = (int) Files.readString(inventory)
+			.lines()
+			.takeWhile((present) -> !present.contains("\"cuotas\""))
+			.count() + 1;
+		assertThat(this.err.toString(StandardCharsets.UTF_8)).isEqualToIgnoringNewLines(inventory + ":" + line
+				+ ": workspaces.services: found \"cuotas\", allowed: one of [modelo-huerto, cuotas-app]");
+	}
+
+	@Test
+	void unknownCommandIsAUsageError(@TempDir Path folder) throws IOException {
+		Path settings = folder.resolve("operator.toml");
+		Files.writeString(settings, """
+				object_api_address = "127.0.0.1:1"
+				entry_addresses = []
+				operator_token = "operator"
+				""");
+		assertThat(run("--settings", settings.toString(), "remove")).isEqualTo(ExitCode.INVALID);
+		assertThat(this.err.toString(StandardCharsets.UTF_8)).contains("\"remove\"");
+	}
+
+	@Test
+	void storeThatCannotBeReachedIsAFailure(@TempDir Path folder) throws IOException {
+		Path settings = folder.resolve("operator.toml");
+		Files.writeString(settings, """
+				object_api_address = "127.0.0.1:1"
+				entry_addresses = []
+				operator_token = "operator"
+				""");
+		assertThat(run("--settings", settings.toString(), "--json", "show")).isEqualTo(ExitCode.FAILED);
+		assertThat(this.out.toString(StandardCharsets.UTF_8)).contains("\"error\":\"store-unavailable\"");
+	}
+
+	private ExitCode run(String... args) {
+		return OperatorMain.run(args, new PrintStream(this.out, true, StandardCharsets.UTF_8),
+				new PrintStream(this.err, true, StandardCharsets.UTF_8));
+	}
+
+}
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/version/ConfigurationChecks.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/version/ConfigurationChecks.java
@@ -1,7 +1,7 @@
 package org.bamboorelay.core.version;
 
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 
@@ -24,21 +24,21 @@
 	 */
 	public static List<ConfigurationFault> check(Inventory inventory, Rules rules) {
 		List<ConfigurationFault> faults = new ArrayList<>();
-		Set<FailureDomain> domains = new HashSet<>();
+		Set<FailureDomain> domains = new LinkedHashSet<>();
 		inventory.failureDomains().forEach((domain) -> unique(domains, domain.name(), "failure_domains.name", faults));
-		Set<HostId> hosts = new HashSet<>();
+		Set<HostId> hosts = new LinkedHashSet<>();
 		for (Inventory.HostEntry host : inventory.hosts()) {
 			unique(hosts, host.name(), "hosts.name", faults);
 			known(domains, host.failureDomain(), "hosts.failure_domain", faults);
 			address(host.httpAddress(), "hosts.http_address", faults);
 			address(host.peerAddress(), "hosts.peer_address", faults);
 		}
-		Set<ServiceId> services = new HashSet<>();
+		Set<ServiceId> services = new LinkedHashSet<>();
 		for (Inventory.ServiceEntry service : inventory.services()) {
 			unique(services, service.name(), "services.name", faults);
 			positive(service.endpointCapacity(), "services.endpoint_capacity", faults);
 		}
-		Set<WorkspaceId> workspaces = new HashSet<>();
+		Set<WorkspaceId> workspaces = new LinkedHashSet<>();
 		for (Inventory.WorkspaceEntry workspace : inventory.workspaces()) {
 			unique(workspaces, workspace.name(), "workspaces.name", faults);
 			positive(workspace.weight(), "workspaces.weight", faults);
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/version/TomlLines.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/version/TomlLines.java
@@ -85,14 +85,15 @@
 	/**
 	 * Returns the last line that gives a key a value, whatever the table's index.
 	 * @param key the path without indexes
-	 * @param value a text within the value
+	 * @param value the value, or an element of a list
 	 * @return the line, counted from 1; 1 where there is none
 	 */
 	int line(String key, String value) {
+		Pattern whole = Pattern.compile("(?<![\\w.-])" + Pattern.quote(value) + "(?![\\w.-])");
 		return this.texts.entrySet()
 			.stream()
 			.filter((entry) -> entry.getKey().replaceAll("\\[\\d+]", "").equals(key))
-			.filter((entry) -> entry.getValue().contains(value))
+			.filter((entry) -> whole.matcher(entry.getValue()).find())
 			.mapToInt((entry) -> this.lines.get(entry.getKey()))
 			.max()
 			.orElse(1);
