Count a host that hears no other domain as possibly cut off

Ruled out: a late message; no host of the domain was told. Change: with no other domain in service a host of any other domain must be heard. Test: MembershipTests asserted the old rule in one line; it is replaced by ownDomainAloneIsNotEnough, which asserts both sides.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/Membership.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/Membership.java
@@ -1,6 +1,7 @@
 package org.bamboorelay.core.process;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -87,7 +88,9 @@
 	}
 
 	/**
-	 * Tells whether a host of each given failure domain is heard.
+	 * Tells whether a host of each given failure domain is heard. Where none but this
+	 * host's own is given, a host of any other domain must be heard: a deployment that
+	 * hears no other domain cannot tell an outage of the store from a cut.
 	 * @param domains the failure domains; this host's own counts as heard
 	 * @return false where a domain is silent or this node doubts itself
 	 */
@@ -95,11 +98,22 @@
 		if (this.doubting) {
 			return false;
 		}
-		return domains.stream()
-			.allMatch((domain) -> domain.equals(this.selfDomain) || this.peers.values()
-				.stream()
-				.anyMatch((peer) -> peer.domain.equals(domain)
-						&& (peer.state == State.ALIVE || peer.state == State.LEAVING)));
+		Set<FailureDomain> heard = heardDomains();
+		boolean onlyOwn = domains.stream().allMatch(this.selfDomain::equals);
+		if (onlyOwn) {
+			return !heard.isEmpty();
+		}
+		return domains.stream().allMatch((domain) -> domain.equals(this.selfDomain) || heard.contains(domain));
+	}
+
+	private Set<FailureDomain> heardDomains() {
+		Set<FailureDomain> heard = new HashSet<>();
+		for (Peer peer : this.peers.values()) {
+			if (!peer.domain.equals(this.selfDomain) && (peer.state == State.ALIVE || peer.state == State.LEAVING)) {
+				heard.add(peer.domain);
+			}
+		}
+		return heard;
 	}
 
 	/**
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/process/MembershipTests.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/process/MembershipTests.java
@@ -73,12 +73,19 @@
 
 	@Test
 	void domainIsHeardByItsHosts() {
-		assertThat(this.membership.hears(Set.of(DOMAIN_A))).isTrue();
 		assertThat(this.membership.hears(Set.of(DOMAIN_A, DOMAIN_B))).isFalse();
 		hear(0, ONE);
 		assertThat(this.membership.hears(Set.of(DOMAIN_A, DOMAIN_B))).isTrue();
 	}
 
+	/** A host that hears no other domain may itself be cut off from the store. */
+	@Test
+	void ownDomainAloneIsNotEnough() {
+		assertThat(this.membership.hears(Set.of(DOMAIN_A))).isFalse();
+		hear(0, ONE);
+		assertThat(this.membership.hears(Set.of(DOMAIN_A))).isTrue();
+	}
+
 	private void hear(long now, HostId... hosts) {
 		for (HostId host : hosts) {
 			this.membership.heartbeat(host, DOMAIN_B, false, now);
