--- a/bamboorelay-process-tests/src/test/java/org/bamboorelay/processtests/ColdEndpointTests.java
+++ b/bamboorelay-process-tests/src/test/java/org/bamboorelay/processtests/ColdEndpointTests.java
@@ -6,7 +6,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.bamboorelay.processtests.Http.Standin;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -108,7 +107,6 @@
 	 * the endpoints of their own domain only.
 	 */
 	@Test
-	@Tag("known-red")
 	void endpointOfAnotherDomainServes() {
 		try (Deployment deployment = new Deployment("reach", 1, "valle-a", "valle-b")) {
 			deployment.endpoint("cuotas-1", Deployment.PLAIN, "valle-a", false);
