--- a/bamboorelay-cli/src/main/java/org/bamboorelay/cli/request/KeyCommands.java
+++ b/bamboorelay-cli/src/main/java/org/bamboorelay/cli/request/KeyCommands.java
@@ -91,7 +91,9 @@
 				(failure) -> "the object API did not take the withdrawal (" + failure.detail()
 						+ "); entry hosts pass it on and write it later",
 				(configuration) -> "withdrawn as of version " + configuration.version()));
-		lines.add(accepted.size() + " entry hosts accepted the withdrawal at once");
+		lines.add(accepted.isEmpty()
+				? "no entry host accepted the withdrawal; repeat the command if the object API fails within 5 s"
+				: accepted.size() + " entry hosts accepted the withdrawal at once");
 		return new CommandResult(ExitCode.OK, lines,
 				Map.of("hash", hash, "written", written.isRight(), "entries", accepted));
 	}
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/ProcessRoute.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/ProcessRoute.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.IntSupplier;
@@ -125,7 +126,7 @@
 		List<Map<String, String>> peers = new ArrayList<>();
 		this.mesh.states()
 			.forEach((host, state) -> peers.add(Map.of("host", host.value(), "domain", this.mesh.domain(host).value(),
-					"state", state.name().toLowerCase(java.util.Locale.ROOT))));
+					"state", state.name().toLowerCase(Locale.ROOT))));
 		status.put("peers", peers);
 		status.put("running_requests", this.running.getAsInt());
 		status.put("endpoints", this.endpoints.get());
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/CallerFront.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/CallerFront.java
@@ -21,6 +21,7 @@
 import org.apache.hc.core5.http.HttpEntity;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHeaders;
+import org.apache.hc.core5.http.HttpStatus;
 import org.bamboorelay.core.failure.Refusal;
 import org.bamboorelay.core.failure.RefusalReason;
 import org.bamboorelay.core.request.KeyHiding;
@@ -139,7 +140,7 @@
 				// next request.
 				response.setHeader(HttpHeaders.CONNECTION, "close");
 			}
-			if (refusal.reason().status() == org.apache.hc.core5.http.HttpStatus.SC_UNAUTHORIZED) {
+			if (refusal.reason().status() == HttpStatus.SC_UNAUTHORIZED) {
 				response.setHeader(HttpHeaders.WWW_AUTHENTICATE, "Bearer");
 			}
 			responder.send(response);
