Give the parts of a credit shard files of their own

Cause: CreditShard had grown to 919 lines with four nested types. Change: OwnerView, KnownEndpoint, CreditStep and CreditWaiter; behaviour is unchanged. Conclusion: the rest of the class is one job, admission under one lock.

--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/CreditShard.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/CreditShard.java
@@ -9,8 +9,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.ArrayBlockingQueue;
-import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
@@ -49,15 +47,6 @@
  */
 final class CreditShard {
 
-	/**
-	 * How long an owner that refused is not asked again, in milliseconds. Doubles with
-	 * each further refusal up to {@link #LONGEST_PAUSE_MILLIS}, as a full service would
-	 * otherwise be asked by each host many times a second.
-	 */
-	private static final long REFUSED_PAUSE_MILLIS = 50;
-
-	private static final long LONGEST_PAUSE_MILLIS = 1_000;
-
 	/**
 	 * How long an owner that could not be reached is not asked again, in milliseconds.
 	 */
@@ -75,9 +64,6 @@
 	 */
 	private static final long LATEST_GRANT_MILLIS = 1_000;
 
-	/** Failed polls in a row after which an endpoint gets nothing. */
-	private static final int FAILED_POLLS = 3;
-
 	/**
 	 * How long a fresh process lets requests wait rather than refuse them for want of an
 	 * endpoint, in milliseconds: endpoint lists and digests come once a second.
@@ -108,7 +94,7 @@
 
 	private final Set<HeldCredit> held = new LinkedHashSet<>();
 
-	private Map<EndpointId, Known> endpoints = Map.of();
+	private Map<EndpointId, KnownEndpoint> endpoints = Map.of();
 
 	private Map<HostId, OwnerView> owners = Map.of();
 
@@ -164,12 +150,12 @@
 				.service(this.service)
 				.map(Inventory.ServiceEntry::endpointCapacity)
 				.orElse(1);
-			Map<EndpointId, Known> fresh = new LinkedHashMap<>();
+			Map<EndpointId, KnownEndpoint> fresh = new LinkedHashMap<>();
 			for (PeerMessage.EndpointInfo info : infos) {
 				List<HostId> candidates = hosts.getOrDefault(info.domain(), List.of());
 				HostId owner = candidates.isEmpty() ? null : RendezvousHash.owner(info.endpoint().value(), candidates);
-				Known known = new Known(info, owner, configuration.isInService(info.domain()));
-				Known before = this.endpoints.get(info.endpoint());
+				KnownEndpoint known = new KnownEndpoint(info, owner, configuration.isInService(info.domain()));
+				KnownEndpoint before = this.endpoints.get(info.endpoint());
 				if (before != null && !before.info.address().equals(info.address())) {
 					this.ledger.disown(info.endpoint());
 				}
@@ -184,12 +170,12 @@
 			this.farHosts = farHosts(configuration, hosts, this.mesh.domain(this.mesh.self()));
 			this.ejection.retain(fresh.keySet());
 			for (EndpointId owned : this.ledger.owned()) {
-				Known known = fresh.get(owned);
+				KnownEndpoint known = fresh.get(owned);
 				if (known == null || !this.mesh.self().equals(known.owner)) {
 					this.ledger.disown(owned);
 				}
 			}
-			for (Known known : fresh.values()) {
+			for (KnownEndpoint known : fresh.values()) {
 				if (this.mesh.self().equals(known.owner)) {
 					this.ledger.own(known.info.endpoint(), known.info.cheap(), capacity, now);
 				}
@@ -207,13 +193,13 @@
 	 * @return the credit or the refusal
 	 */
 	Either<Refusal, Credit> acquire(RouteRequest request, Configuration configuration) {
-		Waiter waiter = new Waiter(request);
+		CreditWaiter waiter = new CreditWaiter(request);
 		Option<Refusal> refused = locked(() -> enter(waiter, configuration));
 		if (refused.isDefined()) {
 			return Either.left(refused.get());
 		}
 		while (true) {
-			Step step;
+			CreditStep step;
 			try {
 				step = waiter.steps.take();
 			}
@@ -222,11 +208,11 @@
 				Thread.currentThread().interrupt();
 				return Either.left(Refusal.notRun(RefusalReason.DEADLINE, "the wait for an endpoint was interrupted"));
 			}
-			if (step.refusal != null) {
-				return Either.left(step.refusal);
+			if (step.refusal() != null) {
+				return Either.left(step.refusal());
 			}
-			if (step.credit != null) {
-				return Either.right(step.credit);
+			if (step.credit() != null) {
+				return Either.right(step.credit());
 			}
 			ask(waiter, step);
 		}
@@ -240,9 +226,9 @@
 			Option<CreditLedger.Loan> loan = this.ledger.lend(query, now);
 			if (loan.isEmpty()) {
 				return new PeerMessage.CreditRefusal(this.ledger.owned().isEmpty() ? "not-owner" : "no-room",
-						REFUSED_PAUSE_MILLIS);
+						OwnerView.REFUSED_PAUSE_MILLIS);
 			}
-			Known known = this.endpoints.get(loan.get().endpoint());
+			KnownEndpoint known = this.endpoints.get(loan.get().endpoint());
 			return new PeerMessage.CreditGrant(loan.get().credit(), known.info.endpoint(), known.info.address(),
 					CreditLedger.CREDIT_MILLIS);
 		});
@@ -338,7 +324,7 @@
 	void collectHeld(Map<HostId, List<Keep>> renewals, Map<HostId, List<Keep>> adoptions) {
 		locked(() -> {
 			for (HeldCredit credit : this.held) {
-				Known known = this.endpoints.get(credit.endpoint());
+				KnownEndpoint known = this.endpoints.get(credit.endpoint());
 				HostId owner = (known != null) ? known.owner : null;
 				boolean moved = owner != null && !owner.equals(credit.owner());
 				Keep keep = new Keep(this, credit, credit.id(), !moved);
@@ -387,7 +373,7 @@
 
 	void reported(EndpointId endpoint, LoadReport report) {
 		locked(() -> {
-			Known known = this.endpoints.get(endpoint);
+			KnownEndpoint known = this.endpoints.get(endpoint);
 			if (known != null) {
 				long now = this.clock.millis();
 				boolean before = known.accepting();
@@ -405,8 +391,8 @@
 
 	void pollFailed(EndpointId endpoint) {
 		locked(() -> {
-			Known known = this.endpoints.get(endpoint);
-			if (known != null && ++known.failedPolls == FAILED_POLLS) {
+			KnownEndpoint known = this.endpoints.get(endpoint);
+			if (known != null && ++known.failedPolls == KnownEndpoint.FAILED_POLLS) {
 				updateEligible();
 				dispatch(this.clock.millis());
 			}
@@ -468,7 +454,7 @@
 		}
 	}
 
-	private Option<Refusal> enter(Waiter waiter, Configuration configuration) {
+	private Option<Refusal> enter(CreditWaiter waiter, Configuration configuration) {
 		long now = this.clock.millis();
 		if (!servable(waiter.request)) {
 			return Option.some(noEndpoint());
@@ -510,7 +496,7 @@
 		// Room does not grow during the loop, so one failure stands for all alike.
 		boolean[] full = new boolean[4];
 		Predicate<AdmissionQueue.Demand> servable = (demand) -> {
-			Waiter waiter = (Waiter) demand.attachment();
+			CreditWaiter waiter = (CreditWaiter) demand.attachment();
 			RouteRequest request = waiter.request;
 			int kind = (request.interactive() ? 2 : 0) + (request.repeatable() ? 1 : 0);
 			boolean known = full[kind];
@@ -520,28 +506,28 @@
 		};
 		AdmissionQueue.Ticket ticket = this.queue.poll(servable, now);
 		while (ticket != null) {
-			Waiter waiter = waiter(ticket);
-			Step next = waiter.next;
-			if (next.loan != null) {
-				Known known = this.endpoints.get(next.loan.endpoint());
+			CreditWaiter waiter = waiter(ticket);
+			CreditStep next = waiter.next;
+			if (next.loan() != null) {
+				KnownEndpoint known = this.endpoints.get(next.loan().endpoint());
 				HeldCredit credit = new HeldCredit(this, known.info.endpoint(), known.info.address(), ticket, now,
-						this.mesh.self(), next.loan.credit());
+						this.mesh.self(), next.loan().credit());
 				this.held.add(credit);
-				next = Step.of(credit);
+				next = CreditStep.of(credit);
 			}
 			waiter.steps.add(next);
 			ticket = this.queue.poll(servable, now);
 		}
 	}
 
-	private @Nullable Step route(RouteRequest request, Set<EndpointId> ejected, long now) {
+	private @Nullable CreditStep route(RouteRequest request, Set<EndpointId> ejected, long now) {
 		Set<EndpointId> excluded = new HashSet<>(ejected);
 		excluded.addAll(request.excluded());
 		if (this.ledger.free(request.interactive()) > 0) {
 			Option<CreditLedger.Loan> loan = this.ledger.lend(new EndpointSelection.Query(request.interactive(),
 					request.repeatable(), request.prefixHash(), request.expectedTokens(), excluded), now);
 			if (loan.isDefined()) {
-				return Step.of(loan.get());
+				return CreditStep.of(loan.get());
 			}
 		}
 		List<OwnerSelection.Owner> choice = new ArrayList<>();
@@ -562,21 +548,21 @@
 		OwnerView owner = this.owners.get(host);
 		owner.freeInteractive--;
 		owner.freeRollout--;
-		owner.probeMillis = Math.max(owner.probeMillis, now + REFUSED_PAUSE_MILLIS);
-		return Step.ask(host,
+		owner.probeMillis = Math.max(owner.probeMillis, now + OwnerView.REFUSED_PAUSE_MILLIS);
+		return CreditStep.ask(host,
 				excluded.stream()
 					.filter((endpoint) -> this.endpoints.containsKey(endpoint)
 							&& host.equals(this.endpoints.get(endpoint).owner))
 					.toList());
 	}
 
-	private void ask(Waiter waiter, Step step) {
+	private void ask(CreditWaiter waiter, CreditStep step) {
 		RouteRequest request = waiter.request;
-		HostId host = step.host;
+		HostId host = step.host();
 		long askedMillis = this.clock.millis();
 		Either<PeerFailure, PeerMessage> answer = this.mesh.call(host,
 				new PeerMessage.CreditRequest(request.service(), request.interactive(), request.repeatable(),
-						request.prefixHash(), request.expectedTokens(), request.line(), step.excluded),
+						request.prefixHash(), request.expectedTokens(), request.line(), step.excluded()),
 				ASK_TIMEOUT_MILLIS);
 		locked(() -> {
 			long now = this.clock.millis();
@@ -602,18 +588,18 @@
 		});
 	}
 
-	private void putBack(Waiter waiter) {
+	private void putBack(CreditWaiter waiter) {
 		if (servable(waiter.request)) {
 			this.queue.putBack(waiter.ticket);
 		}
 		else {
 			this.queue.served(waiter.ticket, 0);
-			waiter.steps.add(Step.of(noEndpoint()));
+			waiter.steps.add(CreditStep.of(noEndpoint()));
 		}
 	}
 
-	private void granted(Waiter waiter, HostId host, PeerMessage.CreditGrant grant, long askedMillis, long now) {
-		Known known = this.endpoints.get(grant.endpoint());
+	private void granted(CreditWaiter waiter, HostId host, PeerMessage.CreditGrant grant, long askedMillis, long now) {
+		KnownEndpoint known = this.endpoints.get(grant.endpoint());
 		HeldCredit credit = new HeldCredit(this, grant.endpoint(), grant.address(), waiter.ticket, now, host,
 				grant.credit());
 		if (now - askedMillis > LATEST_GRANT_MILLIS || (known != null && !known.accepting())) {
@@ -625,15 +611,15 @@
 			return;
 		}
 		this.held.add(credit);
-		waiter.steps.add(Step.of(credit));
+		waiter.steps.add(CreditStep.of(credit));
 	}
 
-	private void abandon(Waiter waiter) {
+	private void abandon(CreditWaiter waiter) {
 		boolean waited = locked(() -> this.queue.remove(waiter.ticket));
-		Step step = waiter.steps.poll();
+		CreditStep step = waiter.steps.poll();
 		if (!waited && step != null) {
-			if (step.credit != null) {
-				step.credit.end(Credit.Outcome.UNUSED, 0, 0);
+			if (step.credit() != null) {
+				step.credit().end(Credit.Outcome.UNUSED, 0, 0);
 			}
 			else {
 				locked(() -> {
@@ -650,7 +636,7 @@
 		}
 		int count = request.repeatable() ? this.eligible : this.eligibleSteady;
 		for (EndpointId endpoint : Set.copyOf(request.excluded())) {
-			Known known = this.endpoints.get(endpoint);
+			KnownEndpoint known = this.endpoints.get(endpoint);
 			if (known != null && known.accepting() && known.owner != null
 					&& (request.repeatable() || !known.info.cheap())) {
 				count--;
@@ -690,7 +676,7 @@
 		this.owners.values().forEach((owner) -> owner.steady = 0);
 		Map<HostId, OwnerView> fresh = new LinkedHashMap<>();
 		FailureDomain here = this.mesh.domain(this.mesh.self());
-		for (Known known : this.endpoints.values()) {
+		for (KnownEndpoint known : this.endpoints.values()) {
 			this.ledger.accepting(known.info.endpoint(), known.accepting());
 			if (known.owner == null || !known.accepting()) {
 				continue;
@@ -727,7 +713,7 @@
 	private static void refuse(List<AdmissionQueue.Ticket> tickets, RefusalReason reason, String detail,
 			long retryAfterMillis) {
 		tickets.forEach((ticket) -> waiter(ticket).steps
-			.add(Step.of(Refusal.notRun(reason, detail).withRetryAfter(retryAfterMillis))));
+			.add(CreditStep.of(Refusal.notRun(reason, detail).withRetryAfter(retryAfterMillis))));
 	}
 
 	private Refusal noEndpoint() {
@@ -745,8 +731,8 @@
 		}
 	}
 
-	private static Waiter waiter(AdmissionQueue.Ticket ticket) {
-		return (Waiter) ticket.demand().attachment();
+	private static CreditWaiter waiter(AdmissionQueue.Ticket ticket) {
+		return (CreditWaiter) ticket.demand().attachment();
 	}
 
 	private static String code(Credit.Outcome outcome) {
@@ -803,117 +789,4 @@
 
 	}
 
-	private static final class Waiter {
-
-		private final RouteRequest request;
-
-		/** A waiter has at most one step at a time: it is in the queue or has a step. */
-		private final BlockingQueue<Step> steps = new ArrayBlockingQueue<>(1);
-
-		private AdmissionQueue.@Nullable Ticket ticket;
-
-		private @Nullable Step next;
-
-		private Waiter(RouteRequest request) {
-			this.request = request;
-		}
-
-	}
-
-	private record Step(CreditLedger.@Nullable Loan loan, @Nullable HeldCredit credit, @Nullable Refusal refusal,
-			@Nullable HostId host, List<EndpointId> excluded) {
-
-		private static Step of(CreditLedger.Loan loan) {
-			return new Step(loan, null, null, null, List.of());
-		}
-
-		private static Step of(HeldCredit credit) {
-			return new Step(null, credit, null, null, List.of());
-		}
-
-		private static Step of(Refusal refusal) {
-			return new Step(null, null, refusal, null, List.of());
-		}
-
-		private static Step ask(HostId host, List<EndpointId> excluded) {
-			return new Step(null, null, null, host, excluded);
-		}
-
-	}
-
-	private static final class Known {
-
-		private final PeerMessage.EndpointInfo info;
-
-		private final @Nullable HostId owner;
-
-		private final boolean domainInService;
-
-		private boolean leavingItself;
-
-		private int failedPolls;
-
-		private Known(PeerMessage.EndpointInfo info, @Nullable HostId owner, boolean domainInService) {
-			this.info = info;
-			this.owner = owner;
-			this.domainInService = domainInService;
-		}
-
-		private boolean accepting() {
-			return this.domainInService && !this.info.leaving() && !this.leavingItself
-					&& this.failedPolls < FAILED_POLLS;
-		}
-
-	}
-
-	private static final class OwnerView {
-
-		private final HostId host;
-
-		private final boolean sameDomain;
-
-		/** An owner of which nothing is known yet is asked for one credit. */
-		private int freeInteractive = 1;
-
-		private int freeRollout = 1;
-
-		/** When an owner without known free credits is asked again, in milliseconds. */
-		private long probeMillis = Long.MIN_VALUE;
-
-		private int steady;
-
-		private long pauseMillis = REFUSED_PAUSE_MILLIS;
-
-		private OwnerView(HostId host, boolean sameDomain) {
-			this.host = host;
-			this.sameDomain = sameDomain;
-		}
-
-		private int free(boolean interactive) {
-			return interactive ? this.freeInteractive : this.freeRollout;
-		}
-
-		private void refused(boolean interactive, long now, long leastMillis) {
-			this.freeInteractive = interactive ? 0 : this.freeInteractive;
-			this.freeRollout = 0;
-			this.probeMillis = now + Math.max(this.pauseMillis, leastMillis);
-			this.pauseMillis = Math.min(LONGEST_PAUSE_MILLIS, 2 * this.pauseMillis);
-		}
-
-		private void granted(boolean interactive) {
-			this.pauseMillis = REFUSED_PAUSE_MILLIS;
-			this.freeInteractive = Math.max(1, this.freeInteractive);
-			this.freeRollout = Math.max(interactive ? 0 : 1, this.freeRollout);
-		}
-
-		private void probe(long now) {
-			if (this.probeMillis != Long.MIN_VALUE && now >= this.probeMillis) {
-				this.freeInteractive = Math.max(1, this.freeInteractive);
-				this.freeRollout = Math.max(1, this.freeRollout);
-				this.probeMillis = Long.MIN_VALUE;
-			}
-		}
-
-	}
-
 }
