Load the fresh endpoint's test with more callers than the warm one bears

All callers send one prompt, so prefix affinity prefers the warm endpoint while it has room for its 12 callers; the fresh one had an allowance of 16 and 2 requests. Ruled out: an allowance that does not grow, a ledger that is held. Change: 24 callers instead of 12, more than the warm endpoint's capacity; the assertions are unchanged and the cold endpoint is under more load. Conclusion: the product was right; the test now forces the work that it waits for.

--- a/bamboorelay-process-tests/src/test/java/org/bamboorelay/processtests/ColdEndpointTests.java
+++ b/bamboorelay-process-tests/src/test/java/org/bamboorelay/processtests/ColdEndpointTests.java
@@ -17,7 +17,11 @@
 
 	private static final String FRESH = "modelo-2";
 
-	private static final int CALLERS_PER_HOST = 2;
+	/**
+	 * Twenty-four callers are more than the warm endpoint's capacity of 16. With fewer,
+	 * prefix affinity may rightly leave the fresh endpoint almost without work.
+	 */
+	private static final int CALLERS_PER_HOST = 4;
 
 	/**
 	 * A fresh engine that bears two requests while cold joins under load from six entry
