Freeze the lease holder while it waits for an answer

Cause: LeaseHolderTests froze the first holder after it had seen its first order, and relied on the operator's program and its own polling being done within the 3 s that the other three orders took.

Change: the link of the control processes to the ordering interface runs through a forwarder, which freezes the holder before it passes the first answer on. The holder then waits for that answer, with three orders left, however slow the machine is. The assertions are unchanged.

Conclusion: the verdict no longer depends on the speed of the machine.

--- a/bamboorelay-process-tests/src/test/java/org/bamboorelay/processtests/Deployment.java
+++ b/bamboorelay-process-tests/src/test/java/org/bamboorelay/processtests/Deployment.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
@@ -16,6 +17,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import org.bamboorelay.processtests.Http.Reply;
 import org.bamboorelay.processtests.Http.Standin;
+import org.jspecify.annotations.Nullable;
 
 /**
  * A deployment of separate processes on free loopback ports: the platform's stand-ins,
@@ -57,6 +59,10 @@
 
 	private final Map<String, Forwarder> peers = new TreeMap<>();
 
+	private final String orderingAddress = Ports.freeAddress();
+
+	private @Nullable Forwarder ordering;
+
 	private final Map<String, String> values = new TreeMap<>(Map.of("capacity", "16", "fenced", "true", "model_steady",
 			"1", "plain_steady", "1", "window", "5s", "grace", "1s", "isolated", "refuse"));
 
@@ -75,6 +81,7 @@
 		try {
 			Files.createDirectories(this.directory);
 			startPlatform();
+			this.ordering = Forwarder.open(this.orderingAddress, platform("ordering").address());
 			for (String domain : domains) {
 				this.storeAddresses.put(domain, Ports.freeAddress());
 				this.stores.put(domain,
@@ -161,25 +168,23 @@
 	Program control(String host) {
 		Host at = this.hosts.get(host);
 		return start(host + "-control", "bamboorelay-control", "org.bamboorelay.control.process.ControlMain",
-				settings(host + "-control.toml",
-						"""
-								deployment = "pruebas"
-								host = "%s"
-								failure_domain = "%s"
-								http_address = "%s"
-								object_api_address = "%s"
-								ordering_address = "%s"
-								usage_intake_address = "%s"
-								host_list_address = "%s"
-								weight_store_rate = 20
-								entry_addresses = [%s]
-								""".formatted(host, at.domain(), at.control(), this.storeAddresses.get(at.domain()),
-								platform("ordering").address(), platform("usage-intake").address(),
-								platform("host-list").address(),
-								addresses(this.hosts.values()
-									.stream()
-									.filter((other) -> other.domain().equals(at.domain()))
-									.toList(), Host::peer))));
+				settings(host + "-control.toml", """
+						deployment = "pruebas"
+						host = "%s"
+						failure_domain = "%s"
+						http_address = "%s"
+						object_api_address = "%s"
+						ordering_address = "%s"
+						usage_intake_address = "%s"
+						host_list_address = "%s"
+						weight_store_rate = 20
+						entry_addresses = [%s]
+						""".formatted(host, at.domain(), at.control(), this.storeAddresses.get(at.domain()),
+						this.orderingAddress, platform("usage-intake").address(), platform("host-list").address(),
+						addresses(this.hosts.values()
+							.stream()
+							.filter((other) -> other.domain().equals(at.domain()))
+							.toList(), Host::peer))));
 	}
 
 	/** Starts the entry and control processes of all hosts and waits until they serve. */
@@ -237,6 +242,11 @@
 		return this.peers.get(host);
 	}
 
+	/** The link of all control processes to the ordering interface. */
+	Forwarder ordering() {
+		return Objects.requireNonNull(this.ordering);
+	}
+
 	/** Names the entry hosts that the operator's program calls. */
 	void operatorReaches(String... names) {
 		settings("operator.toml", """
@@ -291,6 +301,9 @@
 		killAll();
 		this.stores.values().forEach(Deployment::closeQuietly);
 		this.peers.values().forEach(Deployment::closeQuietly);
+		if (this.ordering != null) {
+			closeQuietly(this.ordering);
+		}
 		try {
 			Runtime.getRuntime().removeShutdownHook(this.hook);
 		}
--- a/bamboorelay-process-tests/src/test/java/org/bamboorelay/processtests/Forwarder.java
+++ b/bamboorelay-process-tests/src/test/java/org/bamboorelay/processtests/Forwarder.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
 
 /**
  * Forwards TCP connections to one address. It can cut, delay or half-open them. The first
@@ -38,6 +39,9 @@
 
 	private volatile long delayMillis;
 
+	private volatile Consumer<String> beforeAnswer = (request) -> {
+	};
+
 	private Forwarder(ServerSocket listener, String target) {
 		this.listener = listener;
 		this.target = target;
@@ -82,6 +86,15 @@
 		this.delayMillis = millis;
 	}
 
+	/**
+	 * Runs a task before bytes of an answer are passed on, so that the caller is known to
+	 * wait for them meanwhile.
+	 * @param task takes the first bytes that the caller sent on the connection
+	 */
+	void beforeAnswer(Consumer<String> task) {
+		this.beforeAnswer = task;
+	}
+
 	void heal() {
 		this.cutAll = false;
 		this.cut = Set.of();
@@ -144,6 +157,9 @@
 					break;
 				}
 				LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(this.delayMillis));
+				if (!fromCaller) {
+					this.beforeAnswer.accept(this.pairs.getOrDefault(pair, ""));
+				}
 				if (!this.halfOpen) {
 					out.write(buffer, 0, n);
 				}
--- a/bamboorelay-process-tests/src/test/java/org/bamboorelay/processtests/LeaseHolderTests.java
+++ b/bamboorelay-process-tests/src/test/java/org/bamboorelay/processtests/LeaseHolderTests.java
@@ -1,10 +1,10 @@
 package org.bamboorelay.processtests;
 
-import java.io.IOException;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.bamboorelay.processtests.Http.Seen;
 import org.bamboorelay.processtests.Http.Standin;
@@ -29,7 +29,7 @@
 	 */
 	@ParameterizedTest
 	@ValueSource(booleans = { true, false })
-	void frozenHolderSendsNoFurtherOrder(boolean fenced) throws IOException {
+	void frozenHolderSendsNoFurtherOrder(boolean fenced) {
 		try (Deployment deployment = new Deployment("lease-" + fenced, 2, DOMAIN)) {
 			Standin ordering = deployment.platform("ordering");
 			if (!fenced) {
@@ -53,13 +53,18 @@
 			weights(deployment, 1);
 			Wait.until(Wait.START_MILLIS, "weights 1 on all engines", () -> engines.stream().allMatch(onVersion(1)));
 
-			// The record has an order once it was answered, so the holder waits for the
-			// answer to the second one then, with two more to send.
-			ordering.fault("slow", "{\"ms\":1000,\"match\":\"/orders\"}");
+			// Frozen before it reads its first answer, the holder has the rest of its
+			// list
+			// still to send, however slowly this test runs.
+			AtomicInteger answers = new AtomicInteger();
+			deployment.ordering().beforeAnswer((request) -> {
+				if (request.startsWith("POST /orders") && answers.incrementAndGet() == 1) {
+					deployment.program(first + "-control").freeze();
+				}
+			});
 			deployment.set("plain_steady", "" + ENDPOINTS);
 			deployment.apply().ok();
 			Wait.until(Wait.START_MILLIS, "first order", () -> !ordering.seen("/orders").isEmpty());
-			deployment.program(first + "-control").freeze();
 			Wait.until(Wait.TAKEOVER_MILLIS, "second holder", () -> fencing(deployment, second) > 0);
 			engines.forEach((engine) -> engine.fault("slow", "{\"ms\":500,\"match\":\"/orders\"}"));
 			weights(deployment, 2);
--- a/bamboorelay-process-tests/src/test/java/org/bamboorelay/processtests/Program.java
+++ b/bamboorelay-process-tests/src/test/java/org/bamboorelay/processtests/Program.java
@@ -1,6 +1,7 @@
 package org.bamboorelay.processtests;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -73,11 +74,11 @@
 		this.process.destroy();
 	}
 
-	void freeze() throws IOException {
+	void freeze() {
 		signal("STOP");
 	}
 
-	void resume() throws IOException {
+	void resume() {
 		signal("CONT");
 	}
 
@@ -122,16 +123,19 @@
 			.start();
 	}
 
-	private void signal(String signal) throws IOException {
-		Process kill = new ProcessBuilder("kill", "-" + signal, Long.toString(this.process.pid())).start();
+	private void signal(String signal) {
 		try {
+			Process kill = new ProcessBuilder("kill", "-" + signal, Long.toString(this.process.pid())).start();
 			if (kill.waitFor() != 0) {
-				throw new IOException("kill -" + signal + " of " + this.name + " failed");
+				throw new IllegalStateException("kill -" + signal + " of " + this.name + " failed");
 			}
 		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
-			throw new IOException(ex);
+			throw new IllegalStateException(ex);
 		}
 	}
 
