Share the term of a lease holder, hash with a library, use one JSON mapper

Cause: OrderLog and UsageParts each had their own copy of the lease term, the write tokens and the pause after a failed call. RendezvousHash had its own FNV hash and bit mixer, and core and runtime each built a JSON mapper of the same settings.

Change: HolderDecision holds the term, the tokens and the pause, and both classes extend it. RendezvousHash and the affinity of OwnerSelection use MurmurHash3 of commons-codec. Json uses the mapper of CoreJson. Ownership of endpoints and steps changes once with this version, as each host computes it from the hash.

Conclusion: one place for the rule that a token is forgotten only after the answer to a later write; no behaviour changed besides the hash.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/OrderLog.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/OrderLog.java
@@ -5,7 +5,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Set;
 import java.util.function.DoubleSupplier;
 import java.util.function.LongPredicate;
@@ -28,56 +27,30 @@
  * <p>
  * Thread-safe; guarded by its own lock.
  */
-public final class OrderLog implements StoreDecision {
+public final class OrderLog extends HolderDecision {
 
 	private static final long RETRY_BASE_MILLIS = 100;
 
-	private static final long RETRY_CAP_MILLIS = 5_000;
-
-	private final FailureDomain domain;
-
-	private final String holder;
-
-	private final Clock clock;
-
-	private final LongPredicate leaseHeld;
-
-	private final Backoff backoff;
-
 	private final Map<String, OrderIntent> open = new LinkedHashMap<>();
 
 	private final Set<String> recorded = new HashSet<>();
 
-	private final Set<String> tokens = new HashSet<>();
-
 	private List<Shortage> shortages = new ArrayList<>();
 
-	private long fencing;
-
 	private long version;
 
-	private long nextAt;
-
 	private long count;
 
-	private long tokenCount;
-
 	private boolean mustRead;
 
 	private boolean sealed;
 
 	private boolean changed;
 
-	private boolean fencedOff;
-
 	private @Nullable Body writing;
 
 	private OrderLog(FailureDomain domain, String holder, Clock clock, LongPredicate leaseHeld, DoubleSupplier random) {
-		this.domain = Objects.requireNonNull(domain, "domain");
-		this.holder = Objects.requireNonNull(holder, "holder");
-		this.clock = Objects.requireNonNull(clock, "clock");
-		this.leaseHeld = Objects.requireNonNull(leaseHeld, "leaseHeld");
-		this.backoff = Backoff.of(RETRY_BASE_MILLIS, RETRY_CAP_MILLIS, random);
+		super(domain, holder, clock, leaseHeld, RETRY_BASE_MILLIS, random);
 	}
 
 	/**
@@ -103,25 +76,15 @@
 		return "orders/" + domain;
 	}
 
-	/**
-	 * Starts a term as holder of the domain's lease; does nothing where the term runs.
-	 * @param number the fencing number of the term
-	 */
-	public synchronized void begin(long number) {
-		if (number == this.fencing) {
-			return;
-		}
-		this.fencing = number;
+	@Override
+	void onBegin() {
 		this.open.clear();
 		this.recorded.clear();
-		this.tokens.clear();
 		this.shortages = new ArrayList<>();
 		this.count = 0;
-		this.nextAt = 0;
 		this.mustRead = true;
 		this.sealed = false;
 		this.changed = false;
-		this.fencedOff = false;
 	}
 
 	/**
@@ -129,7 +92,7 @@
 	 * @return true once the object was rewritten under the present term
 	 */
 	public synchronized boolean isSealed() {
-		return this.sealed && !this.fencedOff;
+		return this.sealed && !isFencedOff();
 	}
 
 	/**
@@ -141,8 +104,8 @@
 	 * @return the intent with its order id
 	 */
 	public synchronized OrderIntent add(String action, ServiceId service, String kind, @Nullable EndpointId endpoint) {
-		String id = this.domain + "-" + this.fencing + "-" + (++this.count);
-		OrderIntent intent = new OrderIntent(id, action, service, this.domain, kind, endpoint);
+		String id = domain() + "-" + fencing() + "-" + (++this.count);
+		OrderIntent intent = new OrderIntent(id, action, service, domain(), kind, endpoint);
 		this.open.put(id, intent);
 		this.changed = true;
 		return intent;
@@ -174,7 +137,7 @@
 	 * @return the open intents that are in the store, in order
 	 */
 	public synchronized List<OrderIntent> sendable() {
-		if (!isSealed() || !this.leaseHeld.test(this.fencing)) {
+		if (!isSealed() || !isLeaseHeld()) {
 			return List.of();
 		}
 		return this.open.values().stream().filter((intent) -> this.recorded.contains(intent.orderId())).toList();
@@ -190,21 +153,18 @@
 
 	@Override
 	public synchronized @Nullable StoreStep next() {
-		if (this.fencing == 0 || this.fencedOff || this.clock.millis() < this.nextAt
-				|| !this.leaseHeld.test(this.fencing)) {
+		if (!mayCall()) {
 			return null;
 		}
 		if (this.mustRead) {
-			return new StoreStep.Read(key(this.domain));
+			return new StoreStep.Read(key(domain()));
 		}
 		if (this.sealed && !this.changed) {
 			return null;
 		}
-		String token = this.holder + "/" + this.fencing + "/" + (++this.tokenCount);
-		this.tokens.add(token);
-		this.writing = new Body(token, this.fencing, List.copyOf(this.open.values()), this.shortages);
+		this.writing = new Body(newToken(), fencing(), List.copyOf(this.open.values()), this.shortages);
 		this.changed = false;
-		return new StoreStep.Write(key(this.domain), CoreJson.bytes(this.writing), this.version);
+		return new StoreStep.Write(key(domain()), CoreJson.bytes(this.writing), this.version);
 	}
 
 	@Override
@@ -212,26 +172,22 @@
 		if (result.isLeft()) {
 			this.mustRead = true;
 			this.changed = true;
-			boolean lost = result.getLeft() instanceof StoreFailure.ConditionFailed;
-			this.nextAt = this.clock.millis() + (lost ? 0 : this.backoff.failed());
+			onFailure(result.getLeft());
 			return;
 		}
-		this.backoff.reset();
+		onSuccess();
 		this.mustRead = false;
 		Option<StoredObject> object = result.get();
 		this.version = object.map(StoredObject::version).getOrElse(0L);
 		Body body = object.flatMap((found) -> CoreJson.read(found.body(), Body.class))
 			.getOrElse(() -> new Body("", 0, List.of(), List.of()));
-		if (body.fencing() > this.fencing) {
-			this.fencedOff = true;
+		if (isWrittenBySuccessor(body.fencing())) {
 			return;
 		}
-		if (this.tokens.contains(body.token())) {
+		if (isOwn(body.token())) {
 			this.sealed = true;
 			if (step instanceof StoreStep.Write) {
-				// Only now can no earlier write of this term take effect any more.
-				this.tokens.clear();
-				this.tokens.add(body.token());
+				keepToken(body.token());
 			}
 			this.recorded.clear();
 			body.open().forEach((intent) -> this.recorded.add(intent.orderId()));
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/OwnerSelection.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/OwnerSelection.java
@@ -18,9 +18,6 @@
  */
 public final class OwnerSelection {
 
-	/** Spreads the hash codes of similar host names over all bits. */
-	private static final long GOLDEN_RATIO = 0x9e3779b97f4a7c15L;
-
 	private final RandomGenerator random;
 
 	private OwnerSelection(RandomGenerator random) {
@@ -76,9 +73,9 @@
 
 	private static Owner home(long prefixHash, List<Owner> choice) {
 		Owner best = choice.get(0);
-		long bestScore = Long.MIN_VALUE;
+		int bestScore = Integer.MIN_VALUE;
 		for (Owner owner : choice) {
-			long score = RendezvousHash.mix(prefixHash + GOLDEN_RATIO * owner.host().hashCode());
+			int score = RendezvousHash.score(prefixHash, owner.host());
 			if (score > bestScore) {
 				best = owner;
 				bestScore = score;
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/RendezvousHash.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/RendezvousHash.java
@@ -1,11 +1,13 @@
 package org.bamboorelay.core.process;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Objects;
 
+import org.apache.commons.codec.digest.MurmurHash3;
 import org.bamboorelay.core.version.HostId;
 
 /**
@@ -16,10 +18,6 @@
  */
 public final class RendezvousHash {
 
-	private static final long FNV_OFFSET = 0xcbf29ce484222325L;
-
-	private static final long FNV_PRIME = 0x100000001b3L;
-
 	private RendezvousHash() {
 	}
 
@@ -34,10 +32,11 @@
 		if (hosts.isEmpty()) {
 			throw new IllegalArgumentException("no host to own key \"" + key + "\"");
 		}
+		long keyHash = hash(key);
 		HostId best = null;
-		long bestScore = 0;
+		int bestScore = 0;
 		for (HostId host : hosts) {
-			long score = score(key, host);
+			int score = score(keyHash, host);
 			if (best == null || score > bestScore || (score == bestScore && host.compareTo(best) < 0)) {
 				best = host;
 				bestScore = score;
@@ -54,8 +53,9 @@
 	 */
 	public static List<HostId> ranked(String key, Collection<HostId> hosts) {
 		Objects.requireNonNull(key, "key");
+		long keyHash = hash(key);
 		List<HostId> ranked = new ArrayList<>(hosts);
-		ranked.sort(Comparator.<HostId>comparingLong((host) -> score(key, host))
+		ranked.sort(Comparator.<HostId>comparingInt((host) -> score(keyHash, host))
 			.reversed()
 			.thenComparing(Comparator.naturalOrder()));
 		return ranked;
@@ -67,29 +67,17 @@
 	 * @return 64 well mixed bits
 	 */
 	public static long hash(String text) {
-		return mix(append(FNV_OFFSET, text));
+		return MurmurHash3.hash128x64(text.getBytes(StandardCharsets.UTF_8))[0];
 	}
 
-	private static long score(String key, HostId host) {
-		return mix(append(append(FNV_OFFSET, key) * FNV_PRIME, host.value()));
-	}
-
-	static long mix(long value) {
-		// FNV alone leaves the high bits of short keys correlated, which skews shares.
-		long hash = value;
-		hash ^= hash >>> 33;
-		hash *= 0xff51afd7ed558ccdL;
-		hash ^= hash >>> 33;
-		hash *= 0xc4ceb9fe1a85ec53L;
-		return hash ^ (hash >>> 33);
-	}
-
-	private static long append(long seed, String text) {
-		long hash = seed;
-		for (int i = 0; i < text.length(); i++) {
-			hash = (hash ^ text.charAt(i)) * FNV_PRIME;
-		}
-		return hash;
+	/**
+	 * Returns the score of a host for a key; the highest one wins.
+	 * @param keyHash the hash of the key
+	 * @param host the host
+	 * @return 32 well mixed bits
+	 */
+	static int score(long keyHash, HostId host) {
+		return MurmurHash3.hash32(keyHash, host.value().hashCode());
 	}
 
 }
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/UsageParts.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/UsageParts.java
@@ -6,7 +6,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.DoubleSupplier;
@@ -36,7 +35,7 @@
  * <p>
  * Thread-safe; guarded by its own lock.
  */
-public final class UsageParts implements StoreDecision {
+public final class UsageParts extends HolderDecision {
 
 	/**
 	 * Windows after which an incarnation that does not answer is forgotten; it was named
@@ -54,24 +53,8 @@
 
 	private static final long RETRY_BASE_MILLIS = 200;
 
-	private static final long RETRY_CAP_MILLIS = 5_000;
-
-	private final FailureDomain domain;
-
-	private final String holder;
-
-	private final Clock clock;
-
-	private final LongPredicate leaseHeld;
-
-	private final Backoff backoff;
-
 	private final Deque<Slot> slots = new ArrayDeque<>();
 
-	private final Set<String> tokens = new HashSet<>();
-
-	private long fencing;
-
 	private long windowMillis = 1;
 
 	private long graceMillis;
@@ -80,8 +63,6 @@
 
 	private boolean loaded;
 
-	private boolean fencedOff;
-
 	private boolean resolving;
 
 	private @Nullable Pointer pointer;
@@ -94,19 +75,11 @@
 
 	private @Nullable Slot before;
 
-	private long nextAt;
-
 	private long checkpointAt;
 
-	private long tokenCount;
-
 	private UsageParts(FailureDomain domain, String holder, Clock clock, LongPredicate leaseHeld,
 			DoubleSupplier random) {
-		this.domain = Objects.requireNonNull(domain, "domain");
-		this.holder = Objects.requireNonNull(holder, "holder");
-		this.clock = Objects.requireNonNull(clock, "clock");
-		this.leaseHeld = Objects.requireNonNull(leaseHeld, "leaseHeld");
-		this.backoff = Backoff.of(RETRY_BASE_MILLIS, RETRY_CAP_MILLIS, random);
+		super(domain, holder, clock, leaseHeld, RETRY_BASE_MILLIS, random);
 	}
 
 	/**
@@ -133,17 +106,9 @@
 		return "usage/parts/" + domain + "/" + window;
 	}
 
-	/**
-	 * Starts a term as holder of the domain's lease; does nothing where the term runs.
-	 * @param number the fencing number of the term
-	 */
-	public synchronized void begin(long number) {
-		if (number != this.fencing) {
-			this.fencing = number;
-			this.fencedOff = false;
-			this.tokens.clear();
-			reload();
-		}
+	@Override
+	void onBegin() {
+		reload();
 	}
 
 	/**
@@ -159,11 +124,11 @@
 		this.wallMillis = Math.max(wall, this.wallMillis);
 		this.windowMillis = window;
 		this.graceMillis = grace;
-		if (!this.loaded || this.fencing == 0) {
+		if (!this.loaded || !hasTerm()) {
 			return;
 		}
 		if (this.slots.size() > MAX_SLOTS) {
-			this.fencing = 0;
+			endTerm();
 			return;
 		}
 		while (isDue(this.slots.getLast())) {
@@ -177,7 +142,7 @@
 	 * @param counters its counters
 	 */
 	public synchronized void onCounters(HostId host, UsageCounters counters) {
-		if (!this.loaded || this.fencing == 0) {
+		if (!this.loaded || !hasTerm()) {
 			return;
 		}
 		Slot slot = this.slots.getLast();
@@ -219,7 +184,7 @@
 	 * @param host the host
 	 */
 	public synchronized void onSilence(HostId host) {
-		if (this.loaded && this.fencing > 0) {
+		if (this.loaded && hasTerm()) {
 			this.slots.getLast().silentHosts.add(host);
 		}
 	}
@@ -234,9 +199,7 @@
 
 	@Override
 	public synchronized @Nullable StoreStep next() {
-		long now = this.clock.millis();
-		if (this.fencing == 0 || this.fencedOff || this.wallMillis == 0 || now < this.nextAt
-				|| !this.leaseHeld.test(this.fencing)) {
+		if (this.wallMillis == 0 || !mayCall()) {
 			return null;
 		}
 		if (!this.pointerRead) {
@@ -247,11 +210,12 @@
 			return writePointer(floor(this.wallMillis));
 		}
 		if (!this.loaded) {
-			return new StoreStep.Read(key(this.domain, this.lookAt));
+			return new StoreStep.Read(key(domain(), this.lookAt));
 		}
+		long now = now();
 		Slot slot = this.slots.getFirst();
 		if (this.resolving) {
-			return new StoreStep.Read(key(this.domain, slot.window));
+			return new StoreStep.Read(key(domain(), slot.window));
 		}
 		if (!slot.closed && !(slot.dirty && now >= this.checkpointAt)) {
 			boolean behind = slot.version > 0 && from.window() < slot.window;
@@ -260,9 +224,7 @@
 		slot.dirty = false;
 		slot.closing = slot.closed;
 		this.checkpointAt = now + CHECKPOINT_MILLIS;
-		String token = this.holder + "/" + this.fencing + "/" + (++this.tokenCount);
-		this.tokens.add(token);
-		return new StoreStep.Write(key(this.domain, slot.window), CoreJson.bytes(slot.toPart(token, this.fencing)),
+		return new StoreStep.Write(key(domain(), slot.window), CoreJson.bytes(slot.toPart(newToken(), fencing())),
 				slot.version);
 	}
 
@@ -271,17 +233,16 @@
 		boolean onPointer = (step instanceof StoreStep.Write write) ? write.key().equals(pointerKey())
 				: ((StoreStep.Read) step).key().equals(pointerKey());
 		if (result.isLeft()) {
-			boolean lost = result.getLeft() instanceof StoreFailure.ConditionFailed;
 			if (onPointer) {
 				this.pointerRead = false;
 			}
 			else {
 				this.resolving = this.loaded;
 			}
-			this.nextAt = this.clock.millis() + (lost ? 0 : this.backoff.failed());
+			onFailure(result.getLeft());
 			return;
 		}
-		this.backoff.reset();
+		onSuccess();
 		if (onPointer) {
 			this.pointerRead = true;
 			this.pointerVersion = result.get().map(StoredObject::version).getOrElse(0L);
@@ -293,8 +254,7 @@
 		}
 		Option<Part> part = result.get().flatMap((object) -> CoreJson.read(object.body(), Part.class));
 		long version = result.get().map(StoredObject::version).getOrElse(0L);
-		if (part.exists((found) -> found.fencing() > this.fencing)) {
-			this.fencedOff = true;
+		if (part.exists((found) -> isWrittenBySuccessor(found.fencing()))) {
 			return;
 		}
 		if (!this.loaded) {
@@ -309,15 +269,14 @@
 			this.checkpointAt = 0;
 			return;
 		}
-		if (!this.tokens.contains(part.get().token())) {
+		if (!isOwn(part.get().token())) {
 			// The former holder wrote after this process had looked: start from its
 			// record, which others may have read.
 			reload();
 			return;
 		}
 		if (step instanceof StoreStep.Write) {
-			this.tokens.clear();
-			this.tokens.add(part.get().token());
+			keepToken(part.get().token());
 		}
 		if (part.get().closed()) {
 			this.slots.removeFirst();
@@ -338,7 +297,7 @@
 	}
 
 	private String pointerKey() {
-		return pointerKey(this.domain);
+		return pointerKey(domain());
 	}
 
 	private StoreStep writePointer(long window) {
@@ -353,7 +312,7 @@
 		this.resolving = false;
 		this.pointerRead = false;
 		this.pointer = null;
-		this.nextAt = 0;
+		clearPause();
 		this.checkpointAt = 0;
 	}
 
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/version/CoreJson.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/version/CoreJson.java
@@ -30,6 +30,15 @@
 	private CoreJson() {
 	}
 
+	/**
+	 * Returns the mapper, for readers that need its full interface. Unknown properties
+	 * are an error.
+	 * @return the mapper, which must not be configured any further
+	 */
+	public static ObjectMapper mapper() {
+		return MAPPER;
+	}
+
 	/**
 	 * Writes a value.
 	 * @param value the value
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/request/Json.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/request/Json.java
@@ -1,18 +1,13 @@
 package org.bamboorelay.runtime.request;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 
-import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.PropertyNamingStrategies;
-import com.fasterxml.jackson.databind.SerializationFeature;
-import com.fasterxml.jackson.databind.json.JsonMapper;
 import io.vavr.control.Either;
+import org.bamboorelay.core.version.CoreJson;
 
 /**
  * JSON as written between our programs and towards callers: snake case, sorted map keys.
@@ -23,14 +18,7 @@
 public final class Json {
 
 	/** The shared mapper. */
-	public static final ObjectMapper MAPPER = JsonMapper.builder()
-		.propertyNamingStrategy(PropertyNamingStrategies.SNAKE_CASE)
-		.enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
-		.enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
-		.enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS)
-		.defaultPropertyInclusion(
-				JsonInclude.Value.construct(JsonInclude.Include.NON_NULL, JsonInclude.Include.NON_NULL))
-		.build();
+	public static final ObjectMapper MAPPER = CoreJson.mapper();
 
 	private Json() {
 	}
@@ -41,12 +29,7 @@
 	 * @return bytes in UTF-8
 	 */
 	public static byte[] bytes(Object value) {
-		try {
-			return MAPPER.writeValueAsBytes(value);
-		}
-		catch (JsonProcessingException ex) {
-			throw new UncheckedIOException(ex);
-		}
+		return CoreJson.bytes(value);
 	}
 
 	/**
