Keep the clock of the credit tests behind their threads

Cause: sixHostsTogetherNeverExceedTheCapacity advanced its clock by up to 500 s while it waited for 24 threads to ask. On a busy machine (load 76) some had not been scheduled by then, and others' requests had passed their deadline: "expected: 3 but was: 2".

Change: the clock advances only when each request waits or has noted its credit. The assertions are unchanged.

Conclusion: the verdict no longer depends on the scheduler.

--- a/bamboorelay-entry/src/test/java/org/bamboorelay/entry/process/CreditServiceTests.java
+++ b/bamboorelay-entry/src/test/java/org/bamboorelay/entry/process/CreditServiceTests.java
@@ -259,10 +259,13 @@
 				}
 			}
 			for (int left = 24; left > 0; left--) {
-				for (int i = 0; i < 10_000 && running.get() < Math.min(3, left); i++) {
+				settle(cluster, hosts, running, left);
+				for (int i = 0; i < 1_000 && running.get() < Math.min(3, left); i++) {
 					cluster.run(50);
+					settle(cluster, hosts, running, left);
 				}
 				cluster.run(1_000);
+				settle(cluster, hosts, running, left);
 				assertThat(running.get()).isEqualTo(Math.min(3, left));
 				Credit ended = credits.poll(10, TimeUnit.SECONDS);
 				running.decrementAndGet();
@@ -271,6 +274,24 @@
 		}
 	}
 
+	/**
+	 * Waits until each request either waits or has noted its credit. The cluster's clock
+	 * must not run ahead of threads that a busy machine has not scheduled yet, as their
+	 * requests would pass their deadline.
+	 */
+	private static void settle(CreditCluster cluster, String[] hosts, AtomicInteger running, int requests) {
+		long start = System.nanoTime();
+		int settled = -1;
+		while (settled != requests) {
+			settled = running.get();
+			for (String host : hosts) {
+				settled += cluster.service(host).waiting(CreditCluster.SERVICE);
+			}
+			assertThat(System.nanoTime() - start).as("nanoseconds until " + requests + " requests wait or run")
+				.isLessThan(TimeUnit.SECONDS.toNanos(30));
+		}
+	}
+
 	private static CompletableFuture<Either<Refusal, Credit>> waiting(CreditCluster cluster, String host)
 			throws IOException {
 		CreditService service = cluster.service(host);
