Share the attempts of a request between the two relaying routes

Change: RequestAttempts has these rules; the attempts of both routes extend it. EngineAttempt and EventEntity have files of their own. A refused completion now also logs whether it ran, as a plain request did.

--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/CompletionRoute.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/CompletionRoute.java
@@ -1,7 +1,6 @@
 package org.bamboorelay.entry.request;
 
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -12,27 +11,20 @@
 
 import io.vavr.control.Either;
 import io.vavr.control.Option;
-import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpStatus;
-import org.apache.hc.core5.http.io.entity.AbstractHttpEntity;
 import org.apache.hc.core5.http.message.BasicClassicHttpResponse;
 import org.bamboorelay.core.failure.Refusal;
 import org.bamboorelay.core.failure.RefusalReason;
 import org.bamboorelay.core.failure.RetryReason;
-import org.bamboorelay.core.failure.RunState;
 import org.bamboorelay.core.request.RetryBudget;
-import org.bamboorelay.core.version.EndpointId;
 import org.bamboorelay.core.version.Inventory;
 import org.bamboorelay.core.version.LiveConfiguration;
 import org.bamboorelay.core.version.WorkspaceId;
 import org.bamboorelay.entry.connection.EngineClient.EngineEvent;
-import org.bamboorelay.entry.connection.EngineClient.EngineRequest;
 import org.bamboorelay.entry.connection.EngineClient.Finish;
 import org.bamboorelay.entry.connection.EngineFailure;
-import org.bamboorelay.entry.connection.EngineStream;
 import org.bamboorelay.entry.connection.HttpEngineClient;
-import org.bamboorelay.entry.connection.StreamAbort;
 import org.bamboorelay.entry.process.UsageMeter;
 import org.bamboorelay.runtime.connection.HttpListener.Responder;
 import org.bamboorelay.runtime.process.Counters;
@@ -55,13 +47,9 @@
 
 	private static final Logger LOG = LoggerFactory.getLogger(CompletionRoute.class);
 
-	private static final int MAX_ATTEMPTS = 3;
-
 	/** The longest text of an answer that is not streamed, in characters. */
 	private static final int MAX_TEXT_CHARS = 4 * 1_048_576;
 
-	private static final long RETRY_AFTER_MILLIS = 1_000;
-
 	private final LiveConfiguration configuration;
 
 	private final CreditSource credits;
@@ -134,7 +122,7 @@
 	}
 
 	private void refuse(CallerRequest request, Responder responder, Refusal refusal) throws HttpException, IOException {
-		log("request.refused", request, refusal.code());
+		RequestAttempts.logRefused(request, refusal);
 		this.problems.send(responder, request.requestId(), refusal);
 	}
 
@@ -149,33 +137,25 @@
 	/**
 	 * The attempts of one request. Used by one thread.
 	 */
-	private final class Completion {
-
-		private final CallerRequest request;
+	private final class Completion extends RequestAttempts {
 
 		private final WorkspaceId workspace;
 
 		private final CompletionRequest wanted;
 
-		private final List<EndpointId> excluded = new ArrayList<>();
-
-		private int attempts;
-
-		private boolean mayHaveRun;
-
 		private Completion(CallerRequest request, WorkspaceId workspace, CompletionRequest wanted) {
-			this.request = request;
+			super(request, CompletionRoute.this.credits, CompletionRoute.this.budget, CompletionRoute.this.counters);
 			this.workspace = workspace;
 			this.wanted = wanted;
 		}
 
 		private void stream(Responder responder) throws HttpException, IOException {
-			Either<Refusal, Attempt> first = firstEvent();
+			Either<Refusal, EngineAttempt> first = firstEvent();
 			if (first.isLeft()) {
-				refuse(this.request, responder, first.getLeft());
+				refuse(request(), responder, first.getLeft());
 				return;
 			}
-			Attempt attempt = first.get();
+			EngineAttempt attempt = first.get();
 			try {
 				BasicClassicHttpResponse response = new BasicClassicHttpResponse(HttpStatus.SC_OK);
 				response.setHeader("Cache-Control", "no-store");
@@ -189,12 +169,12 @@
 
 		private void whole(Responder responder) throws HttpException, IOException {
 			while (true) {
-				Either<Refusal, Attempt> first = firstEvent();
+				Either<Refusal, EngineAttempt> first = firstEvent();
 				if (first.isLeft()) {
-					refuse(this.request, responder, first.getLeft());
+					refuse(request(), responder, first.getLeft());
 					return;
 				}
-				try (Attempt attempt = first.get()) {
+				try (EngineAttempt attempt = first.get()) {
 					Either<EngineFailure, Map<String, Object>> answer = collect(attempt);
 					if (answer.isRight()) {
 						responder.send(HttpStatus.SC_OK, "application/json", Json.text(answer.get()));
@@ -202,7 +182,7 @@
 					}
 					Refusal refusal = retryOrRefusal(attempt, answer.getLeft());
 					if (refusal != null) {
-						refuse(this.request, responder, refusal);
+						refuse(request(), responder, refusal);
 						return;
 					}
 				}
@@ -213,22 +193,16 @@
 		 * Makes attempts until one has its first event, or ended whole without any.
 		 * @return the attempt, which the caller closes, or the refusal
 		 */
-		private Either<Refusal, Attempt> firstEvent() {
+		private Either<Refusal, EngineAttempt> firstEvent() {
 			while (true) {
-				Either<Refusal, Credit> credit = CompletionRoute.this.credits.acquire(new RouteRequest(
-						this.wanted.service(), this.workspace, true, true, this.wanted.prefixHash(this.workspace),
-						this.wanted.expectedTokens(), this.wanted.line(), this.excluded));
+				Either<Refusal, Credit> credit = acquire((excluded) -> new RouteRequest(this.wanted.service(),
+						this.workspace, true, true, this.wanted.prefixHash(this.workspace),
+						this.wanted.expectedTokens(), this.wanted.line(), excluded));
 				if (credit.isLeft()) {
-					return Either.left(truthful(credit.getLeft()));
+					return Either.left(credit.getLeft());
 				}
-				if (!this.request.stillAllowed().getAsBoolean()) {
-					credit.get().end(Credit.Outcome.UNUSED, 0, 0);
-					return Either.left(truthful(withdrawn()));
-				}
-				this.attempts++;
-				String id = (this.attempts == 1) ? this.request.requestId()
-						: this.request.requestId() + "-r" + this.attempts;
-				Attempt attempt = new Attempt(credit.get(), this.wanted.toEngine(id, this.workspace), this.request);
+				EngineAttempt attempt = new EngineAttempt(CompletionRoute.this.engines, CompletionRoute.this.running,
+						credit.get(), this.wanted.toEngine(attemptId(), this.workspace), request());
 				Either<EngineFailure, Boolean> started = attempt.start();
 				if (started.isRight()) {
 					return Either.right(attempt);
@@ -241,33 +215,27 @@
 			}
 		}
 
-		private @Nullable Refusal retryOrRefusal(Attempt attempt, EngineFailure failure) {
+		private @Nullable Refusal retryOrRefusal(EngineAttempt attempt, EngineFailure failure) {
 			boolean notRun = failure instanceof EngineFailure.NotSent || failure instanceof EngineFailure.Refused;
-			this.mayHaveRun |= !notRun;
-			this.excluded.add(attempt.credit.endpoint());
-			if (!this.request.stillAllowed().getAsBoolean()) {
+			failed(attempt.credit().endpoint(), !notRun);
+			if (!isAllowed()) {
 				if (!notRun) {
 					attempt.cancelAtEngine();
 				}
-				return truthful(withdrawn());
+				return withdrawn();
 			}
 			if (failure instanceof EngineFailure.Refused refused
 					&& refused.status() < HttpStatus.SC_TOO_MANY_REQUESTS) {
 				return truthful(Refusal.notRun(RefusalReason.BAD_REQUEST, failure.detail()));
 			}
-			if (this.attempts < MAX_ATTEMPTS && CompletionRoute.this.budget.tryRetry()) {
-				RetryReason reason = retryReason(failure);
-				CompletionRoute.this.counters.retry(reason).inc();
-				log("request.retried", this.request, reason.code());
+			if (tryAgain(retryReason(failure))) {
 				return null;
 			}
-			return notRun
-					? truthful(Refusal.notRun(RefusalReason.NO_ENDPOINT, failure.detail())
-						.withRetryAfter(RETRY_AFTER_MILLIS))
+			return notRun ? noEndpoint(failure.detail())
 					: Refusal.runUnknown(RefusalReason.ENDPOINT_FAILED, failure.detail());
 		}
 
-		private Either<EngineFailure, Map<String, Object>> collect(Attempt attempt) {
+		private Either<EngineFailure, Map<String, Object>> collect(EngineAttempt attempt) {
 			StringBuilder text = new StringBuilder();
 			List<Map<String, Object>> versions = new ArrayList<>();
 			while (true) {
@@ -276,7 +244,7 @@
 					return Either.left(next.getLeft());
 				}
 				if (next.get().isEmpty()) {
-					return Either.right(answer(attempt.finish(this.wanted), text.toString(), versions));
+					return Either.right(answer(finish(attempt), text.toString(), versions));
 				}
 				EngineEvent event = next.get().get();
 				if (text.length() + event.text().length() > MAX_TEXT_CHARS) {
@@ -301,6 +269,12 @@
 			versions.add(span);
 		}
 
+		private Finish finish(EngineAttempt attempt) {
+			Finish finish = attempt.finish();
+			CompletionRoute.this.usage.served(this.workspace, this.wanted.service(), finish.tokens());
+			return finish;
+		}
+
 		private Map<String, Object> answer(Finish finish, String text, List<Map<String, Object>> versions) {
 			Map<String, Object> answer = chunk(text, finish.reason());
 			answer.put("usage", Map.of("completion_tokens", finish.tokens()));
@@ -314,30 +288,30 @@
 			choice.put("text", text);
 			choice.put("finish_reason", finishReason);
 			Map<String, Object> chunk = new LinkedHashMap<>();
-			chunk.put("id", this.request.requestId());
+			chunk.put("id", request().requestId());
 			chunk.put("object", "text_completion");
 			chunk.put("model", this.wanted.service().value());
 			chunk.put("choices", List.of(choice));
 			return chunk;
 		}
 
-		private void relay(Attempt attempt, OutputStream out) throws IOException {
-			ChunkWriter writer = new ChunkWriter(this.request.requestId(), this.wanted.service().value());
+		private void relay(EngineAttempt attempt, OutputStream out) throws IOException {
+			ChunkWriter writer = new ChunkWriter(request().requestId(), this.wanted.service().value());
 			while (true) {
 				Either<EngineFailure, Option<EngineEvent>> next = attempt.next();
-				if (!this.request.stillAllowed().getAsBoolean()) {
+				if (!isAllowed()) {
 					attempt.cancel(Credit.Outcome.UNUSED);
 					error(out, Refusal.runUnknown(RefusalReason.WITHDRAWN_KEY, "the key was withdrawn"));
 					return;
 				}
 				if (next.isLeft()) {
-					log("stream.failed", this.request, next.getLeft().code());
+					log("stream.failed", request(), next.getLeft().code());
 					attempt.fail();
 					error(out, Refusal.runUnknown(RefusalReason.ENDPOINT_FAILED, next.getLeft().detail()));
 					return;
 				}
 				if (next.get().isEmpty()) {
-					Finish finish = attempt.finish(this.wanted);
+					Finish finish = finish(attempt);
 					Map<String, Object> last = chunk("", finish.reason());
 					last.put("usage", Map.of("completion_tokens", finish.tokens()));
 					write(out, Json.bytes(last));
@@ -353,7 +327,7 @@
 					}
 				}
 				catch (IOException ex) {
-					log("stream.caller-gone", this.request, "caller-gone");
+					log("stream.caller-gone", request(), "caller-gone");
 					attempt.cancel(Credit.Outcome.UNUSED);
 					throw ex;
 				}
@@ -362,9 +336,9 @@
 
 		private void error(OutputStream out, Refusal refusal) throws IOException {
 			CompletionRoute.this.counters.refusal(refusal.reason()).inc();
-			log("stream.ended-in-error", this.request, refusal.code());
+			log("stream.ended-in-error", request(), refusal.code());
 			out.write("event: error\n".getBytes(StandardCharsets.US_ASCII));
-			write(out, Json.bytes(Map.of("error", Problems.body(this.request.requestId(), refusal))));
+			write(out, Json.bytes(Map.of("error", Problems.body(request().requestId(), refusal))));
 			out.flush();
 		}
 
@@ -374,16 +348,6 @@
 			out.write("\n\n".getBytes(StandardCharsets.US_ASCII));
 		}
 
-		private Refusal truthful(Refusal refusal) {
-			return this.mayHaveRun
-					? new Refusal(refusal.reason(), RunState.UNKNOWN, refusal.retryAfterMillis(), refusal.detail())
-					: refusal;
-		}
-
-		private static Refusal withdrawn() {
-			return Refusal.notRun(RefusalReason.WITHDRAWN_KEY, "the key was withdrawn");
-		}
-
 		private static RetryReason retryReason(EngineFailure failure) {
 			if (failure instanceof EngineFailure.NotSent) {
 				return RetryReason.CONNECT_FAILED;
@@ -397,165 +361,4 @@
 
 	}
 
-	/**
-	 * One attempt at one engine. Used by one thread.
-	 */
-	private final class Attempt implements AutoCloseable {
-
-		private final Credit credit;
-
-		private final EngineRequest engineRequest;
-
-		private final CallerRequest request;
-
-		private final StreamAbort abort = new StreamAbort();
-
-		private @Nullable EngineStream stream;
-
-		private RunningStreams.@Nullable Running entry;
-
-		private @Nullable Either<EngineFailure, Option<EngineEvent>> first;
-
-		private boolean ended;
-
-		private Attempt(Credit credit, EngineRequest engineRequest, CallerRequest request) {
-			this.credit = credit;
-			this.engineRequest = engineRequest;
-			this.request = request;
-		}
-
-		private Either<EngineFailure, Boolean> start() {
-			Either<EngineFailure, EngineStream> opened = CompletionRoute.this.engines.open(this.credit.address(),
-					this.engineRequest, (task) -> {
-						this.abort.start(task);
-						this.entry = CompletionRoute.this.running.add(this.abort, this.request.stillAllowed());
-					});
-			if (opened.isLeft()) {
-				this.credit.end((opened.getLeft() instanceof EngineFailure.Refused) ? Credit.Outcome.REFUSED
-						: Credit.Outcome.FAILED, 0, 0);
-				return Either.left(opened.getLeft());
-			}
-			this.stream = opened.get();
-			this.first = this.stream.next();
-			return this.first.map((event) -> true);
-		}
-
-		private Either<EngineFailure, Option<EngineEvent>> next() {
-			Either<EngineFailure, Option<EngineEvent>> event = this.first;
-			if (event != null) {
-				this.first = null;
-				return event;
-			}
-			return opened().next();
-		}
-
-		private boolean isBuffered() {
-			return opened().isBuffered();
-		}
-
-		private Finish finish(CompletionRequest wanted) {
-			Finish finish = opened().end();
-			endCredit(Credit.Outcome.OK, finish.firstByteMillis(), finish.tokens());
-			CompletionRoute.this.usage.served(Objects.requireNonNull(this.request.workspace(), "workspace"),
-					wanted.service(), finish.tokens());
-			return finish;
-		}
-
-		private void cancel(Credit.Outcome outcome) {
-			endCredit(outcome, opened().firstByteMillis(), opened().tokens());
-			cancelAtEngine();
-		}
-
-		private void cancelAtEngine() {
-			CompletionRoute.this.engines.cancel(this.credit.address(), this.engineRequest.requestId());
-		}
-
-		private void fail() {
-			endCredit(Credit.Outcome.FAILED, opened().firstByteMillis(), opened().tokens());
-		}
-
-		private void endCredit(Credit.Outcome outcome, long firstByteMillis, long tokens) {
-			if (!this.ended) {
-				this.ended = true;
-				this.credit.end(outcome, firstByteMillis, tokens);
-			}
-		}
-
-		private EngineStream opened() {
-			return Objects.requireNonNull(this.stream, "stream");
-		}
-
-		@Override
-		public void close() {
-			if (this.entry != null) {
-				CompletionRoute.this.running.remove(this.entry);
-			}
-			this.abort.end();
-			if (this.stream != null) {
-				this.stream.close();
-				fail();
-			}
-		}
-
-	}
-
-	/**
-	 * A body of server-sent events that is written while it is made.
-	 */
-	private static final class EventEntity extends AbstractHttpEntity {
-
-		private final EventWriter writer;
-
-		private EventEntity(EventWriter writer) {
-			super(ContentType.TEXT_EVENT_STREAM, null, true);
-			this.writer = writer;
-		}
-
-		@Override
-		public boolean isRepeatable() {
-			return false;
-		}
-
-		@Override
-		public boolean isStreaming() {
-			return true;
-		}
-
-		@Override
-		public long getContentLength() {
-			return -1;
-		}
-
-		@Override
-		public InputStream getContent() {
-			throw new UnsupportedOperationException("events are written, not read");
-		}
-
-		@Override
-		public void writeTo(OutputStream out) throws IOException {
-			this.writer.writeTo(out);
-		}
-
-		@Override
-		public void close() {
-			// The attempt is closed by the route.
-		}
-
-	}
-
-	/**
-	 * Writes events.
-	 */
-	@FunctionalInterface
-	private interface EventWriter {
-
-		/**
-		 * Writes all events.
-		 * @param out takes the events
-		 * @throws IOException where the caller is gone
-		 */
-		void writeTo(OutputStream out) throws IOException;
-
-	}
-
 }
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/PlainRoute.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/PlainRoute.java
@@ -21,10 +21,8 @@
 import org.bamboorelay.core.failure.Refusal;
 import org.bamboorelay.core.failure.RefusalReason;
 import org.bamboorelay.core.failure.RetryReason;
-import org.bamboorelay.core.failure.RunState;
 import org.bamboorelay.core.request.KeyHiding;
 import org.bamboorelay.core.request.RetryBudget;
-import org.bamboorelay.core.version.EndpointId;
 import org.bamboorelay.core.version.Inventory;
 import org.bamboorelay.core.version.LiveConfiguration;
 import org.bamboorelay.core.version.ServiceId;
@@ -37,8 +35,6 @@
 import org.bamboorelay.runtime.connection.HttpListener.Responder;
 import org.bamboorelay.runtime.process.Counters;
 import org.jspecify.annotations.Nullable;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * Relays plain requests, {@code /services/{service}/{path}}. An answer is buffered whole
@@ -52,18 +48,12 @@
 	/** First segment of the paths of this route. */
 	public static final String PREFIX = "/services/";
 
-	private static final Logger LOG = LoggerFactory.getLogger(PlainRoute.class);
-
 	private static final Set<String> IDEMPOTENT_METHODS = Set.of("GET", "HEAD", "OPTIONS");
 
 	private static final String IDEMPOTENCY_KEY = "Idempotency-Key";
 
-	private static final int MAX_ATTEMPTS = 3;
-
 	private static final int READ_TIMEOUT_MILLIS = 30_000;
 
-	private static final long RETRY_AFTER_MILLIS = 1_000;
-
 	private final LiveConfiguration configuration;
 
 	private final CreditSource credits;
@@ -160,12 +150,7 @@
 							"service " + service.name() + " is reached by /v1/completions")))
 			.flatMap((service) -> relay(request, service));
 		if (answer.isLeft()) {
-			LOG.atInfo()
-				.addKeyValue("event", "request.refused")
-				.addKeyValue("request_id", request.requestId())
-				.addKeyValue("reason", answer.getLeft().code())
-				.addKeyValue("run", answer.getLeft().run().code())
-				.log("request.refused");
+			RequestAttempts.logRefused(request, answer.getLeft());
 			this.problems.send(responder, request.requestId(), answer.getLeft());
 			return;
 		}
@@ -192,67 +177,44 @@
 		return this.records.once(call, () -> new Relay(request, service.name(), false).run());
 	}
 
-	private void count(RetryReason reason, CallerRequest request) {
-		this.counters.retry(reason).inc();
-		LOG.atInfo()
-			.addKeyValue("event", "request.retried")
-			.addKeyValue("request_id", request.requestId())
-			.addKeyValue("reason", reason.code())
-			.log("request.retried");
-	}
-
 	/**
 	 * The attempts of one request. Used by one thread.
 	 */
-	private final class Relay {
-
-		private final CallerRequest request;
+	private final class Relay extends RequestAttempts {
 
 		private final ServiceId service;
 
 		private final boolean idempotent;
 
-		private final List<EndpointId> excluded = new ArrayList<>();
-
-		private boolean mayHaveRun;
-
 		private Relay(CallerRequest request, ServiceId service, boolean idempotent) {
-			this.request = request;
+			super(request, PlainRoute.this.credits, PlainRoute.this.budget, PlainRoute.this.counters);
 			this.service = service;
 			this.idempotent = idempotent;
 		}
 
 		private Either<Refusal, PlainAnswer> run() {
-			for (int attempt = 1;; attempt++) {
-				Either<Refusal, Credit> credit = PlainRoute.this.credits.acquire(new RouteRequest(this.service,
-						this.request.workspace(), true, this.idempotent, 0, 1, null, this.excluded));
+			while (true) {
+				Either<Refusal, Credit> credit = acquire((excluded) -> new RouteRequest(this.service,
+						request().workspace(), true, this.idempotent, 0, 1, null, excluded));
 				if (credit.isLeft()) {
-					return Either.left(truthful(credit.getLeft()));
-				}
-				if (!this.request.stillAllowed().getAsBoolean()) {
-					credit.get().end(Credit.Outcome.UNUSED, 0, 0);
-					return Either.left(truthful(Refusal.notRun(RefusalReason.WITHDRAWN_KEY, "the key was withdrawn")));
+					return Either.left(credit.getLeft());
 				}
-				Either<Failed, PlainAnswer> answer = attempt(credit.get(), attempt);
+				Either<Failed, PlainAnswer> answer = attempt(credit.get());
 				if (answer.isRight()) {
 					return Either.right(answer.get());
 				}
 				Failed failed = answer.getLeft();
-				this.mayHaveRun |= failed.mayHaveRun();
-				this.excluded.add(credit.get().endpoint());
+				failed(credit.get().endpoint(), failed.mayHaveRun());
 				boolean again = failed.retry() != null && (this.idempotent || !failed.byteSent())
-						&& attempt < MAX_ATTEMPTS && PlainRoute.this.budget.tryRetry();
+						&& tryAgain(failed.retry());
 				if (!again) {
 					return Either.left(refusal(failed));
 				}
-				count(Objects.requireNonNull(failed.retry()), this.request);
 			}
 		}
 
-		private Either<Failed, PlainAnswer> attempt(Credit credit, int attempt) {
-			// Each attempt has its own id, so that a late answer to an earlier one is not
-			// taken for this one's.
-			String id = (attempt == 1) ? this.request.requestId() : this.request.requestId() + "-r" + attempt;
+		private Either<Failed, PlainAnswer> attempt(Credit credit) {
+			String id = attemptId();
 			long started = System.nanoTime();
 			Either<HttpFailure, HttpExchange> result = PlainRoute.this.pool.execute(credit.address(), message(id),
 					this.idempotent, READ_TIMEOUT_MILLIS);
@@ -264,9 +226,9 @@
 			try (HttpExchange exchange = result.get()) {
 				Either<Failed, PlainAnswer> answer = read(exchange, id);
 				credit.end(outcome(answer), firstByteMillis, answer.isRight() ? 1 : 0);
-				if (answer.isRight() && this.request.workspace() != null
+				if (answer.isRight() && request().workspace() != null
 						&& answer.get().status() < HttpStatus.SC_INTERNAL_SERVER_ERROR) {
-					PlainRoute.this.usage.served(this.request.workspace(), this.service, 1);
+					PlainRoute.this.usage.served(request().workspace(), this.service, 1);
 				}
 				return answer;
 			}
@@ -314,35 +276,27 @@
 		}
 
 		private ClassicHttpRequest message(String id) {
-			String target = rest(this.request.path())
-					+ ((this.request.query() != null) ? "?" + this.request.query() : "");
-			ClassicHttpRequest message = new BasicClassicHttpRequest(this.request.method(), target);
-			KeyHiding.toEndpoint(this.request.headers()).forEach(message::setHeader);
+			String target = rest(request().path()) + ((request().query() != null) ? "?" + request().query() : "");
+			ClassicHttpRequest message = new BasicClassicHttpRequest(request().method(), target);
+			KeyHiding.toEndpoint(request().headers()).forEach(message::setHeader);
 			message.setHeader(HttpEngineClient.REQUEST_ID_HEADER, id);
-			if (this.request.body().length > 0 || !IDEMPOTENT_METHODS.contains(this.request.method())) {
-				String type = this.request.header(HttpHeaders.CONTENT_TYPE).orElse(null);
+			if (request().body().length > 0 || !IDEMPOTENT_METHODS.contains(request().method())) {
+				String type = request().header(HttpHeaders.CONTENT_TYPE).orElse(null);
 				message.removeHeaders(HttpHeaders.CONTENT_TYPE);
 				message.removeHeaders(HttpHeaders.CONTENT_ENCODING);
-				message.setEntity(new ByteArrayEntity(this.request.body(), ContentType.parseLenient(type),
-						this.request.header(HttpHeaders.CONTENT_ENCODING).orElse(null)));
+				message.setEntity(new ByteArrayEntity(request().body(), ContentType.parseLenient(type),
+						request().header(HttpHeaders.CONTENT_ENCODING).orElse(null)));
 			}
 			return message;
 		}
 
 		private Refusal refusal(Failed failed) {
 			if (failed.retry() == RetryReason.ENDPOINT_REFUSED || failed.retry() == RetryReason.CONNECT_FAILED) {
-				return truthful(
-						Refusal.notRun(RefusalReason.NO_ENDPOINT, failed.detail()).withRetryAfter(RETRY_AFTER_MILLIS));
+				return noEndpoint(failed.detail());
 			}
 			return Refusal.runUnknown(RefusalReason.ENDPOINT_FAILED, failed.detail());
 		}
 
-		private Refusal truthful(Refusal refusal) {
-			return this.mayHaveRun
-					? new Refusal(refusal.reason(), RunState.UNKNOWN, refusal.retryAfterMillis(), refusal.detail())
-					: refusal;
-		}
-
 	}
 
 	/**
