--- a/bamboorelay-cli/src/main/java/org/bamboorelay/cli/connection/EntryHosts.java
+++ b/bamboorelay-cli/src/main/java/org/bamboorelay/cli/connection/EntryHosts.java
@@ -1,7 +1,6 @@
 package org.bamboorelay.cli.connection;
 
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -60,15 +59,18 @@
 	/**
 	 * Hands a withdrawal to the entry hosts, which pass it on among themselves.
 	 * @param key the hash of the key
-	 * @return the addresses that accepted it
+	 * @return how many hosts each address that accepted it knows to hold it; 0 from
+	 * releases that do not say it
 	 */
-	public List<String> withdraw(KeyHash key) {
-		return this.settings.entryAddresses().stream().filter((address) -> {
+	public Map<String, Integer> withdraw(KeyHash key) {
+		Map<String, Integer> holders = new LinkedHashMap<>();
+		this.settings.entryAddresses().forEach((address) -> {
 			BasicClassicHttpRequest request = new BasicClassicHttpRequest("POST", "/operator/withdrawals");
 			request.setEntity(
 					new ByteArrayEntity(Json.bytes(Map.of("key_hash", key.value())), ContentType.APPLICATION_JSON));
-			return call(address, request).isRight();
-		}).toList();
+			call(address, request).forEach((answer) -> holders.put(address, answer.path("held_by_at_least").asInt()));
+		});
+		return holders;
 	}
 
 	private Either<Failure, JsonNode> call(String address, BasicClassicHttpRequest request) {
--- a/bamboorelay-cli/src/main/java/org/bamboorelay/cli/request/KeyCommands.java
+++ b/bamboorelay-cli/src/main/java/org/bamboorelay/cli/request/KeyCommands.java
@@ -82,7 +82,8 @@
 		Either<Failure, Configuration> written = this.access
 			.update((configuration) -> configuration.keys().withdrawn().contains(hash) ? configuration
 					: configuration.withKeys(configuration.keys().withWithdrawn(Set.of(hash))));
-		List<String> accepted = this.entries.withdraw(hash);
+		Map<String, Integer> holders = this.entries.withdraw(hash);
+		List<String> accepted = List.copyOf(holders.keySet());
 		if (written.isLeft() && accepted.isEmpty()) {
 			return CommandResult.of(written.getLeft());
 		}
@@ -94,8 +95,16 @@
 		lines.add(accepted.isEmpty()
 				? "no entry host accepted the withdrawal; repeat the command if the object API fails within 5 s"
 				: accepted.size() + " entry hosts accepted the withdrawal at once");
+		int held = Math.max(accepted.size(), holders.values().stream().mapToInt(Integer::intValue).max().orElse(0));
+		if (held == 1) {
+			lines.add("only one entry host holds the withdrawal"
+					+ (written.isLeft() ? "; repeat the command, as the loss of that host would lose it" : ""));
+		}
+		else if (held > 1) {
+			lines.add("at least " + held + " entry hosts hold the withdrawal");
+		}
 		return new CommandResult(ExitCode.OK, lines,
-				Map.of("hash", hash, "written", written.isRight(), "entries", accepted));
+				Map.of("hash", hash, "written", written.isRight(), "entries", accepted, "held_by_at_least", held));
 	}
 
 	private static KeyHash hash(String text) {
--- a/bamboorelay-control/src/main/java/org/bamboorelay/control/connection/EntryLinks.java
+++ b/bamboorelay-control/src/main/java/org/bamboorelay/control/connection/EntryLinks.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -79,9 +80,24 @@
 	 * @return the answers and failures
 	 */
 	public List<Answer> callAll(Request message) {
+		return callShare(0, 1, message);
+	}
+
+	/**
+	 * Calls a share of the entry processes at the same time and waits for all answers.
+	 * @param share the share, from 0 to below the number of shares
+	 * @param shares the number of shares
+	 * @param message makes the message for a link
+	 * @return the answers and failures
+	 */
+	public List<Answer> callShare(int share, int shares, Request message) {
+		List<Slot> ordered = new ArrayList<>(this.slots.values());
+		ordered.sort(Comparator.comparing((slot) -> slot.address));
 		List<CompletableFuture<Answer>> calls = new ArrayList<>();
-		this.slots.values()
-			.forEach((slot) -> calls.add(CompletableFuture.supplyAsync(() -> slot.call(message), this.threads)));
+		for (int i = share; i < ordered.size(); i += shares) {
+			Slot slot = ordered.get(i);
+			calls.add(CompletableFuture.supplyAsync(() -> slot.call(message), this.threads));
+		}
 		return calls.stream().map(CompletableFuture::join).toList();
 	}
 
--- a/bamboorelay-control/src/main/java/org/bamboorelay/control/process/ConfigurationLoop.java
+++ b/bamboorelay-control/src/main/java/org/bamboorelay/control/process/ConfigurationLoop.java
@@ -10,12 +10,16 @@
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import org.bamboorelay.core.connection.PeerMessage;
+import org.bamboorelay.core.connection.WithdrawalSync;
 import org.bamboorelay.core.failure.Failure;
 import org.bamboorelay.core.process.Backoff;
 import org.bamboorelay.core.version.Configuration;
 import org.bamboorelay.core.version.ConfigurationAssembly;
 import org.bamboorelay.core.version.KeyHash;
+import org.bamboorelay.core.version.KeyTable;
+import org.bamboorelay.core.version.WithdrawnKeys;
 import org.bamboorelay.runtime.connection.PeerLink;
+import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -41,6 +45,14 @@
 	 */
 	private static final long RETRY_CAP_MILLIS = 2_000;
 
+	/**
+	 * Each host is asked for withdrawn keys once in so many seconds. Hosts pass them on
+	 * among themselves, so one that only a control process reaches is what this is for.
+	 */
+	private static final int WITHDRAWAL_SHARES = 3;
+
+	private static final long PULL_TIMEOUT_MILLIS = 1_000;
+
 	private final ControlContext context;
 
 	private final ConfigurationAssembly assembly;
@@ -49,6 +61,14 @@
 
 	private final Map<PeerLink, Long> held = new ConcurrentHashMap<>();
 
+	private final WithdrawnKeys withdrawn = new WithdrawnKeys();
+
+	private final WithdrawalSync sync = WithdrawalSync.over(this.withdrawn);
+
+	private long withdrawnOf;
+
+	private int share;
+
 	private byte[] body = NO_BODY;
 
 	private long readAt = -1;
@@ -132,13 +152,30 @@
 		if (present.isEmpty() || !this.context.isReader()) {
 			return;
 		}
-		Set<KeyHash> found = new HashSet<>();
-		this.context.links().callAll((link) -> new PeerMessage.Withdraw(List.of())).forEach((answer) -> {
-			if (answer.result().isRight() && answer.result().get() instanceof PeerMessage.Withdraw withdraw) {
-				found.addAll(withdraw.keys());
+		KeyTable table = present.get().keys();
+		if (this.withdrawnOf != present.get().version()) {
+			this.withdrawnOf = present.get().version();
+			this.withdrawn.add(table.withdrawn());
+		}
+		this.share = (this.share + 1) % WITHDRAWAL_SHARES;
+		Map<PeerLink, WithdrawalSync.Ask> asks = new ConcurrentHashMap<>();
+		this.context.links().callShare(this.share, WITHDRAWAL_SHARES, (link) -> {
+			if (!link.remote().knows(PeerMessage.WithdrawnDelta.class)) {
+				return new PeerMessage.Withdraw(List.of());
+			}
+			WithdrawalSync.Ask ask = this.sync.request(link.remote(), List.of());
+			asks.put(link, ask);
+			return ask.message();
+		}).forEach((answer) -> {
+			if (answer.link() != null && answer.result().isRight()) {
+				take(answer.link(), asks.get(answer.link()), answer.result().get());
 			}
 		});
-		found.removeAll(present.get().keys().withdrawn());
+		if (this.withdrawn.size() == table.withdrawn().size()) {
+			return;
+		}
+		Set<KeyHash> found = new HashSet<>(this.withdrawn.all());
+		found.removeAll(table.withdrawn());
 		if (found.isEmpty()) {
 			return;
 		}
@@ -147,4 +184,18 @@
 			.peekLeft((failure) -> LOG.warn("withdrawals-not-written code={}", failure.code()));
 	}
 
+	private void take(PeerLink link, WithdrawalSync.@Nullable Ask ask, PeerMessage answer) {
+		if (answer instanceof PeerMessage.Withdraw whole) {
+			this.withdrawn.add(whole.keys());
+		}
+		else if (ask != null && answer instanceof PeerMessage.WithdrawnDelta delta
+				&& this.sync.onAnswer(link.remote(), ask, delta) == WithdrawalSync.Next.PULL) {
+			WithdrawalSync.Ask pull = this.sync.pull();
+			link.call(pull.message(), PULL_TIMEOUT_MILLIS)
+				.filter((whole) -> whole instanceof PeerMessage.WithdrawnDelta)
+				.forEach((whole) -> whole
+					.forEach((taken) -> this.sync.onAnswer(link.remote(), pull, (PeerMessage.WithdrawnDelta) taken)));
+		}
+	}
+
 }
--- a/bamboorelay-control/src/main/java/org/bamboorelay/control/process/ControlProcess.java
+++ b/bamboorelay-control/src/main/java/org/bamboorelay/control/process/ControlProcess.java
@@ -16,7 +16,6 @@
 import org.bamboorelay.control.connection.PlatformClient;
 import org.bamboorelay.control.version.ControlSettings;
 import org.bamboorelay.core.connection.PeerMessage;
-import org.bamboorelay.core.connection.PeerProtocol;
 import org.bamboorelay.core.process.LeaseState;
 import org.bamboorelay.core.version.Configuration;
 import org.bamboorelay.core.version.Inventory;
@@ -69,8 +68,8 @@
 
 	private ControlProcess(ControlSettings settings) throws IOException {
 		String incarnation = settings.host() + "-" + UUID.randomUUID();
-		PeerMessage.Hello hello = new PeerMessage.Hello(PeerProtocol.MAGIC, settings.deployment(), settings.host(),
-				settings.failureDomain(), "control", incarnation);
+		PeerMessage.Hello hello = PeerMessage.Hello.of(settings.deployment(), settings.host(), settings.failureDomain(),
+				"control", incarnation);
 		EntryLinks links = new EntryLinks(hello, this.threads);
 		links.keep(settings.entryAddresses());
 		this.context = new ControlContext(settings, incarnation,
--- a/bamboorelay-control/src/test/java/org/bamboorelay/control/process/EndpointDirectoryTests.java
+++ b/bamboorelay-control/src/test/java/org/bamboorelay/control/process/EndpointDirectoryTests.java
@@ -14,7 +14,6 @@
 import org.bamboorelay.control.connection.PlatformClient;
 import org.bamboorelay.control.version.ControlSettings;
 import org.bamboorelay.core.connection.PeerMessage;
-import org.bamboorelay.core.connection.PeerProtocol;
 import org.bamboorelay.core.store.ObjectStore;
 import org.bamboorelay.core.store.StoreFailure;
 import org.bamboorelay.core.store.StoredObject;
@@ -60,8 +59,7 @@
 		ControlSettings settings = new ControlSettings("huerto", HostId.of("control-1"), DOMAIN, address, address,
 				address, address, 1, List.of(), address);
 		EntryLinks links = new EntryLinks(
-				new PeerMessage.Hello(PeerProtocol.MAGIC, "huerto", settings.host(), DOMAIN, "control", "incarnation"),
-				Runnable::run);
+				PeerMessage.Hello.of("huerto", settings.host(), DOMAIN, "control", "incarnation"), Runnable::run);
 		this.directory = new EndpointDirectory(new ControlContext(settings, "incarnation", this.store,
 				PlatformClient.of(this.pool), links, Counters.create(), Runnable::run));
 		hosts("live");
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerMessage.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerMessage.java
@@ -33,10 +33,36 @@
 	 * @param domain the sender's failure domain
 	 * @param role {@code entry}, {@code control} or {@code operator}
 	 * @param incarnation unique for each start of the process
+	 * @param messageTypes how many of {@link PeerProtocol#TYPES} the sender knows; 0 from
+	 * releases that do not say it. Those skip the field when they read it.
 	 */
 	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
-	record Hello(String magic, String deployment, HostId host, FailureDomain domain, String role,
-			String incarnation) implements PeerMessage {
+	record Hello(String magic, String deployment, HostId host, FailureDomain domain, String role, String incarnation,
+			int messageTypes) implements PeerMessage {
+
+		/**
+		 * Creates the greeting of a process of this release.
+		 * @param deployment name of the deployment
+		 * @param host the sender's host
+		 * @param domain the sender's failure domain
+		 * @param role {@code entry}, {@code control} or {@code operator}
+		 * @param incarnation unique for each start of the process
+		 * @return the greeting
+		 */
+		public static Hello of(String deployment, HostId host, FailureDomain domain, String role, String incarnation) {
+			return new Hello(PeerProtocol.MAGIC, deployment, host, domain, role, incarnation,
+					PeerProtocol.TYPES.size());
+		}
+
+		/**
+		 * Tells whether the sender can read a type of message.
+		 * @param type the type
+		 * @return whether it can; one that cannot closes the link
+		 */
+		public boolean knows(Class<? extends PeerMessage> type) {
+			return PeerProtocol.TYPES.indexOf(type) < Math.max(this.messageTypes, PeerProtocol.FIRST_TYPES);
+		}
+
 	}
 
 	/**
@@ -99,6 +125,7 @@
 
 	/**
 	 * Withdrawn hashes; answered by a {@code Withdraw} with all that the receiver knows.
+	 * Used with releases that do not know {@link WithdrawnDelta}.
 	 *
 	 * @param keys the hashes
 	 */
@@ -347,4 +374,19 @@
 	record BatchAnswer(String ticket, int status, byte[] body) implements PeerMessage {
 	}
 
+	/**
+	 * Compares sets of withdrawn hashes and passes on what differs; answered by a
+	 * {@code WithdrawnDelta} of the receiver. Numbers count the hashes in the order in
+	 * which the process of one incarnation learned them.
+	 *
+	 * @param count the number of hashes that the sender knows
+	 * @param hash hash of its set, independent of the order
+	 * @param after the sender holds the receiver's hashes up to this number; -1 where it
+	 * asks for the digest only, and in answers
+	 * @param keys hashes that the receiver may lack
+	 */
+	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+	record WithdrawnDelta(int count, long hash, int after, List<KeyHash> keys) implements PeerMessage {
+	}
+
 }
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerProtocol.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerProtocol.java
@@ -33,7 +33,14 @@
 			PeerMessage.CreditAdopt.class, PeerMessage.CreditsAdopted.class, PeerMessage.SamplePut.class,
 			PeerMessage.SampleGet.class, PeerMessage.SampleBody.class, PeerMessage.SampleDrop.class,
 			PeerMessage.UsagePull.class, PeerMessage.UsageCounters.class, PeerMessage.Ack.class,
-			PeerMessage.Rejected.class, PeerMessage.BatchFetch.class, PeerMessage.BatchAnswer.class);
+			PeerMessage.Rejected.class, PeerMessage.BatchFetch.class, PeerMessage.BatchAnswer.class,
+			PeerMessage.WithdrawnDelta.class);
+
+	/**
+	 * The number of types in the first release. A process sends later types only to
+	 * processes whose {@link PeerMessage.Hello} says that they know them.
+	 */
+	public static final int FIRST_TYPES = 25;
 
 	private PeerProtocol() {
 	}
--- /dev/null
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/connection/WithdrawalSyncTests.java
@@ -0,0 +1,176 @@
+package org.bamboorelay.core.connection;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+import org.bamboorelay.core.connection.PeerMessage.Hello;
+import org.bamboorelay.core.connection.PeerMessage.WithdrawnDelta;
+import org.bamboorelay.core.version.FailureDomain;
+import org.bamboorelay.core.version.HostId;
+import org.bamboorelay.core.version.KeyHash;
+import org.bamboorelay.core.version.WithdrawnKeys;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against a host that misses a withdrawal since only differences are sent, and
+ * against whole sets being sent where a difference is enough.
+ */
+class WithdrawalSyncTests {
+
+	private int hashesSent;
+
+	@Test
+	void equalSetsSendNoHashes() {
+		Node one = new Node("one");
+		Node two = new Node("two");
+		add(one, 0, 50);
+		add(two, 0, 50);
+		exchange(one, two);
+		assertThat(this.hashesSent).isZero();
+	}
+
+	@Test
+	void knownPeerIsSentTheNewHashesOnly() {
+		Node one = new Node("one");
+		Node two = new Node("two");
+		add(one, 0, 50);
+		exchange(two, one);
+		assertThat(this.hashesSent).isEqualTo(50);
+		add(one, 50, 52);
+		exchange(two, one);
+		add(two, 60, 61);
+		exchange(two, one);
+		assertThat(this.hashesSent).isEqualTo(53);
+		assertThat(two.keys.all()).containsAll(one.keys.all()).hasSameSizeAs(one.keys.all());
+	}
+
+	@Test
+	void restartedPeerTakesTheWholeSetWhoeverAsks() {
+		Node one = new Node("one");
+		Node two = new Node("two");
+		add(one, 0, 50);
+		exchange(one, two);
+		assertThat(two.keys.size()).isEqualTo(50);
+		Node restarted = new Node("two");
+		add(restarted, 90, 91);
+		exchange(one, restarted);
+		assertThat(restarted.keys.size()).isEqualTo(51);
+		assertThat(one.keys.size()).isEqualTo(51);
+	}
+
+	@Test
+	void setsOfEqualSizeThatDifferAreExchanged() {
+		Node one = new Node("one");
+		Node two = new Node("two");
+		add(one, 0, 2);
+		add(two, 1, 3);
+		exchange(one, two);
+		assertThat(one.keys.size()).isEqualTo(3);
+		assertThat(two.keys.size()).isEqualTo(3);
+	}
+
+	@Test
+	void pushedHashIsHeldByAnUnknownPeerOnceItHasAnswered() {
+		Node one = new Node("one");
+		Node two = new Node("two");
+		add(one, 0, 50);
+		List<KeyHash> fresh = List.of(key(49));
+		two.sync.answer(one.sync.request(two.hello, fresh).message());
+		assertThat(two.keys.all()).isEqualTo(fresh);
+	}
+
+	@Test
+	void answerWithAnotherOrderOfArrivalLosesNothing() {
+		Node one = new Node("one");
+		Node two = new Node("two");
+		exchange(one, two);
+		add(one, 0, 1);
+		WithdrawalSync.Ask slow = one.sync.request(two.hello, List.of());
+		add(one, 1, 2);
+		WithdrawalSync.Ask fast = one.sync.request(two.hello, List.of());
+		WithdrawnDelta answer = two.sync.answer(fast.message()).answer();
+		add(two, 5, 6);
+		WithdrawnDelta late = two.sync.answer(slow.message()).answer();
+		one.sync.onAnswer(two.hello, slow, late);
+		one.sync.onAnswer(two.hello, fast, answer);
+		exchange(one, two);
+		assertThat(one.keys.size()).isEqualTo(3);
+		assertThat(two.keys.size()).isEqualTo(3);
+	}
+
+	@Test
+	void anyOrderOfAdditionsRestartsAndExchangesConverges() {
+		for (long seed = 0; seed < 500; seed++) {
+			Random random = new Random(seed);
+			List<Node> nodes = new ArrayList<>(List.of(new Node("0"), new Node("1"), new Node("2")));
+			for (int i = 0; i < 60; i++) {
+				int at = random.nextInt(3);
+				int action = random.nextInt(10);
+				if (action == 0) {
+					nodes.set(at, new Node(String.valueOf(at)));
+				}
+				else if (action < 5) {
+					add(nodes.get(at), i, i + 1);
+				}
+				else {
+					exchange(nodes.get(at), nodes.get((at + 1 + random.nextInt(2)) % 3));
+				}
+			}
+			exchange(nodes.get(0), nodes.get(1));
+			exchange(nodes.get(1), nodes.get(2));
+			exchange(nodes.get(2), nodes.get(0));
+			WithdrawnKeys.Part first = nodes.get(0).keys.digest();
+			assertThat(nodes).as("seed %d", seed).allMatch((node) -> node.keys.digest().equals(first));
+		}
+	}
+
+	/** Runs an exchange, and the one that the peer starts where it lacks hashes. */
+	private void exchange(Node from, Node to) {
+		WithdrawalSync.Ask ask = from.sync.request(to.hello, List.of());
+		boolean lacking = false;
+		for (int rounds = 0; rounds < 4; rounds++) {
+			WithdrawalSync.Reply reply = to.sync.answer(ask.message());
+			this.hashesSent += ask.message().keys().size() + reply.answer().keys().size();
+			lacking |= reply.lacking();
+			WithdrawalSync.Next next = from.sync.onAnswer(to.hello, ask, reply.answer());
+			if (next == WithdrawalSync.Next.NOTHING) {
+				break;
+			}
+			ask = (next == WithdrawalSync.Next.PULL) ? from.sync.pull() : from.sync.request(to.hello, List.of());
+		}
+		if (lacking) {
+			exchange(to, from);
+		}
+	}
+
+	private static void add(Node node, int from, int to) {
+		for (int i = from; i < to; i++) {
+			node.keys.add(List.of(key(i)));
+		}
+	}
+
+	private static KeyHash key(int number) {
+		return KeyHash.ofKey("key-" + number);
+	}
+
+	private static final class Node {
+
+		private static int starts;
+
+		private final WithdrawnKeys keys = new WithdrawnKeys();
+
+		private final WithdrawalSync sync = WithdrawalSync.over(this.keys);
+
+		private final Hello hello;
+
+		private Node(String name) {
+			this.hello = Hello.of("huerto", HostId.of("host-" + name), FailureDomain.of("gt-centro-a"), "entry",
+					"start-" + starts++);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/connection/ConfigurationExchange.java
@@ -0,0 +1,121 @@
+package org.bamboorelay.entry.connection;
+
+import java.util.concurrent.Executor;
+import java.util.concurrent.Semaphore;
+
+import io.vavr.control.Either;
+import org.bamboorelay.core.connection.PeerMessage;
+import org.bamboorelay.core.version.Configuration;
+import org.bamboorelay.core.version.FailureDomain;
+import org.bamboorelay.core.version.LiveConfiguration;
+import org.bamboorelay.runtime.connection.PeerFailure;
+import org.bamboorelay.runtime.connection.PeerLink;
+import org.bamboorelay.runtime.process.Counters;
+import org.bamboorelay.runtime.request.Json;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Fetches configurations from peers, and takes and answers what they and the control
+ * processes send.
+ * <p>
+ * Thread-safe.
+ */
+final class ConfigurationExchange {
+
+	private static final Logger LOG = LoggerFactory.getLogger(ConfigurationExchange.class);
+
+	private static final long CALL_TIMEOUT_MILLIS = 2_000;
+
+	/**
+	 * Configurations that are fetched at the same time. Two, so that a peer that does not
+	 * answer holds nothing up; without a limit, 48 hosts that heard of a change from all
+	 * peers at once sent 1,519 bodies.
+	 */
+	private static final int MAX_FETCHES = 2;
+
+	private final FailureDomain domain;
+
+	private final LiveConfiguration configuration;
+
+	private final Counters counters;
+
+	private final Executor threads;
+
+	/** Limits bodies on the way; see {@link #MAX_FETCHES}. */
+	private final Semaphore fetches = new Semaphore(MAX_FETCHES);
+
+	ConfigurationExchange(FailureDomain domain, LiveConfiguration configuration, Counters counters, Executor threads) {
+		this.domain = domain;
+		this.configuration = configuration;
+		this.counters = counters;
+		this.threads = threads;
+	}
+
+	PeerMessage onFetch(PeerMessage.ConfigFetch fetch) {
+		return this.configuration.held()
+			.filter((held) -> held.version() > fetch.have())
+			.peek((held) -> this.counters.counter("config_bodies_sent_total").inc())
+			.map((held) -> new PeerMessage.ConfigBody(held.version(), Json.bytes(held),
+					this.configuration.viewAgeMillis()))
+			.getOrElse(() -> new PeerMessage.ConfigBody(0, new byte[0], this.configuration.viewAgeMillis()));
+	}
+
+	PeerMessage onOffer(PeerMessage.ConfigOffer offer) {
+		if (offer.body().length > 0 && offer.version() > this.configuration.heldVersion()) {
+			Either<PeerMessage, Configuration> parsed = Json.read(offer.body(), Configuration.class)
+				.mapLeft((failure) -> new PeerMessage.Rejected(failure.code(), failure.detail()));
+			if (parsed.isLeft()) {
+				this.counters.counter("config_offers_malformed_total").inc();
+				return parsed.getLeft();
+			}
+			take(parsed.get(), offer.ageMillis(), "offer");
+		}
+		if (!this.configuration.noteView(offer.version(), offer.ageMillis())) {
+			return new PeerMessage.Rejected("need-body", "version " + offer.version() + " is not held here");
+		}
+		this.configuration.noteAnswer();
+		return new PeerMessage.Ack(true);
+	}
+
+	void fetch(PeerLink link) {
+		// The next heartbeat of a peer with a newer version asks again.
+		if (!this.fetches.tryAcquire()) {
+			return;
+		}
+		this.threads.execute(() -> {
+			try {
+				Either<PeerFailure, PeerMessage> answer = link
+					.call(new PeerMessage.ConfigFetch(this.configuration.heldVersion()), CALL_TIMEOUT_MILLIS);
+				if (answer.isRight() && answer.get() instanceof PeerMessage.ConfigBody body) {
+					onBody(link, body);
+				}
+			}
+			finally {
+				this.fetches.release();
+			}
+		});
+	}
+
+	private void onBody(PeerLink link, PeerMessage.ConfigBody body) {
+		if (body.body().length > 0) {
+			Json.read(body.body(), Configuration.class)
+				.peek((taken) -> take(taken, body.viewAgeMillis(), "peer"))
+				.peekLeft((failure) -> this.counters.counter("config_bodies_malformed_total").inc());
+			if (link.remote().domain().equals(this.domain)) {
+				this.configuration.peerHolds(body.version());
+			}
+		}
+		this.configuration.noteAnswer();
+	}
+
+	private void take(Configuration taken, long ageMillis, String source) {
+		LOG.atInfo()
+			.addKeyValue("event", "config.held")
+			.addKeyValue("version", taken.version())
+			.addKeyValue("source", source)
+			.log("config.held");
+		this.configuration.accept(taken, ageMillis);
+	}
+
+}
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/connection/TcpPeerMesh.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/connection/TcpPeerMesh.java
@@ -6,12 +6,9 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
-import java.util.concurrent.Semaphore;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BiConsumer;
 import java.util.function.Function;
 import java.util.function.Supplier;
@@ -31,7 +28,6 @@
 import org.bamboorelay.runtime.connection.PeerLink;
 import org.bamboorelay.runtime.connection.PeerListener;
 import org.bamboorelay.runtime.process.Counters;
-import org.bamboorelay.runtime.request.Json;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -50,26 +46,13 @@
 
 	private static final Logger LOG = LoggerFactory.getLogger(TcpPeerMesh.class);
 
-	private static final String ENTRY_ROLE = "entry";
-
-	private static final long MIN_BACKOFF_MILLIS = 100;
-
 	private static final long MAX_BACKOFF_MILLIS = 2_000;
 
-	private static final long CALL_TIMEOUT_MILLIS = 2_000;
-
-	/**
-	 * Interval of full exchanges of withdrawn keys with one peer, in milliseconds. Two
-	 * different sets of equal size look the same in heartbeats.
-	 */
-	private static final long EXCHANGE_MILLIS = 2_000;
-
 	/**
-	 * Configurations that are fetched at the same time. Two, so that a peer that does not
-	 * answer holds nothing up; without a limit, 48 hosts that heard of a change from all
-	 * peers at once sent 1,519 bodies.
+	 * Interval of comparing withdrawn keys with one peer, in milliseconds. Two different
+	 * sets of equal size look the same in heartbeats.
 	 */
-	private static final int MAX_FETCHES = 2;
+	private static final long EXCHANGE_MILLIS = 1_000;
 
 	private final PeerMessage.Hello hello;
 
@@ -83,18 +66,15 @@
 
 	private final Membership membership;
 
-	private final Map<String, Peer> peers = new ConcurrentHashMap<>();
-
-	private final Map<HostId, PeerLink> accepted = new ConcurrentHashMap<>();
+	private final PeerTable peers = new PeerTable();
 
 	private final Map<HostId, FailureDomain> domains = new ConcurrentHashMap<>();
 
 	private final Map<Class<?>, Function<PeerMessage, PeerMessage>> handlers = new ConcurrentHashMap<>();
 
-	/** Limits bodies on the way; see {@link #MAX_FETCHES}. */
-	private final Semaphore fetches = new Semaphore(MAX_FETCHES);
+	private final ConfigurationExchange configurations;
 
-	private final Set<PeerLink> exchanging = ConcurrentHashMap.newKeySet();
+	private final WithdrawalExchange withdrawals;
 
 	private volatile Supplier<List<PeerMessage.Digest>> digests = List::of;
 
@@ -125,11 +105,13 @@
 		this.threads = Objects.requireNonNull(threads, "threads");
 		this.lastTickMillis = clock.millis();
 		this.domains.put(hello.host(), hello.domain());
-		register(PeerMessage.ConfigFetch.class, this::onFetch);
-		register(PeerMessage.ConfigOffer.class, this::onOffer);
-		register(PeerMessage.Withdraw.class, this::onWithdraw);
+		this.configurations = new ConfigurationExchange(hello.domain(), configuration, counters, threads);
+		this.withdrawals = new WithdrawalExchange(configuration.withdrawn(), threads, this::onAsked);
+		register(PeerMessage.ConfigFetch.class, this.configurations::onFetch);
+		register(PeerMessage.ConfigOffer.class, this.configurations::onOffer);
+		register(PeerMessage.Withdraw.class, this.withdrawals::onWithdraw);
 		configuration.onChange(this::follow);
-		counters.gauge("peer_bytes_sent", this::bytesSent);
+		counters.gauge("peer_bytes_sent", this.peers::bytesSent);
 	}
 
 	/**
@@ -159,7 +141,7 @@
 		PeerListener opened = PeerListener.open(address, port, this.hello, this::handle, this::onLinkEnd, this.threads);
 		this.listener = opened;
 		String own = address + ":" + opened.port();
-		bootstrap.stream().filter((peer) -> !peer.equals(own)).forEach((peer) -> this.peers.put(peer, new Peer(peer)));
+		bootstrap.stream().filter((peer) -> !peer.equals(own)).forEach((peer) -> this.peers.add(peer));
 	}
 
 	/**
@@ -186,6 +168,14 @@
 		this.digestListener = receiver;
 	}
 
+	/**
+	 * Returns how this host introduces itself.
+	 * @return the greeting
+	 */
+	public PeerMessage.Hello greeting() {
+		return this.hello;
+	}
+
 	@Override
 	public HostId self() {
 		return this.hello.host();
@@ -224,7 +214,7 @@
 			return (answer instanceof PeerMessage.Rejected rejected)
 					? Either.left(new PeerFailure.Rejected(rejected.code(), rejected.detail())) : Either.right(answer);
 		}
-		PeerLink link = link(host);
+		PeerLink link = this.peers.link(host);
 		if (link == null) {
 			return Either.left(new PeerFailure.Unreachable("there is no link to " + host));
 		}
@@ -248,11 +238,13 @@
 	}
 
 	/**
-	 * Withdraws keys here and tells all peers.
+	 * Withdraws keys here, tells all peers, and waits for the first of them to confirm.
 	 * @param keys the hashes
+	 * @return how many hosts are known to hold the withdrawal, this one included; 1 where
+	 * no peer confirmed it in time
 	 */
-	public void withdraw(List<KeyHash> keys) {
-		onWithdraw(new PeerMessage.Withdraw(keys));
+	public int withdraw(List<KeyHash> keys) {
+		return this.withdrawals.withdraw(keys, this.peers.links());
 	}
 
 	/**
@@ -267,7 +259,7 @@
 				.addKeyValue("gap_ms", now - this.lastTickMillis)
 				.log("process.was-frozen");
 			// Messages that waited, those of control processes included, are too old.
-			links().forEach(PeerLink::close);
+			this.peers.links().forEach(PeerLink::close);
 			PeerListener opened = this.listener;
 			if (opened != null) {
 				opened.closeLinks();
@@ -278,8 +270,8 @@
 		}
 		this.lastTickMillis = now;
 		this.configuration.tick();
-		this.peers.values().forEach((peer) -> connect(peer, now));
-		if (this.followed && this.peers.values().stream().allMatch((peer) -> peer.asked)) {
+		this.peers.all().forEach((peer) -> connect(peer, now));
+		if (this.followed && this.peers.all().stream().allMatch((peer) -> peer.asked)) {
 			this.configuration.notePeersAsked();
 		}
 		if (now >= this.nextHeartbeatMillis) {
@@ -288,9 +280,9 @@
 		}
 		if (now >= this.nextExchangeMillis) {
 			this.nextExchangeMillis = now + EXCHANGE_MILLIS;
-			List<PeerLink> open = links();
+			List<PeerLink> open = this.peers.links();
 			if (!open.isEmpty()) {
-				exchangeWithdrawals(open.get(ThreadLocalRandom.current().nextInt(open.size())));
+				this.withdrawals.exchange(open.get(ThreadLocalRandom.current().nextInt(open.size())));
 			}
 		}
 	}
@@ -302,7 +294,7 @@
 		if (opened != null) {
 			opened.close();
 		}
-		links().forEach(PeerLink::close);
+		this.peers.links().forEach(PeerLink::close);
 	}
 
 	private @Nullable PeerMessage handle(PeerLink link, PeerMessage message) {
@@ -310,6 +302,9 @@
 			onHeartbeat(link, heartbeat);
 			return null;
 		}
+		if (message instanceof PeerMessage.WithdrawnDelta delta) {
+			return guarded(delta, (request) -> this.withdrawals.onDelta(link, delta));
+		}
 		return answer(message);
 	}
 
@@ -318,6 +313,10 @@
 		if (handler == null) {
 			return new PeerMessage.Rejected("not-served", message.getClass().getSimpleName() + " is not served here");
 		}
+		return guarded(message, handler);
+	}
+
+	private static PeerMessage guarded(PeerMessage message, Function<PeerMessage, PeerMessage> handler) {
 		try {
 			return handler.apply(message);
 		}
@@ -334,11 +333,11 @@
 
 	private void onHeartbeat(PeerLink link, PeerMessage.Heartbeat heartbeat) {
 		PeerMessage.Hello remote = link.remote();
-		boolean outgoing = this.peers.values().stream().anyMatch((peer) -> peer.link == link);
+		boolean outgoing = this.peers.all().stream().anyMatch((peer) -> peer.link == link);
 		if (!outgoing) {
 			link.send(heartbeat());
 		}
-		if (!ENTRY_ROLE.equals(remote.role()) || remote.host().equals(self())) {
+		if (!WithdrawalExchange.ENTRY_ROLE.equals(remote.role()) || remote.host().equals(self())) {
 			return;
 		}
 		long now = this.clock.millis();
@@ -346,128 +345,26 @@
 			return;
 		}
 		if (!outgoing) {
-			this.accepted.put(remote.host(), link);
+			this.peers.accept(link);
 		}
 		this.domains.putIfAbsent(remote.host(), remote.domain());
 		synchronized (this.membership) {
 			this.membership.heartbeat(remote.host(), remote.domain(), heartbeat.leaving(), now);
 		}
 		if (!this.configuration.noteView(heartbeat.configVersion(), heartbeat.viewAgeMillis())) {
-			fetch(link);
+			this.configurations.fetch(link);
 		}
 		if (remote.domain().equals(this.hello.domain())) {
 			this.configuration.peerHolds(heartbeat.configVersion());
 		}
 		if (heartbeat.withdrawnCount() != this.configuration.withdrawn().size()) {
-			exchangeWithdrawals(link);
+			this.withdrawals.exchange(link);
 		}
 		this.digestListener.accept(remote.host(), heartbeat.digests());
 	}
 
-	private PeerMessage onFetch(PeerMessage.ConfigFetch fetch) {
-		return this.configuration.held()
-			.filter((held) -> held.version() > fetch.have())
-			.peek((held) -> this.counters.counter("config_bodies_sent_total").inc())
-			.map((held) -> new PeerMessage.ConfigBody(held.version(), Json.bytes(held),
-					this.configuration.viewAgeMillis()))
-			.getOrElse(() -> new PeerMessage.ConfigBody(0, new byte[0], this.configuration.viewAgeMillis()));
-	}
-
-	private PeerMessage onOffer(PeerMessage.ConfigOffer offer) {
-		if (offer.body().length > 0 && offer.version() > this.configuration.heldVersion()) {
-			Either<PeerMessage, Configuration> parsed = Json.read(offer.body(), Configuration.class)
-				.mapLeft((failure) -> new PeerMessage.Rejected(failure.code(), failure.detail()));
-			if (parsed.isLeft()) {
-				this.counters.counter("config_offers_malformed_total").inc();
-				return parsed.getLeft();
-			}
-			take(parsed.get(), offer.ageMillis(), "offer");
-		}
-		if (!this.configuration.noteView(offer.version(), offer.ageMillis())) {
-			return new PeerMessage.Rejected("need-body", "version " + offer.version() + " is not held here");
-		}
-		this.configuration.noteAnswer();
-		return new PeerMessage.Ack(true);
-	}
-
-	private PeerMessage onWithdraw(PeerMessage.Withdraw withdraw) {
-		List<KeyHash> added = this.configuration.withdrawn().add(withdraw.keys());
-		if (!added.isEmpty()) {
-			LOG.atInfo()
-				.addKeyValue("event", "keys.withdrawn")
-				.addKeyValue("count", added.size())
-				.log("keys.withdrawn");
-			links().forEach(this::exchangeWithdrawals);
-		}
-		return new PeerMessage.Withdraw(this.configuration.withdrawn().all());
-	}
-
-	private void take(Configuration taken, long ageMillis, String source) {
-		LOG.atInfo()
-			.addKeyValue("event", "config.held")
-			.addKeyValue("version", taken.version())
-			.addKeyValue("source", source)
-			.log("config.held");
-		this.configuration.accept(taken, ageMillis);
-	}
-
-	private void fetch(PeerLink link) {
-		// The next heartbeat of a peer with a newer version asks again.
-		if (!this.fetches.tryAcquire()) {
-			return;
-		}
-		this.threads.execute(() -> {
-			try {
-				Either<PeerFailure, PeerMessage> answer = link
-					.call(new PeerMessage.ConfigFetch(this.configuration.heldVersion()), CALL_TIMEOUT_MILLIS);
-				if (answer.isRight() && answer.get() instanceof PeerMessage.ConfigBody body) {
-					onBody(link, body);
-				}
-			}
-			finally {
-				this.fetches.release();
-			}
-		});
-	}
-
-	private void onBody(PeerLink link, PeerMessage.ConfigBody body) {
-		if (body.body().length > 0) {
-			Json.read(body.body(), Configuration.class)
-				.peek((taken) -> take(taken, body.viewAgeMillis(), "peer"))
-				.peekLeft((failure) -> this.counters.counter("config_bodies_malformed_total").inc());
-			if (link.remote().domain().equals(this.hello.domain())) {
-				this.configuration.peerHolds(body.version());
-			}
-		}
-		this.configuration.noteAnswer();
-	}
-
-	private void exchangeWithdrawals(PeerLink link) {
-		if (!this.exchanging.add(link)) {
-			return;
-		}
-		this.threads.execute(() -> {
-			try {
-				// Hashes that arrive during the call are sent by the next round.
-				int before;
-				do {
-					before = this.configuration.withdrawn().size();
-					Either<PeerFailure, PeerMessage> answer = link
-						.call(new PeerMessage.Withdraw(this.configuration.withdrawn().all()), CALL_TIMEOUT_MILLIS);
-					if (answer.isLeft()) {
-						return;
-					}
-					if (answer.get() instanceof PeerMessage.Withdraw theirs) {
-						this.configuration.withdrawn().add(theirs.keys());
-					}
-				}
-				while (before != this.configuration.withdrawn().size());
-			}
-			finally {
-				this.exchanging.remove(link);
-				this.peers.values().stream().filter((peer) -> peer.link == link).forEach((peer) -> peer.asked = true);
-			}
-		});
+	private void onAsked(PeerLink link) {
+		this.peers.all().stream().filter((peer) -> peer.link == link).forEach((peer) -> peer.asked = true);
 	}
 
 	private PeerMessage.Heartbeat heartbeat() {
@@ -477,7 +374,7 @@
 
 	private void sendHeartbeats() {
 		PeerMessage.Heartbeat heartbeat = heartbeat();
-		this.peers.values().forEach((peer) -> {
+		this.peers.all().forEach((peer) -> {
 			PeerLink link = peer.link;
 			// A peer that reads nothing blocks its own heartbeat only.
 			if (link != null && link.isOpen() && peer.sending.compareAndSet(false, true)) {
@@ -516,7 +413,7 @@
 	}
 
 	private void onConnected(Peer peer, PeerLink link) {
-		peer.backoffMillis = MIN_BACKOFF_MILLIS;
+		peer.backoffMillis = Peer.MIN_BACKOFF_MILLIS;
 		peer.nextAttemptMillis = this.clock.millis() + peer.backoffMillis;
 		if (link.remote().host().equals(self()) || this.closed) {
 			peer.isSelf = link.remote().host().equals(self());
@@ -533,8 +430,8 @@
 			.addKeyValue("address", peer.address)
 			.log("peer.connected");
 		link.send(heartbeat());
-		fetch(link);
-		exchangeWithdrawals(link);
+		this.configurations.fetch(link);
+		this.withdrawals.exchange(link);
 	}
 
 	private void backOff(Peer peer, PeerFailure failure) {
@@ -569,87 +466,17 @@
 			this.domains.put(host.name(), host.failureDomain());
 			if (!host.name().equals(self())) {
 				wanted.add(host.peerAddress());
-				this.peers.computeIfAbsent(host.peerAddress(), Peer::new);
+				this.peers.add(host.peerAddress());
 			}
 		}
-		this.peers.values().removeIf((peer) -> {
-			PeerLink link = peer.link;
-			boolean gone = !wanted.contains(peer.address);
-			if (gone && link != null) {
-				link.close();
-			}
-			return gone;
-		});
+		this.peers.keep(wanted);
 		synchronized (this.membership) {
 			this.membership.states().keySet().stream().filter((host) -> !hosts.contains(host)).forEach((host) -> {
 				this.membership.remove(host);
-				this.accepted.remove(host);
+				this.peers.forget(host);
 			});
 		}
 		this.followed = true;
 	}
 
-	private @Nullable PeerLink link(HostId host) {
-		for (Peer peer : this.peers.values()) {
-			PeerLink link = peer.link;
-			if (host.equals(peer.host) && link != null && link.isOpen()) {
-				return link;
-			}
-		}
-		PeerLink link = this.accepted.get(host);
-		return (link != null && link.isOpen()) ? link : null;
-	}
-
-	private List<PeerLink> links() {
-		Map<HostId, PeerLink> open = new TreeMap<>();
-		this.accepted.forEach((host, link) -> {
-			if (link.isOpen()) {
-				open.put(host, link);
-			}
-		});
-		this.peers.values().forEach((peer) -> {
-			PeerLink link = peer.link;
-			if (link != null && link.isOpen()) {
-				open.put(link.remote().host(), link);
-			}
-		});
-		return List.copyOf(open.values());
-	}
-
-	// Counts open links only, so the value falls when a link ends.
-	private long bytesSent() {
-		long sent = this.accepted.values().stream().filter(PeerLink::isOpen).mapToLong(PeerLink::bytesOut).sum();
-		for (Peer peer : this.peers.values()) {
-			PeerLink link = peer.link;
-			sent += (link != null && link.isOpen()) ? link.bytesOut() : 0;
-		}
-		return sent;
-	}
-
-	private static final class Peer {
-
-		private final String address;
-
-		private final AtomicBoolean connecting = new AtomicBoolean();
-
-		private final AtomicBoolean sending = new AtomicBoolean();
-
-		private volatile @Nullable PeerLink link;
-
-		private volatile @Nullable HostId host;
-
-		private volatile boolean isSelf;
-
-		private volatile boolean asked;
-
-		private volatile long nextAttemptMillis;
-
-		private volatile long backoffMillis = MIN_BACKOFF_MILLIS;
-
-		private Peer(String address) {
-			this.address = address;
-		}
-
-	}
-
 }
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/EntryProcess.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/EntryProcess.java
@@ -17,7 +17,6 @@
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import org.bamboorelay.core.connection.PeerMessage;
-import org.bamboorelay.core.connection.PeerProtocol;
 import org.bamboorelay.core.failure.Failure;
 import org.bamboorelay.core.process.Membership;
 import org.bamboorelay.core.request.RetryBudget;
@@ -107,8 +106,8 @@
 				return membership.hears(domains);
 			}
 		});
-		PeerMessage.Hello hello = new PeerMessage.Hello(PeerProtocol.MAGIC, settings.deployment(), settings.host(),
-				settings.failureDomain(), "entry", incarnation);
+		PeerMessage.Hello hello = PeerMessage.Hello.of(settings.deployment(), settings.host(), settings.failureDomain(),
+				"entry", incarnation);
 		this.mesh = TcpPeerMesh.of(hello, this.configuration, membership, clock, counters, this.threads);
 		this.usage = UsageTable.of(incarnation);
 		this.mesh.register(PeerMessage.UsagePull.class, this.usage::counters);
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/ProcessRoute.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/ProcessRoute.java
@@ -103,9 +103,9 @@
 		JsonNode body = Json.tree(request.body()).getOrNull();
 		try {
 			KeyHash key = KeyHash.parse((body != null) ? body.path("key_hash").asText() : "");
-			this.mesh.withdraw(List.of(key));
+			int holders = this.mesh.withdraw(List.of(key));
 			responder.send(HttpStatus.SC_OK, JSON,
-					Json.text(Map.of("withdrawn", this.configuration.withdrawn().size())));
+					Json.text(Map.of("withdrawn", this.configuration.withdrawn().size(), "held_by_at_least", holders)));
 		}
 		catch (IllegalArgumentException ex) {
 			this.problems.send(responder, request.requestId(),
--- a/bamboorelay-entry/src/test/java/org/bamboorelay/entry/process/PeerExchangeTests.java
+++ b/bamboorelay-entry/src/test/java/org/bamboorelay/entry/process/PeerExchangeTests.java
@@ -3,13 +3,18 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
 import org.bamboorelay.core.connection.PeerMessage;
 import org.bamboorelay.core.version.HostId;
 import org.bamboorelay.core.version.KeyHash;
+import org.bamboorelay.runtime.connection.PeerLink;
 import org.bamboorelay.runtime.request.Json;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -88,6 +93,55 @@
 		}
 	}
 
+	/**
+	 * Guards against a withdrawal that an operator saw accepted and that is lost with the
+	 * host that accepted it.
+	 */
+	@Test
+	void acceptedWithdrawalOutlivesItsHost() throws IOException {
+		KeyHash key = KeyHash.ofKey("first");
+		try (TestEntry two = TestEntry.peer("host-2")) {
+			try (TestEntry one = TestEntry.peer("host-1", "127.0.0.1:" + two.process().peerPort())) {
+				assertThat(two.process().mesh().withdraw(List.of(KeyHash.ofKey("alone")))).isBetween(1, 2);
+				await(() -> one.process().mesh().live().contains(TWO));
+				assertThat(one.process().mesh().withdraw(List.of(key))).isEqualTo(2);
+				assertThat(two.process().configuration().withdrawn().contains(key)).isTrue();
+			}
+			assertThat(two.process().mesh().withdraw(List.of(KeyHash.ofKey("second")))).isBetween(1, 2);
+		}
+	}
+
+	/**
+	 * Guards against a message that a release before this one does not know, and that
+	 * makes it close the link.
+	 */
+	@Test
+	void peerOfAnEarlierReleaseIsSentWholeSets() throws IOException {
+		KeyHash first = KeyHash.ofKey("first");
+		KeyHash second = KeyHash.ofKey("second");
+		Queue<PeerMessage> seen = new ConcurrentLinkedQueue<>();
+		ExecutorService threads = Executors.newCachedThreadPool();
+		try (TestEntry one = TestEntry.peer("host-1")) {
+			PeerMessage.Hello hello = one.process().mesh().greeting();
+			PeerMessage.Hello earlier = new PeerMessage.Hello(hello.magic(), hello.deployment(), TWO, hello.domain(),
+					"entry", "an-incarnation", 0);
+			PeerLink link = PeerLink.connect("127.0.0.1:" + one.process().peerPort(), earlier, (from, message) -> {
+				seen.add(message);
+				return (message instanceof PeerMessage.Withdraw) ? new PeerMessage.Withdraw(List.of(second)) : null;
+			}, (end) -> {
+			}, threads).get();
+			link.send(new PeerMessage.Heartbeat(false, 0, -1, 1, List.of()));
+			await(() -> one.process().configuration().withdrawn().contains(second));
+			assertThat(one.process().mesh().withdraw(List.of(first))).isEqualTo(2);
+			assertThat(seen).contains(new PeerMessage.Withdraw(List.of(second, first)))
+				.noneMatch(PeerMessage.WithdrawnDelta.class::isInstance);
+			link.close();
+		}
+		finally {
+			threads.shutdownNow();
+		}
+	}
+
 	@Test
 	void leavingHostIsNoLongerLiveAtItsPeers() throws IOException {
 		try (TestEntry one = TestEntry.peer("host-1");
--- a/bamboorelay-runtime/src/test/java/org/bamboorelay/runtime/connection/PeerCodecTests.java
+++ b/bamboorelay-runtime/src/test/java/org/bamboorelay/runtime/connection/PeerCodecTests.java
@@ -2,15 +2,22 @@
 
 import java.io.ByteArrayInputStream;
 import java.io.DataInputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 
 import io.vavr.control.Either;
 import org.bamboorelay.core.connection.PeerMessage;
+import org.bamboorelay.core.connection.PeerProtocol;
 import org.bamboorelay.core.version.EndpointId;
+import org.bamboorelay.core.version.FailureDomain;
+import org.bamboorelay.core.version.HostId;
 import org.bamboorelay.core.version.LineId;
 import org.bamboorelay.core.version.ServiceId;
 import org.junit.jupiter.api.Test;
+import org.msgpack.jackson.dataformat.MessagePackMapper;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -54,6 +61,29 @@
 		assertThat(read(frame).getLeft()).isInstanceOf(PeerFailure.Malformed.class);
 	}
 
+	/**
+	 * Guards against a release that closes links to the one before it, which greets with
+	 * fewer fields, or is closed by it.
+	 */
+	@Test
+	void greetingsOfOtherReleasesAreRead() throws IOException {
+		List<Object> fields = new ArrayList<>(
+				List.of("bamboorelay", "huerto", "host-1", "gt-centro-a", "entry", "i-1"));
+		PeerMessage.Hello older = (PeerMessage.Hello) read(frame(0, fields)).get().message();
+		assertThat(older.knows(PeerMessage.BatchAnswer.class)).isTrue();
+		assertThat(older.knows(PeerMessage.WithdrawnDelta.class)).isFalse();
+		fields.add(PeerProtocol.TYPES.size());
+		assertThat(read(frame(0, fields)).get().message()).isEqualTo(
+				PeerMessage.Hello.of("huerto", HostId.of("host-1"), FailureDomain.of("gt-centro-a"), "entry", "i-1"));
+		fields.add("a field of a later release");
+		assertThat(read(frame(0, fields)).isRight()).isTrue();
+	}
+
+	private static byte[] frame(int type, List<Object> fields) throws IOException {
+		byte[] body = new MessagePackMapper().writeValueAsBytes(List.of(1, type, 0, fields));
+		return ByteBuffer.allocate(4 + body.length).putInt(body.length).put(body).array();
+	}
+
 	private static Either<PeerFailure, PeerCodec.Frame> read(byte[] bytes) {
 		return PeerCodec.read(new DataInputStream(new ByteArrayInputStream(bytes)));
 	}
--- a/bamboorelay-slopes/src/main/java/org/bamboorelay/slopes/process/PeerSlopes.java
+++ b/bamboorelay-slopes/src/main/java/org/bamboorelay/slopes/process/PeerSlopes.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 
 import org.bamboorelay.core.connection.PeerMessage;
+import org.bamboorelay.core.connection.WithdrawalSync;
 import org.bamboorelay.core.process.Membership;
 import org.bamboorelay.core.process.OwnerSelection;
 import org.bamboorelay.core.process.ReaderElection;
@@ -19,6 +20,7 @@
 import org.bamboorelay.core.version.KeyHash;
 import org.bamboorelay.core.version.Rules;
 import org.bamboorelay.core.version.ViewFreshness;
+import org.bamboorelay.core.version.WithdrawnKeys;
 import org.bamboorelay.runtime.connection.PeerCodec;
 
 /**
@@ -84,6 +86,11 @@
 				decode(frame);
 			});
 		}));
+		slopes.add(Slope.measure("withdraw.compare-bytes", "B", "withdrawn", hashes, (count) -> {
+			PeerMessage digest = digest(count);
+			return PeerCodec.encode(1, digest).length + PeerCodec.encode(-1, digest).length;
+		}));
+		slopes.add(Slope.measure("withdraw.compare", "us", "withdrawn", hashes, PeerSlopes::compare));
 		slopes.addAll(creditMessages());
 		slopes.addAll(decisions());
 		return slopes;
@@ -131,11 +138,34 @@
 	}
 
 	private static PeerMessage withdrawal(int count) {
-		List<KeyHash> keys = new ArrayList<>();
+		return new PeerMessage.Withdraw(keys(count).all());
+	}
+
+	private static PeerMessage digest(int count) {
+		WithdrawnKeys.Part part = keys(count).digest();
+		return new PeerMessage.WithdrawnDelta(part.count(), part.hash(), part.count(), List.of());
+	}
+
+	// Two processes that hold the same set; the work of both counts.
+	private static double compare(int count) {
+		PeerMessage.Hello peer = PeerMessage.Hello.of("huerto", HostId.of("host-1"), Samples.domain(0), "entry", "one");
+		WithdrawalSync here = WithdrawalSync.over(keys(count));
+		WithdrawalSync there = WithdrawalSync.over(keys(count));
+		return Meter.micros(() -> {
+			WithdrawalSync.Ask ask = here.request(peer, List.of());
+			decode(PeerCodec.encode(1, ask.message()));
+			PeerMessage.WithdrawnDelta answer = there.answer(ask.message()).answer();
+			decode(PeerCodec.encode(-1, answer));
+			here.onAnswer(peer, ask, answer);
+		});
+	}
+
+	private static WithdrawnKeys keys(int count) {
+		WithdrawnKeys keys = new WithdrawnKeys();
 		for (int i = 0; i < count; i++) {
-			keys.add(KeyHash.ofKey("key-" + i));
+			keys.add(List.of(KeyHash.ofKey("key-" + i)));
 		}
-		return new PeerMessage.Withdraw(keys);
+		return keys;
 	}
 
 	private static PeerMessage renewal(int count) {
