Send the hash of an endpoint set before the set

Both readers of a domain sent the whole endpoint set to each host each second: 68,066 B at 825 endpoints, 136 KB/s into each host, and 5.3 ms to take each.

A reader now offers a hash of endpoints and weight heads, with the sequence that the set would have. A host that holds this set takes the sequence; another answers that it needs the set and is sent it at once. A change that both readers see is thus sent by one of them to most hosts. The offer is a new kind, sent to processes whose greeting says that they know it; others are sent the set each second as before. Steps are told of the newest weights with each offer, as with each set before.

--- a/bamboorelay-control/src/main/java/org/bamboorelay/control/process/EndpointDirectory.java
+++ b/bamboorelay-control/src/main/java/org/bamboorelay/control/process/EndpointDirectory.java
@@ -18,6 +18,7 @@
 import org.bamboorelay.control.connection.PlatformFailure;
 import org.bamboorelay.core.connection.PeerMessage.EndpointInfo;
 import org.bamboorelay.core.connection.PeerMessage.EndpointSet;
+import org.bamboorelay.core.connection.PeerMessage.EndpointSetOffer;
 import org.bamboorelay.core.process.OrderLog;
 import org.bamboorelay.core.store.ObjectStore;
 import org.bamboorelay.core.store.StoreFailure;
@@ -28,6 +29,8 @@
 import org.bamboorelay.core.version.LineId;
 import org.bamboorelay.core.version.ServiceId;
 import org.bamboorelay.core.version.WeightVersion;
+import org.bamboorelay.runtime.connection.PeerFailure;
+import org.bamboorelay.runtime.connection.PeerLink;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -63,6 +66,8 @@
 	 */
 	private static final long NEW_READER_MILLIS = 2_000;
 
+	private static final long SET_TIMEOUT_MILLIS = 1_000;
+
 	private static final String WEIGHTS = "weights/";
 
 	private final ControlContext context;
@@ -378,7 +383,22 @@
 		}
 		this.sequence = Math.max(this.sequence + 1, this.context.wall().millis());
 		EndpointSet set = new EndpointSet(this.context.settings().failureDomain(), this.sequence, infos, versions);
-		this.context.links().callAll((link) -> set);
+		EndpointSetOffer offer = new EndpointSetOffer(set.domain(), set.sequence(), set.contentHash());
+		List<PeerLink> lacking = new ArrayList<>();
+		this.context.links()
+			.callAll((link) -> link.remote().knows(EndpointSetOffer.class) ? offer : set)
+			.forEach((answer) -> {
+				if (answer.link() != null && answer.result().isLeft()
+						&& answer.result().getLeft() instanceof PeerFailure.Rejected rejected
+						&& rejected.reason().equals(EndpointSetOffer.NEED_SET)) {
+					lacking.add(answer.link());
+				}
+			});
+		this.context.counters().counter("endpoint_sets_sent_total").inc(lacking.size());
+		lacking.stream()
+			.map((link) -> CompletableFuture.runAsync(() -> link.call(set, SET_TIMEOUT_MILLIS), this.context.threads()))
+			.toList()
+			.forEach(CompletableFuture::join);
 		this.lastSent = infos;
 		this.lastHeads = versions;
 		this.sentAt = now;
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerMessage.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerMessage.java
@@ -1,5 +1,9 @@
 package org.bamboorelay.core.connection;
 
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
 import java.util.List;
 
 import com.fasterxml.jackson.annotation.JsonFormat;
@@ -144,6 +148,48 @@
 	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
 	record EndpointSet(FailureDomain domain, long sequence, List<EndpointInfo> endpoints,
 			List<WeightVersion> weightHeads) implements PeerMessage {
+
+		/**
+		 * Returns a hash of the endpoints and versions, in their order. All processes
+		 * compute the same.
+		 * @return the hash, without domain and sequence
+		 */
+		public long contentHash() {
+			try {
+				MessageDigest digest = MessageDigest.getInstance("SHA-256");
+				for (EndpointInfo info : this.endpoints) {
+					digest
+						.update((info.endpoint() + "\n" + info.address() + "\n" + info.domain() + "\n" + info.service()
+								+ "\n" + info.cheap() + "\n" + info.leaving() + "\n")
+							.getBytes(StandardCharsets.UTF_8));
+				}
+				for (WeightVersion head : this.weightHeads) {
+					digest.update((head + "\n").getBytes(StandardCharsets.UTF_8));
+				}
+				return ByteBuffer.wrap(digest.digest()).getLong();
+			}
+			catch (NoSuchAlgorithmException ex) {
+				throw new IllegalStateException("SHA-256 is missing from the JDK", ex);
+			}
+		}
+
+	}
+
+	/**
+	 * Says that the endpoints of a failure domain are unchanged; answered by {@link Ack}
+	 * where the receiver holds the set with this hash, and else by {@link Rejected} with
+	 * {@link #NEED_SET}, to which the sender sends the {@link EndpointSet}.
+	 *
+	 * @param domain the failure domain
+	 * @param sequence as in {@link EndpointSet}
+	 * @param contentHash {@link EndpointSet#contentHash()} of the set
+	 */
+	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+	record EndpointSetOffer(FailureDomain domain, long sequence, long contentHash) implements PeerMessage {
+
+		/** Code of the rejection by a receiver that lacks the set. */
+		public static final String NEED_SET = "need-set";
+
 	}
 
 	/**
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/CreditService.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/CreditService.java
@@ -31,6 +31,7 @@
 import org.bamboorelay.core.version.FailureDomain;
 import org.bamboorelay.core.version.HostId;
 import org.bamboorelay.core.version.ServiceId;
+import org.bamboorelay.core.version.WeightVersion;
 import org.bamboorelay.entry.connection.PeerMesh;
 import org.bamboorelay.entry.request.Credit;
 import org.bamboorelay.entry.request.CreditSource;
@@ -242,6 +243,7 @@
 
 	private void begin() {
 		this.mesh.register(PeerMessage.EndpointSet.class, this::accept);
+		this.mesh.register(PeerMessage.EndpointSetOffer.class, this::accept);
 		this.mesh.register(PeerMessage.CreditRequest.class, this::onRequest);
 		this.mesh.register(PeerMessage.CreditReturn.class, this::onReturn);
 		this.mesh.register(PeerMessage.CreditRenew.class, this::onRenew);
@@ -265,6 +267,23 @@
 		return new PeerMessage.Ack(true);
 	}
 
+	/**
+	 * Takes the news that the endpoints of a failure domain are unchanged.
+	 * @param offer hash of the endpoints
+	 * @return the answer to the sender
+	 */
+	public PeerMessage accept(PeerMessage.EndpointSetOffer offer) {
+		return this.directory.accept(offer);
+	}
+
+	/**
+	 * Returns the newest version of each line, as control processes know them.
+	 * @return the versions
+	 */
+	public List<WeightVersion> weightHeads() {
+		return this.directory.weightHeads();
+	}
+
 	private PeerMessage onRequest(PeerMessage.CreditRequest request) {
 		CreditShard shard = this.shards.get(request.service());
 		return (shard != null) ? shard.lendTo(request) : new PeerMessage.CreditRefusal("not-owner", SECOND_MILLIS);
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/EntryComposition.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/EntryComposition.java
@@ -68,6 +68,11 @@
 			set.weightHeads().forEach(rollouts::newWeights);
 			return service.accept(set);
 		});
+		parts.mesh().register(PeerMessage.EndpointSetOffer.class, (offer) -> {
+			// Steps that began after the set came are told as well.
+			service.weightHeads().forEach(rollouts::newWeights);
+			return service.accept(offer);
+		});
 		rollouts.start();
 		this.rollouts = rollouts;
 		return List.of(rollouts);
--- a/bamboorelay-entry/src/test/java/org/bamboorelay/entry/process/CreditServiceTests.java
+++ b/bamboorelay-entry/src/test/java/org/bamboorelay/entry/process/CreditServiceTests.java
@@ -9,8 +9,10 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import io.vavr.control.Either;
+import org.bamboorelay.core.connection.PeerMessage;
 import org.bamboorelay.core.failure.Refusal;
 import org.bamboorelay.core.failure.RefusalReason;
+import org.bamboorelay.core.version.FailureDomain;
 import org.bamboorelay.core.version.HostId;
 import org.bamboorelay.entry.request.Credit;
 import org.bamboorelay.entry.request.RouteRequest;
@@ -29,6 +31,37 @@
 	private static final RouteRequest REQUEST = new RouteRequest(CreditCluster.SERVICE, null, true, true, 0, 10, null,
 			List.of());
 
+	/**
+	 * Guards against a host that takes a hash for a set which it lacks or which changed,
+	 * and against an offer of an old control process.
+	 */
+	@Test
+	void offerIsTakenForTheSetThatIsHeldOnly() throws IOException {
+		try (CreditCluster cluster = new CreditCluster(2, "a1")) {
+			PeerMessage.EndpointInfo live = cluster.endpoint("e1", "a", false);
+			PeerMessage.EndpointSet set = new PeerMessage.EndpointSet(FailureDomain.of("a"), 5, List.of(live),
+					List.of());
+			PeerMessage.EndpointSet leaving = new PeerMessage.EndpointSet(FailureDomain.of("a"), 9,
+					List.of(cluster.endpoint("e1", "a", true)), List.of());
+			CreditService service = cluster.service("a1");
+			assertThat(service.accept(offer(set, 4))).isInstanceOf(PeerMessage.Rejected.class);
+			service.accept(set);
+			assertThat(service.accept(offer(set, 6))).isEqualTo(new PeerMessage.Ack(true));
+			assertThat(service.accept(offer(set, 6))).matches((answer) -> code(answer).equals("old-sequence"));
+			assertThat(service.accept(offer(leaving, 7))).matches((answer) -> code(answer).equals("need-set"));
+			assertThat(service.accept(leaving)).isEqualTo(new PeerMessage.Ack(true));
+			assertThat(service.accept(set)).matches((answer) -> code(answer).equals("old-sequence"));
+		}
+	}
+
+	private static PeerMessage.EndpointSetOffer offer(PeerMessage.EndpointSet set, long sequence) {
+		return new PeerMessage.EndpointSetOffer(set.domain(), sequence, set.contentHash());
+	}
+
+	private static String code(PeerMessage answer) {
+		return ((PeerMessage.Rejected) answer).code();
+	}
+
 	@Test
 	void oneHostLendsUpToTheCapacityOfItsEndpoint() throws Exception {
 		try (CreditCluster cluster = new CreditCluster(2, "a1")) {
--- a/bamboorelay-slopes/src/main/java/org/bamboorelay/slopes/process/EndpointSlopes.java
+++ b/bamboorelay-slopes/src/main/java/org/bamboorelay/slopes/process/EndpointSlopes.java
@@ -72,6 +72,18 @@
 				return Meter.micros(world::takeSameSet);
 			}
 		}));
+		slopes.add(Slope.measure("endpoint-set.offer-bytes", "B", "endpoints", ENDPOINTS,
+				(endpoints) -> PeerCodec.encode(1, new PeerMessage.EndpointSetOffer(Samples.domain(0),
+						System.currentTimeMillis(), Samples.endpointSet(endpoints, 1).contentHash())).length));
+		slopes.add(Slope.measure("endpoint-set.hash", "us", "endpoints", ENDPOINTS, (endpoints) -> {
+			PeerMessage.EndpointSet set = Samples.endpointSet(endpoints, 1);
+			return Meter.micros(set::contentHash);
+		}));
+		slopes.add(Slope.measure("endpoint-set.take-offer", "us", "endpoints", ENDPOINTS, (endpoints) -> {
+			try (World world = new World(endpoints, DOMAIN_HOSTS)) {
+				return Meter.micros(world::takeOffer);
+			}
+		}));
 		slopes.add(Slope.measure("endpoint-set.take-by-owners", "us", "owners", OWNERS, (owners) -> {
 			try (World world = new World(DOMAIN_ENDPOINTS, owners)) {
 				return Meter.micros(world::takeSameSet);
@@ -121,6 +133,8 @@
 
 		private final CreditService service;
 
+		private final long hash;
+
 		private long sequence = 1;
 
 		World(int endpoints, int owners) {
@@ -136,6 +150,7 @@
 				.executor(this.executor)
 				.build();
 			this.service.accept(this.set);
+			this.hash = this.set.contentHash();
 			// A new owner lends nothing for one credit length.
 			this.clock.advance(2 * CreditLedger.CREDIT_MILLIS);
 			this.service.digests();
@@ -157,6 +172,12 @@
 					this.set.weightHeads()));
 		}
 
+		private void takeOffer() {
+			PeerMessage offer = new PeerMessage.EndpointSetOffer(this.set.domain(), ++this.sequence, this.hash);
+			PeerSlopes.decode(PeerCodec.encode(1, offer));
+			this.service.accept((PeerMessage.EndpointSetOffer) offer);
+		}
+
 		@Override
 		public void close() {
 			this.service.close();
