Let three hosts of a domain contend for leases

All 360 control processes read the domain's lease and the usage lease each second, the weight heads each second and the order log each 2 s: 1,230 of 1,476 reads/s at the object API.

The first 3 hosts of a domain by rendezvous hash over its live hosts contend for both leases. A holder keeps its lease without the rank. Others read each lease about once a minute, contend at once in the usual time when they become one of the three, and whatever their rank when they have seen the lease unchanged, free or absent for 5 takeover times (43 s, or 63 s), so that wrong views of who lives leave no domain without a holder. Weight heads and the order log are read by readers and the holder; a new reader waits for the log before it passes endpoints on, or for 2 s.

--- a/bamboorelay-control/src/main/java/org/bamboorelay/control/process/ControlContext.java
+++ b/bamboorelay-control/src/main/java/org/bamboorelay/control/process/ControlContext.java
@@ -9,6 +9,7 @@
 import org.bamboorelay.control.connection.EntryLinks;
 import org.bamboorelay.control.connection.PlatformClient;
 import org.bamboorelay.control.version.ControlSettings;
+import org.bamboorelay.core.process.LeaseElection;
 import org.bamboorelay.core.process.ReaderElection;
 import org.bamboorelay.core.process.StoreDecision;
 import org.bamboorelay.core.process.StoreStep;
@@ -30,6 +31,9 @@
 	/** The most steps of a decision in one run of a loop. */
 	private static final int MAX_STEPS = 128;
 
+	/** Ranking 45 hosts takes about 40 µs, and leases ask 20 times a second. */
+	private static final long CONTENDER_MILLIS = 1_000;
+
 	private final ControlSettings settings;
 
 	private final String incarnation;
@@ -46,6 +50,10 @@
 
 	private volatile @Nullable Configuration configuration;
 
+	private volatile boolean contender;
+
+	private volatile long contenderUntil = Long.MIN_VALUE;
+
 	ControlContext(ControlSettings settings, String incarnation, ObjectStore store, PlatformClient platform,
 			EntryLinks links, Counters counters, Executor threads) {
 		this.settings = settings;
@@ -140,6 +148,20 @@
 		return ReaderElection.isReader(this.settings.failureDomain(), this.links.liveHosts(), this.settings.host());
 	}
 
+	/**
+	 * Tells whether this host is one of those that contend for leases.
+	 * @return whether it contends, as of the last second
+	 */
+	boolean isContender() {
+		long now = clock().millis();
+		if (now >= this.contenderUntil) {
+			this.contender = LeaseElection.isContender(this.settings.failureDomain(), this.links.liveHosts(),
+					this.settings.host());
+			this.contenderUntil = now + CONTENDER_MILLIS;
+		}
+		return this.contender;
+	}
+
 	/**
 	 * Performs the steps that a decision asks for now.
 	 * @param decision the decision
--- a/bamboorelay-control/src/main/java/org/bamboorelay/control/process/ControlProcess.java
+++ b/bamboorelay-control/src/main/java/org/bamboorelay/control/process/ControlProcess.java
@@ -75,11 +75,15 @@
 		this.context = new ControlContext(settings, incarnation,
 				HttpObjectStore.of(settings.objectApiAddress(), this.pool, STORE_TIMEOUT_MILLIS),
 				PlatformClient.of(this.pool), links, Counters.create(), this.threads);
-		this.domainLease = LeaseState.of("leases/" + settings.failureDomain(), incarnation, this.context.clock(),
-				() -> LeaseState.Terms.standard(isFenced()), this.context::random);
+		this.domainLease = LeaseState
+			.of("leases/" + settings.failureDomain(), incarnation, this.context.clock(),
+					() -> LeaseState.Terms.standard(isFenced()), this.context::random)
+			.where(this.context::isContender);
 		// The usage intake is not known to compare fencing numbers.
-		this.usageLease = LeaseState.of("leases/usage", incarnation, this.context.clock(),
-				() -> LeaseState.Terms.standard(false), this.context::random);
+		this.usageLease = LeaseState
+			.of("leases/usage", incarnation, this.context.clock(), () -> LeaseState.Terms.standard(false),
+					this.context::random)
+			.where(this.context::isContender);
 		Counters counters = this.context.counters();
 		counters.gauge("domain_lease_fencing", this.domainLease::fencing);
 		counters.gauge("usage_lease_fencing", this.usageLease::fencing);
--- a/bamboorelay-control/src/main/java/org/bamboorelay/control/process/EndpointDirectory.java
+++ b/bamboorelay-control/src/main/java/org/bamboorelay/control/process/EndpointDirectory.java
@@ -61,8 +61,9 @@
 	private static final long STANDBY_MILLIS = 30_000;
 
 	/**
-	 * A new reader passes nothing on before it has read both lists, or for this long, in
-	 * milliseconds, where one cannot be read. Hosts keep the last set meanwhile.
+	 * A new reader passes nothing on before it has read both lists and the order log, or
+	 * for this long, in milliseconds, where one cannot be read. Hosts keep the last set
+	 * meanwhile.
 	 */
 	private static final long NEW_READER_MILLIS = 2_000;
 
@@ -94,6 +95,8 @@
 
 	private volatile boolean orderedKnown;
 
+	private volatile long storeReadAt = Long.MIN_VALUE / 2;
+
 	private volatile long viewAt = Long.MIN_VALUE / 2;
 
 	private boolean active;
@@ -233,6 +236,12 @@
 	 * Reads the weight heads and the domain's order log from the store.
 	 */
 	void readStore() {
+		if (!this.isNeeded.getAsBoolean()) {
+			// Old heads would order old weights; stop orders stay true.
+			this.heads.clear();
+			this.ordersAt = Long.MIN_VALUE / 2;
+			return;
+		}
 		ObjectStore store = this.context.store();
 		Either<StoreFailure, List<ObjectStore.Entry>> listed = store.list(WEIGHTS);
 		listed.forEach((entries) -> {
@@ -247,6 +256,7 @@
 			this.ordersAt = now;
 			Either<StoreFailure, Option<StoredObject>> log = store
 				.read(OrderLog.key(this.context.settings().failureDomain()));
+			log.forEach((object) -> this.storeReadAt = now);
 			log.forEach((object) -> this.stoppingInLog = object.map(OrderLog::stopping).getOrElse(Set.of()));
 		}
 	}
@@ -374,7 +384,8 @@
 		heads().values().forEach((lines) -> lines.forEach((line, n) -> versions.add(WeightVersion.of(line, n))));
 		versions.sort(Comparator.comparing(WeightVersion::toString));
 		long now = this.context.clock().millis();
-		if (!this.listsRead && now - this.activeSince < NEW_READER_MILLIS) {
+		boolean allRead = this.listsRead && this.storeReadAt >= this.activeSince;
+		if (!allRead && now - this.activeSince < NEW_READER_MILLIS) {
 			return;
 		}
 		boolean same = infos.equals(this.lastSent) && versions.equals(this.lastHeads);
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/LeaseState.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/LeaseState.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Objects;
+import java.util.function.BooleanSupplier;
 import java.util.function.DoubleSupplier;
 import java.util.function.Supplier;
 
@@ -43,6 +44,8 @@
 
 	private final DoubleSupplier random;
 
+	private final BooleanSupplier contends;
+
 	private final Backoff backoff;
 
 	private final Deque<Attempt> attempts = new ArrayDeque<>();
@@ -53,6 +56,8 @@
 
 	private long seenSince;
 
+	private long observedAt;
+
 	private boolean mustRead = true;
 
 	private long nextAt;
@@ -65,7 +70,11 @@
 
 	private boolean releasing;
 
-	private LeaseState(String key, String holder, Clock clock, Supplier<Terms> terms, DoubleSupplier random) {
+	private boolean standingBy;
+
+	private LeaseState(String key, String holder, Clock clock, Supplier<Terms> terms, DoubleSupplier random,
+			BooleanSupplier contends) {
+		this.contends = Objects.requireNonNull(contends, "contends");
 		this.key = Objects.requireNonNull(key, "key");
 		this.holder = Objects.requireNonNull(holder, "holder");
 		this.clock = Objects.requireNonNull(clock, "clock");
@@ -84,7 +93,20 @@
 	 * @return the contender
 	 */
 	public static LeaseState of(String key, String holder, Clock clock, Supplier<Terms> terms, DoubleSupplier random) {
-		return new LeaseState(key, holder, clock, terms, random);
+		return new LeaseState(key, holder, clock, terms, random, () -> true);
+	}
+
+	/**
+	 * Returns a process that contends for the lease under a condition only. While it does
+	 * not hold, the process reads the lease seldom, and takes it over only where it stays
+	 * unchanged, free or absent for {@link Terms#standbyMillis()}, so that a wrong
+	 * condition at all processes leaves no lease without a holder.
+	 * @param condition whether to contend; a holder keeps the lease without it; must not
+	 * block
+	 * @return the contender, which shares no state with this one
+	 */
+	public LeaseState where(BooleanSupplier condition) {
+		return new LeaseState(this.key, this.holder, this.clock, this.terms, this.random, condition);
 	}
 
 	/**
@@ -141,6 +163,12 @@
 	@Override
 	public synchronized @Nullable StoreStep next() {
 		long now = this.clock.millis();
+		boolean contender = this.contends.getAsBoolean();
+		if (this.standingBy && contender) {
+			this.standingBy = false;
+			this.mustRead = true;
+			this.nextAt = now;
+		}
 		if (now < this.nextAt || isReleased()) {
 			return null;
 		}
@@ -154,6 +182,11 @@
 		if (this.releasing) {
 			return null;
 		}
+		// The last reading of a process that stands by may be a minute old.
+		if (!contender && (now - this.seenSince < this.terms.get().standbyMillis()
+				|| now - this.observedAt > this.terms.get().pollMillis())) {
+			return new StoreStep.Read(this.key);
+		}
 		if (present == null) {
 			return write(1, false, now);
 		}
@@ -166,6 +199,7 @@
 	@Override
 	public synchronized void onResult(StoreStep step, Either<StoreFailure, Option<StoredObject>> result) {
 		long now = this.clock.millis();
+		this.standingBy = false;
 		if (result.isLeft()) {
 			this.mustRead = true;
 			boolean lost = result.getLeft() instanceof StoreFailure.ConditionFailed;
@@ -184,6 +218,7 @@
 	}
 
 	private void observe(@Nullable Body body, long version, long now) {
+		this.observedAt = now;
 		if (version != this.seenVersion || this.seenSince == 0) {
 			this.seenSince = now;
 		}
@@ -209,14 +244,23 @@
 			this.fencing = 0;
 			this.validUntil = 0;
 		}
-		if (!isOwn() && !this.releasing && this.seen != null && !this.seen.released()) {
-			long poll = this.terms.get().pollMillis();
-			long wait = poll / 2 + (long) (this.random.getAsDouble() * poll);
-			long due = this.seenSince + this.terms.get().takeoverMillis();
-			this.nextAt = (due <= now) ? now : Math.min(due, now + wait);
+		if (isOwn() || this.releasing) {
+			return;
+		}
+		if (!this.contends.getAsBoolean()) {
+			this.standingBy = true;
+			waitUntil(this.seenSince + this.terms.get().standbyMillis(), Terms.STANDBY_POLL_MILLIS, now);
+		}
+		else if (this.seen != null && !this.seen.released()) {
+			waitUntil(this.seenSince + this.terms.get().takeoverMillis(), this.terms.get().pollMillis(), now);
 		}
 	}
 
+	private void waitUntil(long due, long poll, long now) {
+		long wait = poll / 2 + (long) (this.random.getAsDouble() * poll);
+		this.nextAt = (due <= now) ? now : Math.min(due, now + wait);
+	}
+
 	private boolean isOwn() {
 		return this.seen != null && !this.seen.released() && this.seen.holder().equals(this.holder) && this.fencing > 0;
 	}
@@ -251,9 +295,23 @@
 
 		private static final long POLL_MILLIS = 1_000;
 
+		/** Mean interval at which a process that does not contend reads. */
+		private static final long STANDBY_POLL_MILLIS = 60_000;
+
+		/** Takeover times after which a process contends whatever its rank. */
+		private static final int STANDBY_TAKEOVERS = 5;
+
 		/** Further wait where a receiver of orders does not compare fencing numbers. */
 		private static final long UNFENCED_MILLIS = 4_000;
 
+		/**
+		 * Returns how long a lease stays unchanged before any process contends.
+		 * @return the time in milliseconds
+		 */
+		public long standbyMillis() {
+			return STANDBY_TAKEOVERS * this.takeoverMillis;
+		}
+
 		/**
 		 * Returns the times of the design page.
 		 * @param fenced whether each receiver of orders refuses old fencing numbers
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/process/LeaseStateTests.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/process/LeaseStateTests.java
@@ -1,8 +1,13 @@
 package org.bamboorelay.core.process;
 
+import java.util.List;
+import java.util.stream.IntStream;
+
 import org.bamboorelay.core.store.FakeObjectStore;
 import org.bamboorelay.core.store.FakeObjectStore.Fault;
 import org.bamboorelay.core.time.ManualClock;
+import org.bamboorelay.core.version.FailureDomain;
+import org.bamboorelay.core.version.HostId;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -91,6 +96,81 @@
 		assertThat(this.second.fencing()).isEqualTo(2);
 	}
 
+	/**
+	 * Guards against a lease that stays free since every process thinks that others are
+	 * to take it.
+	 */
+	@Test
+	void leaseWithoutContendersIsTakenOverLate() {
+		LeaseState standby = lease("standby").where(() -> false);
+		drive(this.first);
+		drive(standby);
+		long seen = this.clock.millis();
+		while (!standby.isHeld()) {
+			assertThat(this.clock.millis()).isLessThan(seen + 2 * TERMS.standbyMillis());
+			this.clock.advance(100);
+			drive(standby);
+		}
+		assertThat(this.clock.millis() - seen).isGreaterThanOrEqualTo(TERMS.standbyMillis());
+		assertThat(this.first.isHeld()).isFalse();
+	}
+
+	/**
+	 * Guards against reads of a lease by each process of a deployment, and against a free
+	 * lease that is taken by one that is not to contend.
+	 */
+	@Test
+	void processThatDoesNotContendReadsSeldomAndLeavesAReleasedLease() {
+		LeaseState standby = lease("standby").where(() -> false);
+		int reads = 0;
+		for (int i = 0; i < 1_200; i++) {
+			drive(this.first);
+			for (StoreStep step = standby.next(); step != null; step = standby.next()) {
+				assertThat(step).isInstanceOf(StoreStep.Read.class);
+				standby.onResult(step, step.perform(this.store));
+				reads++;
+			}
+			this.clock.advance(100);
+		}
+		assertThat(reads).isBetween(2, 5);
+		this.first.release();
+		drive(this.first);
+		this.clock.advance(TERMS.takeoverMillis());
+		drive(standby);
+		assertThat(standby.isHeld()).isFalse();
+	}
+
+	/** Guards against a new contender that sleeps on after the others have died. */
+	@Test
+	void processThatBecomesAContenderTakesOverInTheUsualTime() {
+		boolean[] contends = { false };
+		LeaseState standby = lease("standby").where(() -> contends[0]);
+		drive(this.first);
+		this.clock.advance(1_900);
+		drive(standby);
+		contends[0] = true;
+		drive(standby);
+		this.clock.advance(TERMS.takeoverMillis() - 1);
+		drive(standby);
+		assertThat(standby.isHeld()).isFalse();
+		this.clock.advance(101);
+		drive(standby);
+		assertThat(standby.isHeld()).isTrue();
+	}
+
+	@Test
+	void threeHostsOfADomainContend() {
+		List<HostId> hosts = IntStream.range(0, 45).mapToObj((i) -> HostId.of("host-" + i)).toList();
+		FailureDomain domain = FailureDomain.of("gt-centro-a");
+		List<HostId> contenders = hosts.stream()
+			.filter((host) -> LeaseElection.isContender(domain, hosts, host))
+			.toList();
+		assertThat(contenders).hasSize(3);
+		List<HostId> rest = hosts.stream().filter((host) -> !host.equals(contenders.get(0))).toList();
+		assertThat(rest.stream().filter((host) -> LeaseElection.isContender(domain, rest, host))).hasSize(3)
+			.containsAll(contenders.subList(1, 3));
+	}
+
 	private LeaseState lease(String holder) {
 		return LeaseState.of("leases/gt-centro-a", holder, this.clock, () -> TERMS, () -> 0.5);
 	}
--- a/bamboorelay-slopes/src/main/java/org/bamboorelay/slopes/process/StoreSlopes.java
+++ b/bamboorelay-slopes/src/main/java/org/bamboorelay/slopes/process/StoreSlopes.java
@@ -10,6 +10,7 @@
 
 import io.vavr.control.Option;
 import org.bamboorelay.core.connection.PeerMessage;
+import org.bamboorelay.core.process.LeaseElection;
 import org.bamboorelay.core.process.LeaseState;
 import org.bamboorelay.core.process.OrderLog;
 import org.bamboorelay.core.process.StoreDecision;
@@ -156,8 +157,10 @@
 				this.domains.add(Samples.domain(i));
 			}
 			for (int i = 0; i < hosts; i++) {
-				boolean reader = this.readers.merge(i % count, 1, Integer::sum) <= 2;
-				this.controls.add(new Control(i, Samples.domain(i % count), reader));
+				int rank = this.readers.merge(i % count, 1, Integer::sum);
+				// Readers and contenders are chosen by different hashes.
+				boolean reader = rank >= hosts / count - 1;
+				this.controls.add(new Control(i, Samples.domain(i % count), reader, rank <= LeaseElection.CONTENDERS));
 			}
 			ConfigurationAssembly writer = ConfigurationAssembly.over(this.store, () -> "t" + this.random.nextLong());
 			writer.write(Samples.configuration(1, hosts, 8, 8), Option.none());
@@ -208,7 +211,10 @@
 
 			private final UsageWindows windows;
 
-			private Control(int index, FailureDomain domain, boolean reader) {
+			private final boolean contender;
+
+			private Control(int index, FailureDomain domain, boolean reader, boolean contender) {
+				this.contender = contender;
 				Deployment deployment = Deployment.this;
 				this.index = index;
 				this.domain = domain;
@@ -225,8 +231,10 @@
 			}
 
 			private LeaseState lease(String key, boolean fenced) {
-				return LeaseState.of(key, "holder-" + this.index, Deployment.this.clock,
-						() -> LeaseState.Terms.standard(fenced), Deployment.this.random::nextDouble);
+				return LeaseState
+					.of(key, "holder-" + this.index, Deployment.this.clock, () -> LeaseState.Terms.standard(fenced),
+							Deployment.this.random::nextDouble)
+					.where(() -> this.contender);
 			}
 
 			private void run(int at) {
@@ -237,11 +245,14 @@
 				if (turn % (this.reader ? 500 : 2_000) == 0) {
 					this.assembly.read();
 				}
+				boolean needed = this.reader || this.domainLease.isHeld();
 				if (turn % 1_000 == 0) {
-					api.list("weights/");
+					if (needed) {
+						api.list("weights/");
+					}
 					usage(api);
 				}
-				if (turn % 2_000 == 0) {
+				if (needed && turn % 2_000 == 0) {
 					api.read(OrderLog.key(this.domain));
 				}
 				if (this.domainLease.isHeld()) {
