Test that a new reader waits and sends the set that a host lacks

No unit test ran the control process's side of endpoint offers. The new one has an entry's peer port that answers need-set: the set follows the offer, and nothing is sent before the order log was read, or for 2 s. EndpointDirectoryTests passes; it was not tried without the mechanism.

--- a/bamboorelay-control/src/test/java/org/bamboorelay/control/process/EndpointDirectoryTests.java
+++ b/bamboorelay-control/src/test/java/org/bamboorelay/control/process/EndpointDirectoryTests.java
@@ -4,7 +4,12 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
 
 import io.vavr.control.Either;
 import io.vavr.control.Option;
@@ -22,6 +27,7 @@
 import org.bamboorelay.core.version.HostId;
 import org.bamboorelay.runtime.connection.HttpConnectionPool;
 import org.bamboorelay.runtime.connection.HttpListener;
+import org.bamboorelay.runtime.connection.PeerListener;
 import org.bamboorelay.runtime.process.Counters;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -49,6 +55,10 @@
 
 	private HttpListener platform;
 
+	private final ExecutorService threads = Executors.newCachedThreadPool();
+
+	private EntryLinks links;
+
 	private boolean needed = true;
 
 	private volatile int polls;
@@ -62,10 +72,9 @@
 		String address = "127.0.0.1:" + this.platform.port();
 		ControlSettings settings = new ControlSettings("huerto", HostId.of("control-1"), DOMAIN, address, address,
 				address, address, 1, List.of(), address);
-		EntryLinks links = new EntryLinks(
-				PeerMessage.Hello.of("huerto", settings.host(), DOMAIN, "control", "incarnation"), Runnable::run);
+		this.links = new EntryLinks(hello(settings.host(), "control"), this.threads);
 		this.directory = new EndpointDirectory(new ControlContext(settings, "incarnation", this.store,
-				PlatformClient.of(this.pool), links, Counters.create(), Runnable::run), () -> this.needed);
+				PlatformClient.of(this.pool), this.links, Counters.create(), Runnable::run), () -> this.needed);
 		hosts("live");
 		orders("live");
 		load(false);
@@ -73,6 +82,8 @@
 
 	@AfterEach
 	void close() {
+		this.links.close();
+		this.threads.shutdownNow();
 		this.platform.close();
 		this.pool.close();
 	}
@@ -170,6 +181,37 @@
 		assertThat(this.directory.isKnown()).isFalse();
 	}
 
+	/**
+	 * Guards against a host without endpoints since it is offered a hash only, and
+	 * against a new reader that says of a stopping endpoint that it takes work, as it has
+	 * not read the order log.
+	 */
+	@Test
+	void hostThatLacksTheSetIsSentItOnceTheReaderHasReadAll() throws IOException {
+		Queue<PeerMessage> seen = new ConcurrentLinkedQueue<>();
+		PeerMessage.Hello entry = hello(HostId.of("control-1"), "entry");
+		try (PeerListener listener = PeerListener.open("127.0.0.1", 0, entry, (link, message) -> {
+			seen.add(message);
+			return (message instanceof PeerMessage.EndpointSet) ? new PeerMessage.Ack(true)
+					: new PeerMessage.Rejected(PeerMessage.EndpointSetOffer.NEED_SET, "not held");
+		}, (end) -> {
+		}, this.threads)) {
+			this.links.keep(List.of("127.0.0.1:" + listener.port()));
+			long start = System.nanoTime();
+			this.directory.run();
+			boolean waited = System.nanoTime() - start < TimeUnit.SECONDS.toNanos(2);
+			assertThat(!waited || seen.isEmpty()).isTrue();
+			this.directory.readStore();
+			this.directory.run();
+			assertThat(seen).hasAtLeastOneElementOfType(PeerMessage.EndpointSetOffer.class)
+				.hasAtLeastOneElementOfType(PeerMessage.EndpointSet.class);
+		}
+	}
+
+	private static PeerMessage.Hello hello(HostId host, String role) {
+		return PeerMessage.Hello.of("huerto", host, DOMAIN, role, role);
+	}
+
 	private boolean isLeaving() {
 		assertThat(this.directory.endpoints()).hasSize(1);
 		return this.directory.endpoints().get(0).info().leaving();
