--- a/bamboorelay-control/src/main/java/org/bamboorelay/control/process/ControlProcess.java
+++ b/bamboorelay-control/src/main/java/org/bamboorelay/control/process/ControlProcess.java
@@ -16,7 +16,6 @@
 import org.bamboorelay.control.connection.PlatformClient;
 import org.bamboorelay.control.version.ControlSettings;
 import org.bamboorelay.core.connection.PeerMessage;
-import org.bamboorelay.core.connection.PeerProtocol;
 import org.bamboorelay.core.process.LeaseState;
 import org.bamboorelay.core.version.Configuration;
 import org.bamboorelay.core.version.Inventory;
@@ -69,18 +68,22 @@
 
 	private ControlProcess(ControlSettings settings) throws IOException {
 		String incarnation = settings.host() + "-" + UUID.randomUUID();
-		PeerMessage.Hello hello = new PeerMessage.Hello(PeerProtocol.MAGIC, settings.deployment(), settings.host(),
-				settings.failureDomain(), "control", incarnation);
+		PeerMessage.Hello hello = PeerMessage.Hello.of(settings.deployment(), settings.host(), settings.failureDomain(),
+				"control", incarnation);
 		EntryLinks links = new EntryLinks(hello, this.threads);
 		links.keep(settings.entryAddresses());
 		this.context = new ControlContext(settings, incarnation,
 				HttpObjectStore.of(settings.objectApiAddress(), this.pool, STORE_TIMEOUT_MILLIS),
 				PlatformClient.of(this.pool), links, Counters.create(), this.threads);
-		this.domainLease = LeaseState.of("leases/" + settings.failureDomain(), incarnation, this.context.clock(),
-				() -> LeaseState.Terms.standard(isFenced()), this.context::random);
+		this.domainLease = LeaseState
+			.of("leases/" + settings.failureDomain(), incarnation, this.context.clock(),
+					() -> LeaseState.Terms.standard(isFenced()), this.context::random)
+			.where(this.context::isContender);
 		// The usage intake is not known to compare fencing numbers.
-		this.usageLease = LeaseState.of("leases/usage", incarnation, this.context.clock(),
-				() -> LeaseState.Terms.standard(false), this.context::random);
+		this.usageLease = LeaseState
+			.of("leases/usage", incarnation, this.context.clock(), () -> LeaseState.Terms.standard(false),
+					this.context::random)
+			.where(this.context::isContender);
 		Counters counters = this.context.counters();
 		counters.gauge("domain_lease_fencing", this.domainLease::fencing);
 		counters.gauge("usage_lease_fencing", this.usageLease::fencing);
@@ -135,9 +138,10 @@
 	}
 
 	private void schedule() {
-		EndpointDirectory directory = new EndpointDirectory(this.context);
+		EndpointDirectory directory = new EndpointDirectory(this.context,
+				() -> this.context.isReader() || this.domainLease.isHeld());
 		UsageDuty usage = new UsageDuty(this.context, this.domainLease, this.usageLease);
-		OrderDuty orders = new OrderDuty(this.context, this.domainLease, directory, usage::rate);
+		OrderDuty orders = new OrderDuty(this.context, this.domainLease, directory, usage);
 		WeightDuty weights = new WeightDuty(this.context, this.domainLease, directory);
 		repeat(this.leases, () -> this.context.drive(this.domainLease), LEASE_INTERVAL_MILLIS);
 		repeat(this.leases, () -> this.context.drive(this.usageLease), LEASE_INTERVAL_MILLIS);
--- a/bamboorelay-control/src/main/java/org/bamboorelay/control/process/OrderDuty.java
+++ b/bamboorelay-control/src/main/java/org/bamboorelay/control/process/OrderDuty.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.function.ToDoubleFunction;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.vavr.control.Either;
@@ -57,7 +56,7 @@
 
 	private final EndpointDirectory directory;
 
-	private final ToDoubleFunction<ServiceId> arrivals;
+	private final UsageDuty usage;
 
 	private final OrderLog log;
 
@@ -69,12 +68,11 @@
 
 	private long neighboursAt;
 
-	OrderDuty(ControlContext context, LeaseState lease, EndpointDirectory directory,
-			ToDoubleFunction<ServiceId> arrivals) {
+	OrderDuty(ControlContext context, LeaseState lease, EndpointDirectory directory, UsageDuty usage) {
 		this.context = context;
 		this.lease = lease;
 		this.directory = directory;
-		this.arrivals = arrivals;
+		this.usage = usage;
 		this.log = OrderLog.of(context.settings().failureDomain(), context.incarnation(), context.clock(),
 				lease::isHeld, context::random);
 	}
@@ -103,7 +101,11 @@
 	private void plan(Configuration configuration) {
 		FailureDomain own = this.context.settings().failureDomain();
 		List<FailureDomain> domains = this.context.domainsInService();
-		if (!configuration.isInService(own) || !domains.contains(own) || !this.directory.isKnown()) {
+		// Taken before the check, as a view that ends is no longer known before it is
+		// empty.
+		List<EndpointDirectory.Endpoint> endpoints = this.directory.endpoints();
+		if (!configuration.isInService(own) || !domains.contains(own) || !this.directory.isKnown()
+				|| !this.usage.isRateKnown()) {
 			return;
 		}
 		long now = this.context.clock().millis();
@@ -111,8 +113,7 @@
 		boolean allOn = configuration.rules().policies().scaling().equals("all-on");
 		for (ServiceEntry service : configuration.inventory().services()) {
 			ServiceId name = service.name();
-			List<ScalingPlan.EndpointView> views = this.directory.endpoints()
-				.stream()
+			List<ScalingPlan.EndpointView> views = endpoints.stream()
 				.filter((endpoint) -> endpoint.info().service().equals(name))
 				.map((endpoint) -> new ScalingPlan.EndpointView(endpoint.info().endpoint(), endpoint.info().cheap(),
 						endpoint.info().leaving(), endpoint.load().running(), endpoint.load().waiting(),
@@ -120,9 +121,9 @@
 				.toList();
 			ScalingPlan.View view = new ScalingPlan.View(service,
 					configuration.rules().spending().stream().filter((rule) -> rule.service().equals(name)).findFirst(),
-					allOn, repeatableShare(service), domains.size(), domains.indexOf(own),
-					this.arrivals.applyAsDouble(name), views, pending(name, "steady"), pending(name, "cheap"),
-					borrowed(domains, name, "steady"), borrowed(domains, name, "cheap"));
+					allOn, repeatableShare(service), domains.size(), domains.indexOf(own), this.usage.rate(name), views,
+					pending(name, "steady"), pending(name, "cheap"), borrowed(domains, name, "steady"),
+					borrowed(domains, name, "cheap"));
 			for (ScalingPlan.Change change : this.plan.decide(view, now)) {
 				OrderIntent intent = this.log.add(change.action(), name, change.kind(), change.endpoint());
 				LOG.info("order-decided order={} action={} service={} kind={}", intent.orderId(), change.action(), name,
@@ -181,6 +182,10 @@
 		long now = this.context.clock().millis();
 		Set<EndpointId> present = new HashSet<>();
 		this.directory.endpoints().forEach((endpoint) -> present.add(endpoint.info().endpoint()));
+		if (!this.directory.isKnown()) {
+			// A new holder's view is empty at first.
+			return;
+		}
 		for (OrderIntent intent : this.log.open()) {
 			Answered answer = this.answered.get(intent.orderId());
 			if (answer == null) {
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerMessage.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerMessage.java
@@ -1,5 +1,9 @@
 package org.bamboorelay.core.connection;
 
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
 import java.util.List;
 
 import com.fasterxml.jackson.annotation.JsonFormat;
@@ -33,10 +37,36 @@
 	 * @param domain the sender's failure domain
 	 * @param role {@code entry}, {@code control} or {@code operator}
 	 * @param incarnation unique for each start of the process
+	 * @param messageTypes how many of {@link PeerProtocol#TYPES} the sender knows; 0 from
+	 * releases that do not say it. Those skip the field when they read it.
 	 */
 	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
-	record Hello(String magic, String deployment, HostId host, FailureDomain domain, String role,
-			String incarnation) implements PeerMessage {
+	record Hello(String magic, String deployment, HostId host, FailureDomain domain, String role, String incarnation,
+			int messageTypes) implements PeerMessage {
+
+		/**
+		 * Creates the greeting of a process of this release.
+		 * @param deployment name of the deployment
+		 * @param host the sender's host
+		 * @param domain the sender's failure domain
+		 * @param role {@code entry}, {@code control} or {@code operator}
+		 * @param incarnation unique for each start of the process
+		 * @return the greeting
+		 */
+		public static Hello of(String deployment, HostId host, FailureDomain domain, String role, String incarnation) {
+			return new Hello(PeerProtocol.MAGIC, deployment, host, domain, role, incarnation,
+					PeerProtocol.TYPES.size());
+		}
+
+		/**
+		 * Tells whether the sender can read a type of message.
+		 * @param type the type
+		 * @return whether it can; one that cannot closes the link
+		 */
+		public boolean knows(Class<? extends PeerMessage> type) {
+			return PeerProtocol.TYPES.indexOf(type) < Math.max(this.messageTypes, PeerProtocol.FIRST_TYPES);
+		}
+
 	}
 
 	/**
@@ -99,6 +129,7 @@
 
 	/**
 	 * Withdrawn hashes; answered by a {@code Withdraw} with all that the receiver knows.
+	 * Used with releases that do not know {@link WithdrawnDelta}.
 	 *
 	 * @param keys the hashes
 	 */
@@ -117,6 +148,48 @@
 	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
 	record EndpointSet(FailureDomain domain, long sequence, List<EndpointInfo> endpoints,
 			List<WeightVersion> weightHeads) implements PeerMessage {
+
+		/**
+		 * Returns a hash of the endpoints and versions, in their order. All processes
+		 * compute the same.
+		 * @return the hash, without domain and sequence
+		 */
+		public long contentHash() {
+			try {
+				MessageDigest digest = MessageDigest.getInstance("SHA-256");
+				for (EndpointInfo info : this.endpoints) {
+					digest
+						.update((info.endpoint() + "\n" + info.address() + "\n" + info.domain() + "\n" + info.service()
+								+ "\n" + info.cheap() + "\n" + info.leaving() + "\n")
+							.getBytes(StandardCharsets.UTF_8));
+				}
+				for (WeightVersion head : this.weightHeads) {
+					digest.update((head + "\n").getBytes(StandardCharsets.UTF_8));
+				}
+				return ByteBuffer.wrap(digest.digest()).getLong();
+			}
+			catch (NoSuchAlgorithmException ex) {
+				throw new IllegalStateException("SHA-256 is missing from the JDK", ex);
+			}
+		}
+
+	}
+
+	/**
+	 * Says that the endpoints of a failure domain are unchanged; answered by {@link Ack}
+	 * where the receiver holds the set with this hash, and else by {@link Rejected} with
+	 * {@link #NEED_SET}, to which the sender sends the {@link EndpointSet}.
+	 *
+	 * @param domain the failure domain
+	 * @param sequence as in {@link EndpointSet}
+	 * @param contentHash {@link EndpointSet#contentHash()} of the set
+	 */
+	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+	record EndpointSetOffer(FailureDomain domain, long sequence, long contentHash) implements PeerMessage {
+
+		/** Code of the rejection by a receiver that lacks the set. */
+		public static final String NEED_SET = "need-set";
+
 	}
 
 	/**
@@ -347,4 +420,19 @@
 	record BatchAnswer(String ticket, int status, byte[] body) implements PeerMessage {
 	}
 
+	/**
+	 * Compares sets of withdrawn hashes and passes on what differs; answered by a
+	 * {@code WithdrawnDelta} of the receiver. Numbers count the hashes in the order in
+	 * which the process of one incarnation learned them.
+	 *
+	 * @param count the number of hashes that the sender knows
+	 * @param hash hash of its set, independent of the order
+	 * @param after the sender holds the receiver's hashes up to this number; -1 where it
+	 * asks for the digest only, and in answers
+	 * @param keys hashes that the receiver may lack
+	 */
+	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+	record WithdrawnDelta(int count, long hash, int after, List<KeyHash> keys) implements PeerMessage {
+	}
+
 }
