Give caller groups their own senders and check runs by the stand-ins' records

Cause: all callers of a scenario shared 192 sending threads, so a flooding workspace held back the arrivals of the others in the load tool. Arrivals above max_requests were cut off without a count. Labels were compared with the orders that the engines had confirmed, keys were not searched in bodies, and the check for two holders compared fencing numbers of one receiver at a time.

Change: each group of callers has max_open senders. An arrival is planned and counted whether or not a sender is free; its latency counts from the planned time. What finds no sender for 10 s, or is above max_requests, is counted as unsent with its reason and named in the report, and a run fails where an arrival is neither answered nor counted as unsent. Engines record which version they load and which tokens of each version they make in a stream. A label must name a loaded version, and a step must not have more tokens of a version than the engines made for it. Endpoints record bodies, which are searched for keys. Orders name their holder; the check compares domain, fencing number and holder over the ordering interface, the engines and the writes of leases. A record that dropped lines fails the run.

Conclusion: each check is seen to fail on a bad record in RunChecksTests.

--- a/bamboorelay-control/src/main/java/org/bamboorelay/control/process/OrderDuty.java
+++ b/bamboorelay-control/src/main/java/org/bamboorelay/control/process/OrderDuty.java
@@ -140,6 +140,7 @@
 		Map<String, Object> body = new LinkedHashMap<>();
 		body.put("order_id", intent.orderId());
 		body.put("fencing", fencing);
+		body.put("holder", this.context.incarnation());
 		body.put("action", intent.action());
 		body.put("service", intent.service());
 		body.put("domain", intent.domain());
--- a/bamboorelay-control/src/main/java/org/bamboorelay/control/process/WeightDuty.java
+++ b/bamboorelay-control/src/main/java/org/bamboorelay/control/process/WeightDuty.java
@@ -88,6 +88,7 @@
 		body.put("order_id", "weights-" + swap.endpoint() + "-" + swap.version().line() + "-" + swap.version().number()
 				+ "-" + fencing + "-" + swap.failures());
 		body.put("fencing", fencing);
+		body.put("holder", this.context.incarnation());
 		body.put("action", "load_weights");
 		body.put("line", swap.version().line());
 		body.put("version", swap.version().number());
--- a/bamboorelay-load/src/main/java/org/bamboorelay/load/process/CallerLoad.java
+++ b/bamboorelay-load/src/main/java/org/bamboorelay/load/process/CallerLoad.java
@@ -2,12 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
@@ -26,8 +28,17 @@
  */
 final class CallerLoad {
 
-	/** Most requests that wait for their answers at once; further arrivals are late. */
-	private static final int THREADS = 192;
+	/**
+	 * An arrival that found no free sender for this long is given up and counted as
+	 * unsent.
+	 */
+	private static final long MAX_DELAY_NANOS = 10_000_000_000L;
+
+	/** An arrival that is sent later than this after its planned time counts as late. */
+	private static final long LATE_NANOS = 50_000_000L;
+
+	/** Time after the last planned arrival for delayed arrivals and open answers. */
+	private static final long DRAIN_SECONDS = 45;
 
 	private static final String DONE = "data: [DONE]";
 
@@ -57,7 +68,7 @@
 		this.client = client;
 		this.balancer = balancer;
 		this.keys = keys;
-		scenario.callers().forEach((callers) -> tally(callers.service(), callers.workspace()));
+		scenario.callers().forEach(this::tally);
 	}
 
 	/**
@@ -78,33 +89,56 @@
 			}
 		}
 		plan.sort(Comparator.comparingLong(Arrival::atNanos));
-		return plan.subList(0, Math.min(plan.size(), scenario.maxRequests()));
+		return plan;
 	}
 
 	/**
-	 * Sends everything and waits for the answers.
+	 * Sends everything and waits for the answers. Each group of callers has its own
+	 * senders, so that a group whose answers are slow holds back no other.
 	 * @param start begin of the half, by {@link System#nanoTime()}
 	 * @throws InterruptedException where the waiting thread is interrupted
 	 */
 	void run(long start) throws InterruptedException {
-		List<Arrival> plan = plan(this.scenario);
-		AtomicInteger next = new AtomicInteger();
-		ExecutorService threads = Executors.newFixedThreadPool(THREADS);
-		for (int i = 0; i < THREADS; i++) {
-			threads.execute(() -> {
-				int index;
-				while ((index = next.getAndIncrement()) < plan.size()) {
-					Arrival arrival = plan.get(index);
-					long wait;
-					while ((wait = start + arrival.atNanos() - System.nanoTime()) > 0) {
-						LockSupport.parkNanos(wait);
-					}
-					send(arrival, index, start);
-				}
-			});
+		Map<Scenario.Callers, ThreadPoolExecutor> senders = new IdentityHashMap<>();
+		for (Scenario.Callers callers : this.scenario.callers()) {
+			ThreadPoolExecutor pool = new ThreadPoolExecutor(callers.maxOpen(), callers.maxOpen(), 0, TimeUnit.SECONDS,
+					new LinkedBlockingQueue<>());
+			pool.prestartAllCoreThreads();
+			senders.put(callers, pool);
+		}
+		int index = 0;
+		for (Arrival arrival : plan(this.scenario)) {
+			CallerTally tally = tally(arrival.callers());
+			tally.planned(amount(arrival.callers()));
+			int number = index++;
+			if (number >= this.scenario.maxRequests()) {
+				tally.unsent("above-max-requests");
+				continue;
+			}
+			long wait;
+			while ((wait = start + arrival.atNanos() - System.nanoTime()) > 0) {
+				LockSupport.parkNanos(wait);
+			}
+			senders.get(arrival.callers()).execute(() -> sendOrGiveUp(arrival, number, start));
+		}
+		senders.values().forEach(ExecutorService::shutdown);
+		long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(DRAIN_SECONDS);
+		for (ExecutorService pool : senders.values()) {
+			pool.awaitTermination(Math.max(0, deadline - System.nanoTime()), TimeUnit.NANOSECONDS);
 		}
-		threads.shutdown();
-		threads.awaitTermination(this.scenario.seconds() + 60L, TimeUnit.SECONDS);
+	}
+
+	private void sendOrGiveUp(Arrival arrival, int index, long start) {
+		long delay = System.nanoTime() - start - arrival.atNanos();
+		CallerTally tally = tally(arrival.callers());
+		if (delay > MAX_DELAY_NANOS) {
+			tally.unsent("no-free-sender");
+			return;
+		}
+		if (delay > LATE_NANOS) {
+			tally.late();
+		}
+		send(arrival, index, start, tally);
 	}
 
 	/**
@@ -123,16 +157,17 @@
 		return this.tallies;
 	}
 
-	private CallerTally tally(String service, String workspace) {
-		return this.tallies.computeIfAbsent(service + "/" + workspace,
+	private static long amount(Scenario.Callers callers) {
+		return "plain".equals(callers.service()) ? 1 : callers.maxTokens();
+	}
+
+	private CallerTally tally(Scenario.Callers callers) {
+		return this.tallies.computeIfAbsent(callers.service() + "/" + callers.workspace(),
 				(unused) -> new CallerTally(this.scenario.seconds() + 60));
 	}
 
-	private void send(Arrival arrival, int index, long start) {
-		Scenario.Callers callers = arrival.callers();
-		boolean plain = "plain".equals(callers.service());
-		CallerTally tally = tally(callers.service(), callers.workspace());
-		tally.offered(plain ? 1 : callers.maxTokens());
+	private void send(Arrival arrival, int index, long start, CallerTally tally) {
+		boolean plain = "plain".equals(arrival.callers().service());
 		Either<HttpFailure, Answer> answer = plain ? plain(arrival, index) : completion(arrival);
 		long now = System.nanoTime();
 		long micros = (now - start - arrival.atNanos()) / 1_000;
--- a/bamboorelay-load/src/main/java/org/bamboorelay/load/process/CallerTally.java
+++ b/bamboorelay-load/src/main/java/org/bamboorelay/load/process/CallerTally.java
@@ -19,6 +19,8 @@
 
 	private final Map<String, Long> refusals = new TreeMap<>();
 
+	private final Map<String, Long> unsent = new TreeMap<>();
+
 	private final long[] servedBySecond;
 
 	private final long[] failedBySecond;
@@ -29,13 +31,30 @@
 
 	private long requests;
 
+	private long planned;
+
+	private long late;
+
 	CallerTally(int seconds) {
 		this.servedBySecond = new long[seconds];
 		this.failedBySecond = new long[seconds];
 	}
 
-	synchronized void offered(long amount) {
+	/**
+	 * Counts an arrival when it is planned, whether or not it can be sent.
+	 * @param amount what it asks for, in requests or tokens
+	 */
+	synchronized void planned(long amount) {
 		this.demand += amount;
+		this.planned++;
+	}
+
+	synchronized void late() {
+		this.late++;
+	}
+
+	synchronized void unsent(String reason) {
+		this.unsent.merge(reason, 1L, Long::sum);
 	}
 
 	synchronized void served(long amount, long micros, int second) {
@@ -54,6 +73,34 @@
 		return this.demand;
 	}
 
+	synchronized long arrivals() {
+		return this.planned;
+	}
+
+	synchronized long lateArrivals() {
+		return this.late;
+	}
+
+	synchronized Map<String, Long> unsentArrivals() {
+		return new TreeMap<>(this.unsent);
+	}
+
+	/**
+	 * Returns the arrivals that are not accounted for, neither answered nor unsent.
+	 * @return the number, zero after a whole run
+	 */
+	synchronized long open() {
+		return this.planned - this.requests - sum(this.refusals) - sum(this.unsent);
+	}
+
+	synchronized long failures() {
+		return sum(this.refusals);
+	}
+
+	private static long sum(Map<String, Long> counts) {
+		return counts.values().stream().mapToLong(Long::longValue).sum();
+	}
+
 	synchronized long units() {
 		return this.units;
 	}
--- a/bamboorelay-load/src/main/java/org/bamboorelay/load/process/LoadMain.java
+++ b/bamboorelay-load/src/main/java/org/bamboorelay/load/process/LoadMain.java
@@ -48,8 +48,6 @@
 
 	private static final int EXIT_USAGE = 2;
 
-	private static final int WARM_UP_SECONDS = 5;
-
 	private LoadMain() {
 	}
 
@@ -178,7 +176,7 @@
 			return EXIT_USAGE;
 		}
 		String half = line.getOptionValue("half", "policy");
-		Scenario played = "warm-up".equals(half) ? scenario.get().toWarmUp(WARM_UP_SECONDS) : scenario.get();
+		Scenario played = "warm-up".equals(half) ? scenario.get().toWarmUp() : scenario.get();
 		try (RunSession session = new RunSession(played, settings.get(), half, out)) {
 			List<String> violations = session.run(Path.of(line.getOptionValue("directory", ".")));
 			violations.forEach((violation) -> out.println("violation " + half + " " + violation));
--- a/bamboorelay-load/src/main/java/org/bamboorelay/load/process/RunChecks.java
+++ b/bamboorelay-load/src/main/java/org/bamboorelay/load/process/RunChecks.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -49,16 +50,60 @@
 	}
 
 	/**
-	 * Checks that each labelled version had been loaded by an engine.
-	 * @param labels versions on delivered samples
-	 * @param loaded versions that engines confirmed, besides version 0
+	 * Checks labels against the engines' own records: each labelled version was loaded,
+	 * and no step has more tokens of a version than engines made for it. Tokens of
+	 * abandoned streams are in the second figure only.
+	 * @param labelled tokens of delivered samples by step and labelled version
+	 * @param loaded versions that an engine had loaded, with version 0 after its start
+	 * @param made tokens that engines made, by stream and version
 	 * @return the violations
 	 */
-	static List<String> labels(Collection<String> labels, Set<String> loaded) {
-		return labels.stream()
-			.distinct()
-			.filter((label) -> !label.endsWith("@0") && !loaded.contains(label))
-			.map((label) -> "label-untrue: no engine ever loaded " + label)
+	static List<String> labels(Map<String, Map<String, Long>> labelled, Set<String> loaded,
+			Map<String, Map<String, Long>> made) {
+		List<String> violations = new ArrayList<>();
+		labelled.forEach((step, versions) -> versions.forEach((version, tokens) -> {
+			if (!loaded.contains(version)) {
+				violations.add("label-untrue: no engine ever loaded " + version + ", a label of step " + step);
+				return;
+			}
+			String prefix = "sample-" + step.replace('/', '-') + "-";
+			long most = made.entrySet()
+				.stream()
+				.filter((stream) -> stream.getKey().startsWith(prefix))
+				.mapToLong((stream) -> stream.getValue().getOrDefault(version, 0L))
+				.sum();
+			if (tokens > most) {
+				violations.add("label-untrue: step " + step + " has " + tokens + " tokens labelled " + version
+						+ ", engines made " + most);
+			}
+		}));
+		return violations;
+	}
+
+	/**
+	 * Checks that no record lost lines, since the other checks would miss what was lost.
+	 * @param dropped dropped lines by the name of the stand-in
+	 * @return the violations
+	 */
+	static List<String> complete(Map<String, Long> dropped) {
+		return dropped.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue() > 0)
+			.map((entry) -> "record-incomplete: " + entry.getKey() + " dropped " + entry.getValue() + " lines")
+			.toList();
+	}
+
+	/**
+	 * Checks that each planned arrival was answered or counted as unsent.
+	 * @param open arrivals that are not accounted for, by service and workspace
+	 * @return the violations
+	 */
+	static List<String> arrivals(Map<String, Long> open) {
+		return open.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue() != 0)
+			.map((entry) -> "arrivals-open: " + entry.getValue() + " arrivals of " + entry.getKey()
+					+ " have no answer and are not counted as unsent")
 			.toList();
 	}
 
@@ -84,7 +129,8 @@
 
 	/**
 	 * Checks that no endpoint saw a caller's key.
-	 * @param records the record of each endpoint by its name
+	 * @param records the record of each endpoint by its name, with paths, queries,
+	 * headers and bodies
 	 * @param keys the keys
 	 * @return the violations
 	 */
@@ -99,20 +145,40 @@
 	}
 
 	/**
-	 * Checks that no receiver took an order of an older holder after one of a newer.
-	 * @param orders orders that were accepted, in the order of their arrival
+	 * Checks that no two holders were in charge of a failure domain. Over all receivers
+	 * of the domain, the ordering interface and the engines, each fencing number belongs
+	 * to one holder, the one that wrote the lease with it, and no order of a lower number
+	 * arrived after one of a higher.
+	 * @param orders orders that were accepted
+	 * @param leases writes of leases that took effect, in the same form
 	 * @return the violations
 	 */
-	static List<String> orders(List<Order> orders) {
+	static List<String> orders(List<Order> orders, List<Order> leases) {
 		List<String> violations = new ArrayList<>();
-		Map<String, Long> highest = new HashMap<>();
-		for (Order order : orders) {
-			long before = highest.getOrDefault(order.receiver(), 0L);
-			if (order.fencing() < before) {
+		Map<String, String> holders = new HashMap<>();
+		for (Order lease : leases) {
+			String other = holders.putIfAbsent(lease.lease(), lease.holder());
+			if (other != null && !other.equals(lease.holder())) {
+				violations.add("two-holders: " + other + " and " + lease.holder() + " wrote lease " + lease.lease());
+			}
+		}
+		Map<String, Order> highest = new HashMap<>();
+		List<Order> sorted = new ArrayList<>(orders);
+		sorted.sort(Comparator.comparingLong(Order::receivedMillis));
+		for (Order order : sorted) {
+			String holder = holders.get(order.lease());
+			if (!order.holder().equals(holder)) {
+				violations.add("two-holders: " + order.receiver() + " took order " + order.id() + " of "
+						+ order.holder() + ", but lease " + order.lease() + " was held by " + holder);
+			}
+			Order before = highest.get(order.domain());
+			if (before != null && order.fencing() < before.fencing()) {
 				violations.add("two-holders: " + order.receiver() + " took order " + order.id() + " with fencing "
-						+ order.fencing() + " after fencing " + before);
+						+ order.fencing() + " after " + before.receiver() + " took one with " + before.fencing());
+			}
+			else {
+				highest.put(order.domain(), order);
 			}
-			highest.put(order.receiver(), Math.max(before, order.fencing()));
 		}
 		return violations;
 	}
@@ -145,13 +211,21 @@
 	}
 
 	/**
-	 * An order that was accepted.
+	 * An order that was accepted, or a write of a lease.
 	 *
 	 * @param receiver who took it
+	 * @param domain the failure domain whose lease it was given under
 	 * @param id its id
+	 * @param holder the process that gave it
 	 * @param fencing its fencing number
+	 * @param receivedMillis when it arrived, by the wall clock in milliseconds
 	 */
-	record Order(String receiver, String id, long fencing) {
+	record Order(String receiver, String domain, String id, String holder, long fencing, long receivedMillis) {
+
+		private String lease() {
+			return this.domain + "#" + this.fencing;
+		}
+
 	}
 
 }
--- a/bamboorelay-load/src/main/java/org/bamboorelay/load/process/RunReport.java
+++ b/bamboorelay-load/src/main/java/org/bamboorelay/load/process/RunReport.java
@@ -103,6 +103,9 @@
 	}
 
 	private static String text(JsonNode value) {
+		if (value.isObject()) {
+			return value.toString().replaceAll("[{}\"]", "").replace(',', ';');
+		}
 		return value.isFloatingPointNumber() ? String.format(Locale.ROOT, "%.4f", value.asDouble()) : value.asText();
 	}
 
@@ -112,15 +115,22 @@
 				List.of("trainer_idle_share", "trainer_steps", "trainer_samples", "staleness_versions_p50",
 						"staleness_versions_p99", "staleness_versions_max", "staleness_seconds_p50",
 						"staleness_seconds_p99", "staleness_seconds_max"));
-		groups.put("worst-workspace", List.of("plain_worst_workspace", "plain_worst_share", "plain_worst_p99_ms",
-				"model_worst_workspace", "model_worst_share", "model_worst_p99_ms"));
-		groups.put("spending", List.of("cost", "cost_of_fixed_fleet", "cost_share_of_fixed_fleet",
-				"cost_per_1000_requests", "mean_endpoints", "caller_requests_served", "caller_tokens"));
+		groups.put("worst-workspace",
+				List.of("plain_worst_workspace", "plain_worst_share", "plain_worst_p99_ms", "plain_worst_refusals",
+						"plain_refusals", "model_worst_workspace", "model_worst_share", "model_worst_p99_ms",
+						"model_worst_refusals", "model_refusals"));
+		groups.put("spending",
+				List.of("cost", "cost_of_fixed_fleet", "cost_share_of_fixed_fleet", "cost_per_1000_requests",
+						"cost_per_million_tokens", "mean_endpoints", "caller_requests_served", "caller_tokens",
+						"trainer_tokens"));
 		groups.put("usage-reports", List.of("usage_windows_late", "usage_windows_missing", "usage_figures_wrong",
 				"usage_difference", "usage_plain_reported", "usage_plain_executed_at_endpoints"));
-		groups.put("cheap-endpoints", List.of("streams_finished_since_start", "streams_finished_on_cheap_since_start",
-				"streams_lost_on_cheap_since_start", "streams_resumed_since_start"));
+		groups.put("cheap-endpoints",
+				List.of("streams_finished", "streams_finished_on_cheap", "streams_lost_on_cheap",
+						"streams_cancelled_on_cheap", "streams_resumed", "tokens_made", "tokens_share_on_cheap",
+						"tokens_of_unfinished_streams_on_cheap"));
 		groups.put("service", List.of("seconds_of_lower_service", "caller_requests_failed"));
+		groups.put("load", List.of("arrivals_planned", "arrivals_late", "arrivals_unsent"));
 		groups.put("control",
 				List.of("cores_per_node", "peak_resident_mb_of_a_process", "store_calls_per_node_and_second"));
 		return groups;
--- a/bamboorelay-load/src/main/java/org/bamboorelay/load/process/RunSession.java
+++ b/bamboorelay-load/src/main/java/org/bamboorelay/load/process/RunSession.java
@@ -16,9 +16,12 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.function.UnaryOperator;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.MissingNode;
@@ -37,6 +40,8 @@
 
 	private static final String LAST_VERSION = "last_version";
 
+	private static final String LEASES = "/objects/leases/";
+
 	private static final long POLL_MILLIS = 250;
 
 	private static final long USAGE_MARGIN_MILLIS = 6_000;
@@ -95,6 +100,8 @@
 		long wallStart = System.currentTimeMillis();
 		Map<String, long[]> usageBefore = reported();
 		Map<String, long[]> executedBefore = executed();
+		Map<String, Long> enginesBefore = engines(false);
+		Map<String, Long> cheapBefore = engines(true);
 		Map<Long, ProcessUsage> processesBefore = processes();
 		long storeBefore = calls(this.settings.objectApiAddress());
 		Map<String, String> keys = new HashMap<>();
@@ -129,8 +136,8 @@
 		costs(load, trainers, seconds);
 		perNode(processesBefore, storeBefore, seconds);
 		usage(load, usageBefore, executedBefore, wallStart);
-		cheap(wallStart);
-		checks(trainers);
+		cheap(enginesBefore, cheapBefore);
+		checks(load, trainers);
 		this.result.put(LAST_VERSION, trainers.stream().mapToLong(TrainerLoad::lastVersion).max().orElse(firstVersion));
 		this.result.put("violations", this.violations);
 		write(directory.resolve(this.half + ".json"));
@@ -253,15 +260,18 @@
 					each.put(workspace,
 							Map.of("demand", tally.demand(), "served", tally.units(), "requests", tally.requests(),
 									"p50_ms", tally.p50Millis(), "p99_ms", tally.p99Millis(), "refusals",
-									tally.refusals()));
+									tally.refusals(), "late", tally.lateArrivals(), "unsent", tally.unsentArrivals()));
 				}
 			});
 			if (!each.isEmpty()) {
 				FairShare.Worst worst = FairShare.worst(served, demand, weights);
 				this.result.put(service + "_worst_workspace", worst.workspace());
 				this.result.put(service + "_worst_share", worst.ratio());
-				this.result.put(service + "_worst_p99_ms",
-						load.tallies().get(service + "/" + worst.workspace()).p99Millis());
+				CallerTally tally = load.tallies().get(service + "/" + worst.workspace());
+				this.result.put(service + "_worst_p99_ms", tally.p99Millis());
+				this.result.put(service + "_worst_refusals", tally.refusals());
+				this.result.put(service + "_refusals",
+						merged(load, service + "/", CallerTally::refusals, (unused) -> ""));
 				this.result.put(service + "_workspaces", each);
 			}
 		}
@@ -277,8 +287,25 @@
 		this.result.put("failed_by_second", failed);
 		long median = median(served);
 		this.result.put("seconds_of_lower_service", Arrays.stream(served).filter((one) -> one < median * 0.8).count());
-		this.result.put("caller_requests_served", Arrays.stream(served).sum());
-		this.result.put("caller_requests_failed", Arrays.stream(failed).sum());
+		this.result.put("arrivals_planned", load.tallies().values().stream().mapToLong(CallerTally::arrivals).sum());
+		this.result.put("arrivals_late", load.tallies().values().stream().mapToLong(CallerTally::lateArrivals).sum());
+		this.result.put("arrivals_unsent", merged(load, "", CallerTally::unsentArrivals, (name) -> name + " "));
+		this.result.put("caller_requests_served",
+				load.tallies().values().stream().mapToLong(CallerTally::requests).sum());
+		this.result.put("caller_requests_failed",
+				load.tallies().values().stream().mapToLong(CallerTally::failures).sum());
+	}
+
+	private static Map<String, Long> merged(CallerLoad load, String prefix,
+			Function<CallerTally, Map<String, Long>> counts, UnaryOperator<String> label) {
+		Map<String, Long> sums = new TreeMap<>();
+		load.tallies().forEach((name, tally) -> {
+			if (name.startsWith(prefix)) {
+				counts.apply(tally)
+					.forEach((reason, count) -> sums.merge(label.apply(name) + reason, count, Long::sum));
+			}
+		});
+		return sums;
 	}
 
 	static long median(long[] values) {
@@ -338,7 +365,15 @@
 		this.result.put("cost_of_fixed_fleet", fixed);
 		this.result.put("cost_share_of_fixed_fleet", (fixed > 0) ? this.cost / fixed : 0.0);
 		this.result.put("cost_per_1000_requests", (requests > 0) ? this.cost / requests * 1_000 : 0.0);
+		long trainerTokens = trainers.stream()
+			.flatMap((trainer) -> trainer.labelled().values().stream())
+			.flatMap((versions) -> versions.values().stream())
+			.mapToLong(Long::longValue)
+			.sum();
 		this.result.put("caller_tokens", callerTokens);
+		this.result.put("trainer_tokens", trainerTokens);
+		this.result.put("cost_per_million_tokens",
+				(callerTokens + trainerTokens > 0) ? this.cost / (callerTokens + trainerTokens) * 1_000_000 : 0.0);
 		this.result.put("mean_endpoints", this.endpointSeconds / Math.max(1, this.samplesOfCost));
 	}
 
@@ -487,80 +522,121 @@
 		this.result.put("usage_windows_missing", missing);
 	}
 
-	private void cheap(long wallStart) {
-		long all = 0;
-		long cheap = 0;
-		long lost = 0;
-		long resumed = 0;
-		for (RunSettings.Endpoint endpoint : this.settings.endpoints()) {
-			if (!endpoint.model()) {
-				continue;
-			}
-			JsonNode counts = get(endpoint.address(), "/_count").json();
-			long finished = counts.path("finish_length").asLong() + counts.path("finish_stop").asLong();
-			all += finished;
-			if (endpoint.cheap()) {
-				cheap += finished;
-				lost += counts.path("finish_dropped").asLong() + counts.path("finish_closed").asLong();
-			}
-			for (JsonNode line : lines(endpoint.address())) {
-				resumed += (line.path("resumed_from").asLong() > 0) ? 1 : 0;
-			}
-		}
-		// The counters go back to the start of the processes, so the second half has
-		// both.
-		this.result.put("streams_finished_since_start", all);
-		this.result.put("streams_finished_on_cheap_since_start", cheap);
-		this.result.put("streams_lost_on_cheap_since_start", lost);
-		this.result.put("streams_resumed_since_start", resumed);
+	private Map<String, Long> engines(boolean cheapOnly) {
+		Map<String, Long> sums = new HashMap<>();
+		this.settings.endpoints()
+			.stream()
+			.filter((endpoint) -> endpoint.model() && (endpoint.cheap() || !cheapOnly))
+			.forEach((endpoint) -> get(endpoint.address(), "/_count").json()
+				.properties()
+				.forEach((count) -> sums.merge(count.getKey(), count.getValue().asLong(), Long::sum)));
+		return sums;
 	}
 
-	private void checks(List<TrainerLoad> trainers) {
+	private void cheap(Map<String, Long> allBefore, Map<String, Long> cheapBefore) {
+		Map<String, Long> all = engines(false);
+		Map<String, Long> cheap = engines(true);
+		allBefore.forEach((name, count) -> all.merge(name, -count, Long::sum));
+		cheapBefore.forEach((name, count) -> cheap.merge(name, -count, Long::sum));
+		double tokens = sum(all, "tokens_");
+		this.result.put("streams_finished", sum(all, "finish_length", "finish_stop"));
+		this.result.put("streams_finished_on_cheap", sum(cheap, "finish_length", "finish_stop"));
+		this.result.put("streams_lost_on_cheap", sum(cheap, "finish_dropped", "finish_closed"));
+		this.result.put("streams_cancelled_on_cheap", sum(cheap, "finish_cancelled"));
+		this.result.put("streams_resumed", sum(all, "resumed"));
+		this.result.put("tokens_made", (long) tokens);
+		this.result.put("tokens_share_on_cheap", (tokens > 0) ? sum(cheap, "tokens_") / tokens : 0.0);
+		this.result.put("tokens_of_unfinished_streams_on_cheap",
+				sum(cheap, "tokens_") - sum(cheap, "tokens_length", "tokens_stop"));
+	}
+
+	private static long sum(Map<String, Long> counts, String... prefixes) {
+		return counts.entrySet()
+			.stream()
+			.filter((entry) -> Arrays.stream(prefixes).anyMatch(entry.getKey()::startsWith))
+			.mapToLong(Map.Entry::getValue)
+			.sum();
+	}
+
+	private void checks(CallerLoad load, List<TrainerLoad> trainers) {
 		Map<String, String> records = new HashMap<>();
+		Map<String, Long> dropped = new TreeMap<>();
 		List<Map<String, Integer>> executions = new ArrayList<>();
 		Set<String> loaded = new HashSet<>();
+		Map<String, Map<String, Long>> made = new HashMap<>();
 		List<RunChecks.Order> orders = new ArrayList<>();
 		for (RunSettings.Endpoint endpoint : this.settings.endpoints()) {
 			records.put(endpoint.name(), get(endpoint.address(), "/_record").text());
+			dropped.put(endpoint.name(), dropped(endpoint.address()));
 			if (!endpoint.model()) {
 				Map<String, Integer> runs = new HashMap<>();
 				get(endpoint.address(), "/executions").json()
 					.properties()
 					.forEach((field) -> runs.put(field.getKey(), field.getValue().asInt()));
 				executions.add(runs);
+				continue;
 			}
 			for (JsonNode line : lines(endpoint.address())) {
-				JsonNode order = tree(line.path("body").asText("{}"));
-				if ("/orders".equals(line.path("path").asText()) && line.path("outcome").asText().startsWith("200")) {
-					orders.add(order(endpoint.name(), order));
-					if ("load_weights".equals(order.path("action").asText())) {
-						String version = order.path("version").asText();
-						loaded.add(version.contains("@") ? version : order.path("line").asText() + "@" + version);
-					}
+				if (line.has("loaded")) {
+					loaded.add(line.path("loaded").asText());
+				}
+				line.path("made")
+					.properties()
+					.forEach((field) -> made.computeIfAbsent(line.path("stream").asText(), (unused) -> new HashMap<>())
+						.merge(field.getKey(), field.getValue().asLong(), Long::sum));
+				if (isAccepted(line, "/orders")) {
+					orders.add(order(endpoint.name(), endpoint.domain(), "order_id", line));
 				}
 			}
 		}
 		for (JsonNode line : lines(this.settings.orderingAddress())) {
-			if ("/orders".equals(line.path("path").asText()) && line.path("outcome").asText().startsWith("200")) {
-				JsonNode order = tree(line.path("body").asText("{}"));
-				orders.add(order("ordering of " + order.path("domain").asText(), order));
+			if (isAccepted(line, "/orders")) {
+				orders
+					.add(order("ordering", tree(line.path("body").asText()).path("domain").asText(), "order_id", line));
+			}
+		}
+		List<RunChecks.Order> leases = new ArrayList<>();
+		for (JsonNode line : lines(this.settings.objectApiAddress())) {
+			if (isAccepted(line, LEASES)) {
+				leases.add(order("object-api", line.path("path").asText().substring(LEASES.length()), "token", line));
 			}
 		}
+		dropped.put("ordering", dropped(this.settings.orderingAddress()));
+		dropped.put("object-api", dropped(this.settings.objectApiAddress()));
+		dropped.put("usage-intake", dropped(this.settings.usageIntakeAddress()));
+		this.violations.addAll(RunChecks.complete(dropped));
 		this.violations.addAll(
 				RunChecks.keys(records, this.settings.workspaces().stream().map(RunSettings.Workspace::key).toList()));
 		this.violations.addAll(RunChecks.executions(executions, List.of("/balances/")));
-		this.violations.addAll(RunChecks.orders(orders));
+		this.violations.addAll(RunChecks.orders(orders, leases));
+		Map<String, Long> open = new TreeMap<>();
+		load.tallies().forEach((name, tally) -> open.put(name, tally.open()));
+		this.violations.addAll(RunChecks.arrivals(open));
+		Set<String> labels = new TreeSet<>();
 		for (TrainerLoad trainer : trainers) {
 			this.violations.addAll(RunChecks.samples(trainer.delivered(), trainer.expired(), trainer.finished()));
-			this.violations.addAll(RunChecks.labels(trainer.labels(), loaded));
+			this.violations.addAll(RunChecks.labels(trainer.labelled(), loaded, made));
+			trainer.labelled().values().forEach((versions) -> labels.addAll(versions.keySet()));
 		}
 		this.result.put("checked_orders", orders.size());
-		this.result.put("checked_labels",
-				trainers.stream().flatMap((one) -> one.labels().stream()).distinct().sorted().toList());
+		this.result.put("checked_lease_writes", leases.size());
+		this.result.put("checked_labels", labels);
+	}
+
+	private long dropped(String address) {
+		return get(address, "/_count").json().path("record_dropped").asLong();
+	}
+
+	private static boolean isAccepted(JsonNode line, String path) {
+		// The outcome names the effect also where the answer was lost on purpose.
+		return line.path("path").asText().startsWith(path) && !"GET".equals(line.path("method").asText())
+				&& line.path("outcome").asText().startsWith("200");
 	}
 
-	private static RunChecks.Order order(String receiver, JsonNode order) {
-		return new RunChecks.Order(receiver, order.path("order_id").asText(), order.path("fencing").asLong());
+	private static RunChecks.Order order(String receiver, String domain, String id, JsonNode line) {
+		JsonNode body = tree(line.path("body").asText("{}"));
+		return new RunChecks.Order(receiver, domain, body.path(id).asText(), body.path("holder").asText(),
+				body.path("fencing").asLong(), line.path("received_ms").asLong());
 	}
 
 	private List<JsonNode> lines(String address) {
--- a/bamboorelay-load/src/main/java/org/bamboorelay/load/process/Scenario.java
+++ b/bamboorelay-load/src/main/java/org/bamboorelay/load/process/Scenario.java
@@ -16,6 +16,8 @@
  * @param cheapPerDomain cheap engines that are live from the start, in each failure
  * domain
  * @param coldStartMs cold start of the engines, in milliseconds
+ * @param warmUpSeconds length of the part before the halves that warms the processes up,
+ * in seconds
  * @param ordered whether endpoints run only where the control processes order them
  * @param baseline policies of the second half, each as {@code name=value}
  * @param callers callers
@@ -24,18 +26,18 @@
  * @param operators commands of operators, which the script gives
  */
 public record Scenario(String name, String deployment, long seed, int seconds, int maxRequests, int cheapPerDomain,
-		int coldStartMs, boolean ordered, List<String> baseline, List<Callers> callers, List<Trainer> trainers,
-		List<Fault> faults, List<Operator> operators) {
+		int coldStartMs, int warmUpSeconds, boolean ordered, List<String> baseline, List<Callers> callers,
+		List<Trainer> trainers, List<Fault> faults, List<Operator> operators) {
 
 	/**
 	 * Returns the begin of this scenario without its faults and operators, which warms
 	 * the processes up.
-	 * @param length length of a half, in seconds
 	 * @return the scenario
 	 */
-	public Scenario toWarmUp(int length) {
-		return new Scenario(this.name, this.deployment, this.seed + 1, length, this.maxRequests, this.cheapPerDomain,
-				this.coldStartMs, this.ordered, this.baseline, this.callers, this.trainers, List.of(), List.of());
+	public Scenario toWarmUp() {
+		return new Scenario(this.name, this.deployment, this.seed + 1, this.warmUpSeconds, this.maxRequests,
+				this.cheapPerDomain, this.coldStartMs, this.warmUpSeconds, this.ordered, this.baseline, this.callers,
+				this.trainers, List.of(), List.of());
 	}
 
 	/**
@@ -48,9 +50,20 @@
 	 * @param untilMs when they end, in milliseconds
 	 * @param writeShare share of calls that must not run twice; plain service only
 	 * @param maxTokens length of a completion, in tokens
+	 * @param maxOpen the most requests of this group that wait for their answers at once
 	 */
 	public record Callers(String workspace, String service, double rate, int fromMs, int untilMs, double writeShare,
-			int maxTokens) {
+			int maxTokens, int maxOpen) {
+
+		/**
+		 * Creates a group of callers.
+		 */
+		public Callers {
+			if (maxOpen <= 0) {
+				throw new IllegalArgumentException("max_open must be positive: " + maxOpen);
+			}
+		}
+
 	}
 
 	/**
--- a/bamboorelay-load/src/main/java/org/bamboorelay/load/process/TrainerLoad.java
+++ b/bamboorelay-load/src/main/java/org/bamboorelay/load/process/TrainerLoad.java
@@ -3,11 +3,10 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -35,7 +34,7 @@
 
 	private final Map<String, Integer> finished = new LinkedHashMap<>();
 
-	private final Set<String> labels = new HashSet<>();
+	private final Map<String, Map<String, Long>> labelled = new HashMap<>();
 
 	private final List<Double> staleVersions = new ArrayList<>();
 
@@ -145,7 +144,8 @@
 			long oldest = Long.MAX_VALUE;
 			for (JsonNode span : sample.path("spans")) {
 				String label = span.path("weight_version").asText();
-				this.labels.add(label);
+				this.labelled.computeIfAbsent(step, (unused) -> new TreeMap<>())
+					.merge(label, span.path("tokens").asLong(), Long::sum);
 				oldest = Math.min(oldest, Long.parseLong(label.substring(label.lastIndexOf('@') + 1)));
 			}
 			long age = (oldest == Long.MAX_VALUE) ? 0 : trainerVersion - oldest;
@@ -185,8 +185,12 @@
 		return this.finished;
 	}
 
-	Set<String> labels() {
-		return this.labels;
+	/**
+	 * Returns the tokens of delivered samples.
+	 * @return the tokens by step and labelled version
+	 */
+	Map<String, Map<String, Long>> labelled() {
+		return this.labelled;
 	}
 
 	List<Double> staleVersions() {
--- a/bamboorelay-load/src/test/java/org/bamboorelay/load/process/RunChecksTests.java
+++ b/bamboorelay-load/src/test/java/org/bamboorelay/load/process/RunChecksTests.java
@@ -29,11 +29,37 @@
 	}
 
 	@Test
-	void namesLabelsThatNoEngineLoaded() {
-		assertThat(RunChecks.labels(List.of("cartas@0", "cartas@2"), Set.of("cartas@2"))).isEmpty();
-		assertThat(RunChecks.labels(List.of("cartas@3"), Set.of("cartas@2"))).singleElement()
+	void namesLabelsThatTheEnginesDidNotProduce() {
+		Set<String> loaded = Set.of("cartas@0", "cartas@2");
+		Map<String, Map<String, Long>> made = Map.of("sample-cartas-1-1-1", Map.of("cartas@0", 3L),
+				"sample-cartas-1-1-2", Map.of("cartas@0", 1L, "cartas@2", 4L), "sample-cartas-10-1-1",
+				Map.of("cartas@2", 9L));
+		assertThat(RunChecks.labels(Map.of("cartas/1", Map.of("cartas@0", 4L, "cartas@2", 4L)), loaded, made))
+			.isEmpty();
+		assertThat(RunChecks.labels(Map.of("cartas/1", Map.of("cartas@3", 1L)), loaded, made)).singleElement()
+			.asString()
+			.contains("no engine ever loaded cartas@3");
+		assertThat(RunChecks.labels(Map.of("cartas/1", Map.of("cartas@0", 1L)), Set.of("cartas@2"), made))
+			.singleElement()
 			.asString()
-			.startsWith("label-untrue");
+			.contains("no engine ever loaded cartas@0");
+		// The tokens were made with version 0, but labelled with 2.
+		assertThat(RunChecks.labels(Map.of("cartas/1", Map.of("cartas@0", 3L, "cartas@2", 5L)), loaded, made))
+			.singleElement()
+			.asString()
+			.contains("5 tokens labelled cartas@2, engines made 4");
+	}
+
+	@Test
+	void namesRecordsThatLostLines() {
+		assertThat(RunChecks.complete(Map.of("e", 0L))).isEmpty();
+		assertThat(RunChecks.complete(Map.of("e", 1L))).singleElement().asString().startsWith("record-incomplete");
+	}
+
+	@Test
+	void namesArrivalsThatVanished() {
+		assertThat(RunChecks.arrivals(Map.of("plain/a", 0L))).isEmpty();
+		assertThat(RunChecks.arrivals(Map.of("plain/a", 1L))).singleElement().asString().startsWith("arrivals-open");
 	}
 
 	@Test
@@ -54,17 +80,37 @@
 		assertThat(RunChecks.keys(Map.of("e", "{\"path\":\"/x?k=secret\"}"), List.of("secret"))).singleElement()
 			.asString()
 			.startsWith("key-seen");
+		assertThat(RunChecks.keys(Map.of("e", "{\"path\":\"/x\",\"body\":\"{\\\"prompt\\\":\\\"secret\\\"}\"}"),
+				List.of("secret")))
+			.singleElement()
+			.asString()
+			.startsWith("key-seen");
 	}
 
 	@Test
-	void namesOrdersOfAnOldHolder() {
-		assertThat(RunChecks.orders(List.of(new RunChecks.Order("d", "1", 1), new RunChecks.Order("e", "2", 9),
-				new RunChecks.Order("d", "3", 2))))
+	void namesOrdersOfTwoHoldersOverAllReceivers() {
+		List<RunChecks.Order> leases = List.of(order("object-api", "d", "a", 1, 0), order("object-api", "d", "a", 1, 5),
+				order("object-api", "d", "b", 2, 10), order("object-api", "e", "c", 9, 0));
+		assertThat(RunChecks.orders(List.of(order("ordering", "d", "a", 1, 6), order("engine", "d", "b", 2, 12),
+				order("ordering", "d", "b", 2, 11), order("engine-2", "e", "c", 9, 1)), leases))
 			.isEmpty();
-		assertThat(RunChecks.orders(List.of(new RunChecks.Order("d", "1", 2), new RunChecks.Order("d", "2", 1))))
+		// The ordering interface hears the new holder, an engine the old one after it.
+		assertThat(
+				RunChecks.orders(List.of(order("ordering", "d", "b", 2, 11), order("engine", "d", "a", 1, 12)), leases))
 			.singleElement()
 			.asString()
-			.startsWith("two-holders");
+			.contains("with fencing 1 after ordering took one with 2");
+		// Two processes use one fencing number, one at each receiver.
+		assertThat(
+				RunChecks.orders(List.of(order("ordering", "d", "b", 2, 11), order("engine", "d", "x", 2, 12)), leases))
+			.singleElement()
+			.asString()
+			.contains("order of x, but lease d#2 was held by b");
+		assertThat(RunChecks.orders(List.of(),
+				List.of(order("object-api", "d", "a", 1, 0), order("object-api", "d", "b", 1, 1))))
+			.singleElement()
+			.asString()
+			.contains("a and b wrote lease d#1");
 	}
 
 	@Test
@@ -79,6 +125,10 @@
 			.startsWith("two-holders");
 	}
 
+	private static RunChecks.Order order(String receiver, String domain, String holder, long fencing, long at) {
+		return new RunChecks.Order(receiver, domain, "order", holder, fencing, at);
+	}
+
 	private static JsonNode report(long window, String reporter, long fencing, long requests) {
 		return Json
 			.tree(Json
--- a/bamboorelay-standins/src/main/java/org/bamboorelay/standins/connection/StandinServer.java
+++ b/bamboorelay-standins/src/main/java/org/bamboorelay/standins/connection/StandinServer.java
@@ -104,6 +104,7 @@
 			throw new SocketException("fault: the connection is closed inside the request");
 		}
 		StandinRequest request = StandinRequest.read(raw);
+		long receivedAt = this.clock.millis();
 		this.record.count(this.service.countName(request));
 		StandinReply reply = reply(request);
 		if (reset.isDefined()) {
@@ -112,7 +113,7 @@
 		// The line is written before the answer, so that a caller that has its answer
 		// finds
 		// its request in the record.
-		this.record.add(line(request, reply));
+		this.record.add(line(request, reply, receivedAt));
 		send(reply, responder);
 	}
 
@@ -164,9 +165,10 @@
 		return StandinReply.problem(404, "no such path: " + request.method() + " " + request.path());
 	}
 
-	private Map<String, Object> line(StandinRequest request, StandinReply reply) {
+	private Map<String, Object> line(StandinRequest request, StandinReply reply, long receivedAt) {
 		Map<String, Object> line = new LinkedHashMap<>();
 		line.put("at_ms", this.clock.millis());
+		line.put("received_ms", receivedAt);
 		line.put("method", request.method());
 		line.put("path", request.path());
 		line.put("query", request.query());
--- a/bamboorelay-standins/src/main/java/org/bamboorelay/standins/process/EngineService.java
+++ b/bamboorelay-standins/src/main/java/org/bamboorelay/standins/process/EngineService.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Objects;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 
@@ -102,7 +103,8 @@
 
 	@Override
 	public boolean showsBody(StandinRequest request) {
-		return request.path().equals("/orders");
+		// The checks of a run search the bodies for callers' keys.
+		return true;
 	}
 
 	@Override
@@ -160,6 +162,7 @@
 	private void stream(EngineRequest request, String id, OutputStream out) throws IOException {
 		Generation generation = this.state.submit(request);
 		EventWriter writer = new EventWriter(id, out, this.faults);
+		Map<String, Integer> made = new TreeMap<>();
 		String finish = "closed";
 		try {
 			while (writer.goesOn()) {
@@ -168,6 +171,9 @@
 						finish = GenerationEvent.DROPPED;
 						throw new SocketException("the engine dropped the stream");
 					}
+					if (event.tokens() > 0) {
+						made.merge(event.weightVersion(), event.tokens(), Integer::sum);
+					}
 					if (writer.goesOn()) {
 						writer.write(event);
 						finish = event.isLast() ? event.finish() : finish;
@@ -182,9 +188,14 @@
 		}
 		finally {
 			this.state.remove(generation);
+			int tokens = made.values().stream().mapToInt(Integer::intValue).sum();
 			this.record.count("finish_" + finish);
-			this.record.add(Map.of("stream", request.id(), "line", request.line(), "events", writer.written(), "finish",
-					finish, "resumed_from", request.resumeTokens()));
+			this.record.count("tokens_" + finish, tokens);
+			if (request.resumeTokens() > 0) {
+				this.record.count("resumed");
+			}
+			this.record.add(Map.of("stream", request.id(), "line", request.line(), "events", writer.written(), "made",
+					made, "finish", finish, "resumed_from", request.resumeTokens()));
 		}
 	}
 
--- a/bamboorelay-standins/src/main/java/org/bamboorelay/standins/process/EngineState.java
+++ b/bamboorelay-standins/src/main/java/org/bamboorelay/standins/process/EngineState.java
@@ -157,7 +157,7 @@
 	 */
 	public synchronized void swap(String line, long version) {
 		advance();
-		this.versions.put(line, version);
+		load(line, version);
 		this.cache.clear(this.clock.millis());
 		this.record.count("swaps");
 	}
@@ -242,12 +242,18 @@
 	}
 
 	private void begin() {
-		this.settings.lines().forEach((line) -> this.versions.put(line, 0L));
+		this.settings.lines().forEach((line) -> load(line, 0));
 		this.warmAtMillis = this.clock.millis() + this.settings.coldStartMillis();
 		this.admitsCold = true;
 		this.cache.clear(this.clock.millis());
 	}
 
+	private void load(String line, long version) {
+		this.versions.put(line, version);
+		this.record
+			.add(Map.of("loaded", line + "@" + version, "incarnation", this.incarnation, "at_ms", this.clock.millis()));
+	}
+
 	private void dropAll() {
 		Stream.concat(this.running.stream(), this.waiting.stream())
 			.forEach((generation) -> generation.finish("", GenerationEvent.DROPPED));
--- a/bamboorelay-standins/src/main/java/org/bamboorelay/standins/process/ObjectApiService.java
+++ b/bamboorelay-standins/src/main/java/org/bamboorelay/standins/process/ObjectApiService.java
@@ -72,6 +72,12 @@
 		};
 	}
 
+	@Override
+	public boolean showsBody(StandinRequest request) {
+		// The checks of a run compare lease holders with the orders that receivers took.
+		return request.isWrite() && request.path().startsWith(OBJECTS + "leases/");
+	}
+
 	private StandinReply read(String key) {
 		Option<ObjectTable.Entry> entry = this.table.read(key);
 		if (entry.isEmpty()) {
--- a/bamboorelay-standins/src/main/java/org/bamboorelay/standins/process/PlainService.java
+++ b/bamboorelay-standins/src/main/java/org/bamboorelay/standins/process/PlainService.java
@@ -116,6 +116,12 @@
 		return request.path().equals("/load") ? "LOAD" : request.method();
 	}
 
+	@Override
+	public boolean showsBody(StandinRequest request) {
+		// The checks of a run search the bodies for callers' keys.
+		return true;
+	}
+
 	@Override
 	public synchronized void onFault(String name, JsonNode value) {
 		if ("start".equals(name) && !value.isNull()) {
