--- a/bamboorelay-load/src/main/java/org/bamboorelay/load/process/CallerLoad.java
+++ b/bamboorelay-load/src/main/java/org/bamboorelay/load/process/CallerLoad.java
@@ -38,7 +38,7 @@
 	private static final long LATE_NANOS = 50_000_000L;
 
 	/** Time after the last planned arrival for delayed arrivals and open answers. */
-	private static final long DRAIN_SECONDS = 45;
+	private static final long DRAIN_SECONDS = 120;
 
 	private static final String DONE = "data: [DONE]";
 
