Lend to hosts without endpoints while the owner's queue is full

Cause: a credit that came back to its owner went to the owner's own queue at once. While that queue was never empty, a host that owns no endpoint of the service got no credit, and its requests were refused by deadline or expected wait.

Change: an owner without room whose own queue is not empty answers "promised" to an interactive request and keeps its next free credit for 100 ms; the asking host asks again after 50 ms without doubling its pause. The load tool also shows where a trainer's idle time went and how many samples expired.

Conclusion: the new test of CreditServiceTests failed before the change (no credit for the other host in 40 returned ones) and passes with it.

--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/CreditShard.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/CreditShard.java
@@ -70,6 +70,15 @@
 	 */
 	private static final long LEARNING_MILLIS = 3_000;
 
+	/**
+	 * How long a full owner keeps its next free credit for a host that asked, in
+	 * milliseconds: two pauses, so that the host can ask once more even when one of its
+	 * questions is late.
+	 */
+	private static final long PROMISE_MILLIS = 2 * OwnerView.REFUSED_PAUSE_MILLIS;
+
+	private static final String PROMISED = "promised";
+
 	private static final String OPEN_ROUTES = "(open)";
 
 	private final ReentrantLock lock = new ReentrantLock();
@@ -116,6 +125,9 @@
 
 	private boolean learning = true;
 
+	/** Until when the next free credit is kept for another host, in milliseconds. */
+	private long promisedUntil = Long.MIN_VALUE;
+
 	CreditShard(ServiceId service, PeerMesh mesh, Clock clock, RandomGenerator random, CreditIds ids, Returns returns) {
 		this.service = service;
 		this.mesh = mesh;
@@ -224,10 +236,16 @@
 			EndpointSelection.Query query = new EndpointSelection.Query(request.interactive(), request.repeatable(),
 					request.prefixHash(), Math.max(1, request.expectedTokens()), request.excluded());
 			Option<CreditLedger.Loan> loan = this.ledger.lend(query, now);
+			if (loan.isEmpty() && request.interactive() && this.queue.size() > 0 && !this.ledger.owned().isEmpty()) {
+				// Otherwise the own queue takes every credit that comes back.
+				this.promisedUntil = now + PROMISE_MILLIS;
+				return new PeerMessage.CreditRefusal(PROMISED, OwnerView.REFUSED_PAUSE_MILLIS);
+			}
 			if (loan.isEmpty()) {
 				return new PeerMessage.CreditRefusal(this.ledger.owned().isEmpty() ? "not-owner" : "no-room",
 						OwnerView.REFUSED_PAUSE_MILLIS);
 			}
+			this.promisedUntil = Long.MIN_VALUE;
 			KnownEndpoint known = this.endpoints.get(loan.get().endpoint());
 			return new PeerMessage.CreditGrant(loan.get().credit(), known.info.endpoint(), known.info.address(),
 					CreditLedger.CREDIT_MILLIS);
@@ -523,7 +541,8 @@
 	private @Nullable CreditStep route(RouteRequest request, Set<EndpointId> ejected, long now) {
 		Set<EndpointId> excluded = new HashSet<>(ejected);
 		excluded.addAll(request.excluded());
-		if (this.ledger.free(request.interactive()) > 0) {
+		int kept = (now < this.promisedUntil) ? 1 : 0;
+		if (this.ledger.free(request.interactive()) > kept) {
 			Option<CreditLedger.Loan> loan = this.ledger.lend(new EndpointSelection.Query(request.interactive(),
 					request.repeatable(), request.prefixHash(), request.expectedTokens(), excluded), now);
 			if (loan.isDefined()) {
@@ -575,10 +594,15 @@
 			}
 			else {
 				long least = UNREACHABLE_PAUSE_MILLIS;
+				boolean promised = false;
 				if (answer.isRight() && answer.get() instanceof PeerMessage.CreditRefusal refusal) {
 					least = refusal.retryAfterMillis();
+					promised = refusal.reason().equals(PROMISED);
 				}
-				if (owner != null) {
+				if (owner != null && promised) {
+					owner.promised(now + least);
+				}
+				else if (owner != null) {
 					owner.refused(request.interactive(), now, least);
 				}
 				putBack(waiter);
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/OwnerView.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/OwnerView.java
@@ -50,6 +50,17 @@
 		this.pauseMillis = Math.min(LONGEST_PAUSE_MILLIS, 2 * this.pauseMillis);
 	}
 
+	/**
+	 * Notes that a full owner keeps its next free credit for another host.
+	 * @param atMillis when it is asked again, in milliseconds
+	 */
+	void promised(long atMillis) {
+		this.freeInteractive = 0;
+		this.freeRollout = 0;
+		this.probeMillis = atMillis;
+		this.pauseMillis = REFUSED_PAUSE_MILLIS;
+	}
+
 	void granted(boolean interactive) {
 		this.pauseMillis = REFUSED_PAUSE_MILLIS;
 		this.freeInteractive = Math.max(1, this.freeInteractive);
--- a/bamboorelay-entry/src/test/java/org/bamboorelay/entry/process/CreditServiceTests.java
+++ b/bamboorelay-entry/src/test/java/org/bamboorelay/entry/process/CreditServiceTests.java
@@ -241,6 +241,45 @@
 		}
 	}
 
+	/**
+	 * Guards against a host without endpoints of its own whose requests wait in vain
+	 * while the owner hands each credit that comes back to its own queue.
+	 */
+	@Test
+	void hostWithoutEndpointsGetsItsTurnWhileTheOwnersQueueIsFull() throws Exception {
+		try (CreditCluster cluster = new CreditCluster(2, "a1", "a2")) {
+			cluster.list("a", 1, cluster.endpoint("e1", "a", false));
+			cluster.run(3_000);
+			String owner = cluster.service("a1").status().get(0).owner().value();
+			String other = owner.equals("a1") ? "a2" : "a1";
+			BlockingQueue<Credit> credits = new LinkedBlockingQueue<>();
+			credits.add(cluster.service(owner).acquire(REQUEST).get());
+			credits.add(cluster.service(owner).acquire(REQUEST).get());
+			int flood = 40;
+			for (int i = 0; i < flood; i++) {
+				new Thread(() -> cluster.service(owner).acquire(REQUEST).forEach(credits::add)).start();
+			}
+			while (cluster.service(owner).waiting(CreditCluster.SERVICE) < flood) {
+				Thread.onSpinWait();
+			}
+			CompletableFuture<Either<Refusal, Credit>> remote = waiting(cluster, other);
+			for (int i = 0; i < flood && !remote.isDone(); i++) {
+				cluster.run(50);
+				// The other host's question is under way while its request is not in the
+				// queue.
+				while (cluster.service(other).waiting(CreditCluster.SERVICE) == 0 && !remote.isDone()) {
+					Thread.onSpinWait();
+				}
+				Credit next = credits.poll();
+				if (next != null) {
+					next.end(Credit.Outcome.OK, 5, 10);
+				}
+			}
+			assertThat(remote.isDone()).as("served while the owner's queue was full").isTrue();
+			assertThat(cluster.service(owner).waiting(CreditCluster.SERVICE)).isPositive();
+		}
+	}
+
 	@Test
 	void sixHostsTogetherNeverExceedTheCapacity() throws Exception {
 		String[] hosts = { "a1", "a2", "b1", "b2", "c1", "c2" };
--- a/bamboorelay-load/src/main/java/org/bamboorelay/load/process/RunReport.java
+++ b/bamboorelay-load/src/main/java/org/bamboorelay/load/process/RunReport.java
@@ -106,13 +106,17 @@
 		if (value.isObject()) {
 			return value.toString().replaceAll("[{}\"]", "").replace(',', ';');
 		}
+		if (value.isArray()) {
+			return value.toString().replace(',', ' ');
+		}
 		return value.isFloatingPointNumber() ? String.format(Locale.ROOT, "%.4f", value.asDouble()) : value.asText();
 	}
 
 	private static Map<String, List<String>> groups() {
 		Map<String, List<String>> groups = new LinkedHashMap<>();
 		groups.put("trainers",
-				List.of("trainer_idle_share", "trainer_steps", "trainer_samples", "staleness_versions_p50",
+				List.of("trainer_idle_share", "trainer_steps", "trainer_samples", "trainer_samples_expired",
+						"trainer_idle_ms_announce_submit_first_rest", "staleness_versions_p50",
 						"staleness_versions_p99", "staleness_versions_max", "staleness_seconds_p50",
 						"staleness_seconds_p99", "staleness_seconds_max"));
 		groups.put("worst-workspace",
--- a/bamboorelay-load/src/main/java/org/bamboorelay/load/process/RunSession.java
+++ b/bamboorelay-load/src/main/java/org/bamboorelay/load/process/RunSession.java
@@ -328,6 +328,9 @@
 		this.result.put("trainer_idle_share", (idle + train > 0) ? (double) idle / (idle + train) : 0.0);
 		this.result.put("trainer_steps", trainers.stream().mapToInt((trainer) -> trainer.finished().size()).sum());
 		this.result.put("trainer_samples", versions.size());
+		this.result.put("trainer_samples_expired", trainers.stream().mapToInt(TrainerLoad::expiredSamples).sum());
+		this.result.put("trainer_idle_ms_announce_submit_first_rest",
+				trainers.stream().map(TrainerLoad::idleParts).toList());
 		this.result.put("trainer_refusals", refusals);
 		for (double percentile : new double[] { 50, 99, 100 }) {
 			String name = (percentile == 100) ? "max" : "p" + (int) percentile;
--- a/bamboorelay-load/src/main/java/org/bamboorelay/load/process/TrainerLoad.java
+++ b/bamboorelay-load/src/main/java/org/bamboorelay/load/process/TrainerLoad.java
@@ -64,6 +64,12 @@
 
 	private long tooOld;
 
+	private long announceMillis;
+
+	private long submitMillis;
+
+	private long firstBatchMillis;
+
 	TrainerLoad(Scenario.Trainer trainer, String service, CallerClient client, Balancer balancer, String key,
 			long firstVersion, long end) {
 		this.trainer = trainer;
@@ -99,10 +105,13 @@
 
 	private boolean step(long version) throws InterruptedException {
 		String base = "/v1/trainers/" + this.trainer.trainer();
+		long begin = System.nanoTime();
 		if (repeat("POST", base + "/weights", Map.of("service", this.service, "version", version)) == null) {
 			return false;
 		}
-		this.announcedAt.put(version, System.nanoTime());
+		long announced = System.nanoTime();
+		this.announcedAt.put(version, announced);
+		this.announceMillis += (announced - begin) / 1_000_000L;
 		List<String> prompts = new ArrayList<>();
 		for (int i = 0; i < this.trainer.prompts(); i++) {
 			prompts.add("Prompt " + i + " of version " + version);
@@ -113,6 +122,8 @@
 						this.trainer.samplesPerPrompt(), "max_tokens", this.trainer.maxTokens())) == null) {
 			return false;
 		}
+		long submitted = System.nanoTime();
+		this.submitMillis += (submitted - announced) / 1_000_000L;
 		this.delivered.put(step, new ArrayList<>());
 		for (int seq = 0;; seq++) {
 			Answer answer;
@@ -132,6 +143,9 @@
 				return true;
 			}
 			if (answer.isOk()) {
+				if (seq == 0) {
+					this.firstBatchMillis += (System.nanoTime() - submitted) / 1_000_000L;
+				}
 				take(step, version, answer.json());
 			}
 		}
@@ -217,6 +231,20 @@
 		return this.trainMillis;
 	}
 
+	/**
+	 * Returns where the idle time went, in milliseconds over all steps.
+	 * @return the time of the announcement, of the submission, until the first batch and
+	 * from there to the last one
+	 */
+	List<Long> idleParts() {
+		return List.of(this.announceMillis, this.submitMillis, this.firstBatchMillis,
+				this.idleMillis - this.announceMillis - this.submitMillis - this.firstBatchMillis);
+	}
+
+	int expiredSamples() {
+		return this.expired.values().stream().mapToInt(Integer::intValue).sum();
+	}
+
 	long tooOld() {
 		return this.tooOld;
 	}
