Retry samples that were too old soon where new weights are in service

Cause: new weights reach the domains of a small service in turns, so for seconds only some engines have weights within the staleness bound. A sample that met an engine with older ones was cancelled at its first token, waited twice as long each time, up to 1 s, and its prefix affinity led it back to the same owner, since a host of another domain cannot be told which endpoint to avoid.

Change: a sample that was too old is retried after 50 ms where another attempt of the step saw weights within the bound of the newest version; where none did, the wait doubles as before. A retry has no prefix affinity. The load tool counts streams that engines dropped and streams that the entry closed separately.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/request/StepState.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/request/StepState.java
@@ -65,6 +65,12 @@
 
 	private boolean stopped;
 
+	/**
+	 * Whether an endpoint was seen that has weights within the bound of the newest
+	 * version.
+	 */
+	private boolean freshSeen;
+
 	private StepState(StepPlan plan, Settings settings) {
 		this.plan = plan;
 		this.settings = settings;
@@ -114,6 +120,8 @@
 			Attempt attempt = this.running.get(labelled.attempt());
 			if (attempt != null) {
 				attempt.oldest = labelled.oldest();
+				// Without a token yet the label says nothing.
+				this.freshSeen |= attempt.oldest != Long.MAX_VALUE && this.bound.isWithin(attempt.oldest, this.newest);
 				cancelIfTooOld(attempt, actions);
 			}
 		}
@@ -124,6 +132,7 @@
 			fail(failed, actions);
 		}
 		else if (event instanceof Event.NewVersion version) {
+			this.freshSeen &= version.newest() <= this.newest;
 			this.newest = Math.max(this.newest, version.newest());
 			this.bound = version.bound();
 			List.copyOf(this.running.values()).forEach((attempt) -> cancelIfTooOld(attempt, actions));
@@ -171,7 +180,8 @@
 
 	private void retry(Attempt attempt, RetryReason reason, boolean keepText, List<Action> actions) {
 		SlotState slot = state(attempt.slot);
-		slot.failures++;
+		// Another endpoint has newer weights, so there is nothing to wait for.
+		slot.failures = (reason == RetryReason.TOO_OLD && this.freshSeen) ? 1 : slot.failures + 1;
 		actions.add(new Action.Count(reason));
 		if (attempt.endpoint == null) {
 			slot.excluded.clear();
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/StepRunner.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/StepRunner.java
@@ -446,9 +446,8 @@
 			return;
 		}
 		Either<Refusal, Credit> credit = this.parts.credits()
-			.acquire(new RouteRequest(request.service(), this.record.workspace(), false, true,
-					prompt.hashCode() * 31L + this.record.workspace().hashCode(), request.maxTokens() - before.tokens(),
-					this.line, start.excluded()));
+			.acquire(new RouteRequest(request.service(), this.record.workspace(), false, true, affinity(start, prompt),
+					request.maxTokens() - before.tokens(), this.line, start.excluded()));
 		if (credit.isLeft()) {
 			on(new StepState.Event.Failed(attempt, RetryReason.ENDPOINT_REFUSED, true));
 			return;
@@ -478,6 +477,12 @@
 				this.record.workspace().value(), run.text(), (int) before.tokens(), seed(start.slot()));
 	}
 
+	private long affinity(StepState.Action.Start start, String prompt) {
+		// Another attempt must not be led back to the endpoint that failed, which a host
+		// in another failure domain cannot exclude.
+		return start.excluded().isEmpty() ? prompt.hashCode() * 31L + this.record.workspace().hashCode() : 0;
+	}
+
 	private long seed(SampleSlot slot) {
 		return ((this.trainer.hashCode() * 31L + this.step) * 31L + slot.group()) * 65_537L + slot.index();
 	}
--- a/bamboorelay-load/src/main/java/org/bamboorelay/load/process/RunReport.java
+++ b/bamboorelay-load/src/main/java/org/bamboorelay/load/process/RunReport.java
@@ -131,8 +131,8 @@
 				"usage_difference", "usage_plain_reported", "usage_plain_executed_at_endpoints"));
 		groups.put("cheap-endpoints",
 				List.of("streams_finished", "streams_finished_on_cheap", "streams_lost_on_cheap",
-						"streams_cancelled_on_cheap", "streams_resumed", "tokens_made", "tokens_share_on_cheap",
-						"tokens_of_unfinished_streams_on_cheap"));
+						"streams_closed_by_entry_on_cheap", "streams_cancelled_on_cheap", "streams_resumed",
+						"tokens_made", "tokens_share_on_cheap", "tokens_of_unfinished_streams_on_cheap"));
 		groups.put("service", List.of("seconds_of_lower_service", "caller_requests_failed"));
 		groups.put("load", List.of("arrivals_planned", "arrivals_late", "arrivals_unsent"));
 		groups.put("control",
--- a/bamboorelay-load/src/main/java/org/bamboorelay/load/process/RunSession.java
+++ b/bamboorelay-load/src/main/java/org/bamboorelay/load/process/RunSession.java
@@ -545,7 +545,8 @@
 		double tokens = sum(all, "tokens_");
 		this.result.put("streams_finished", sum(all, "finish_length", "finish_stop"));
 		this.result.put("streams_finished_on_cheap", sum(cheap, "finish_length", "finish_stop"));
-		this.result.put("streams_lost_on_cheap", sum(cheap, "finish_dropped", "finish_closed"));
+		this.result.put("streams_lost_on_cheap", sum(cheap, "finish_dropped"));
+		this.result.put("streams_closed_by_entry_on_cheap", sum(cheap, "finish_closed"));
 		this.result.put("streams_cancelled_on_cheap", sum(cheap, "finish_cancelled"));
 		this.result.put("streams_resumed", sum(all, "resumed"));
 		this.result.put("tokens_made", (long) tokens);
