--- a/bamboorelay-load/src/main/java/org/bamboorelay/load/process/TrainerLoad.java
+++ b/bamboorelay-load/src/main/java/org/bamboorelay/load/process/TrainerLoad.java
@@ -3,11 +3,10 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -35,7 +34,7 @@
 
 	private final Map<String, Integer> finished = new LinkedHashMap<>();
 
-	private final Set<String> labels = new HashSet<>();
+	private final Map<String, Map<String, Long>> labelled = new HashMap<>();
 
 	private final List<Double> staleVersions = new ArrayList<>();
 
@@ -65,6 +64,12 @@
 
 	private long tooOld;
 
+	private long announceMillis;
+
+	private long submitMillis;
+
+	private long firstBatchMillis;
+
 	TrainerLoad(Scenario.Trainer trainer, String service, CallerClient client, Balancer balancer, String key,
 			long firstVersion, long end) {
 		this.trainer = trainer;
@@ -100,10 +105,13 @@
 
 	private boolean step(long version) throws InterruptedException {
 		String base = "/v1/trainers/" + this.trainer.trainer();
+		long begin = System.nanoTime();
 		if (repeat("POST", base + "/weights", Map.of("service", this.service, "version", version)) == null) {
 			return false;
 		}
-		this.announcedAt.put(version, System.nanoTime());
+		long announced = System.nanoTime();
+		this.announcedAt.put(version, announced);
+		this.announceMillis += (announced - begin) / 1_000_000L;
 		List<String> prompts = new ArrayList<>();
 		for (int i = 0; i < this.trainer.prompts(); i++) {
 			prompts.add("Prompt " + i + " of version " + version);
@@ -114,6 +122,8 @@
 						this.trainer.samplesPerPrompt(), "max_tokens", this.trainer.maxTokens())) == null) {
 			return false;
 		}
+		long submitted = System.nanoTime();
+		this.submitMillis += (submitted - announced) / 1_000_000L;
 		this.delivered.put(step, new ArrayList<>());
 		for (int seq = 0;; seq++) {
 			Answer answer;
@@ -133,6 +143,9 @@
 				return true;
 			}
 			if (answer.isOk()) {
+				if (seq == 0) {
+					this.firstBatchMillis += (System.nanoTime() - submitted) / 1_000_000L;
+				}
 				take(step, version, answer.json());
 			}
 		}
@@ -145,7 +158,8 @@
 			long oldest = Long.MAX_VALUE;
 			for (JsonNode span : sample.path("spans")) {
 				String label = span.path("weight_version").asText();
-				this.labels.add(label);
+				this.labelled.computeIfAbsent(step, (unused) -> new TreeMap<>())
+					.merge(label, span.path("tokens").asLong(), Long::sum);
 				oldest = Math.min(oldest, Long.parseLong(label.substring(label.lastIndexOf('@') + 1)));
 			}
 			long age = (oldest == Long.MAX_VALUE) ? 0 : trainerVersion - oldest;
@@ -185,8 +199,12 @@
 		return this.finished;
 	}
 
-	Set<String> labels() {
-		return this.labels;
+	/**
+	 * Returns the tokens of delivered samples.
+	 * @return the tokens by step and labelled version
+	 */
+	Map<String, Map<String, Long>> labelled() {
+		return this.labelled;
 	}
 
 	List<Double> staleVersions() {
@@ -213,6 +231,20 @@
 		return this.trainMillis;
 	}
 
+	/**
+	 * Returns where the idle time went, in milliseconds over all steps.
+	 * @return the time of the announcement, of the submission, until the first batch and
+	 * from there to the last one
+	 */
+	List<Long> idleParts() {
+		return List.of(this.announceMillis, this.submitMillis, this.firstBatchMillis,
+				this.idleMillis - this.announceMillis - this.submitMillis - this.firstBatchMillis);
+	}
+
+	int expiredSamples() {
+		return this.expired.values().stream().mapToInt(Integer::intValue).sum();
+	}
+
 	long tooOld() {
 		return this.tooOld;
 	}
