Take the usage parts of each domain one after another

A reported window looked for the part of each domain that starts with the window, and for the parts that it had noted as missing. Two kinds of parts were never looked for. Where the length of windows changed, the ends of the parts and of the reported windows fell apart, and the parts of one length had no window of the other.

The pointer to the last reported window now names the start of each domain's next part, and a window takes the parts from there up to its end; a part of an earlier window is a correction. The list of missing parts and its bound of 64, beyond which parts were dropped, are gone. The field "missing" of usage/windows and usage/reported becomes "next".

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/UsageWindows.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/UsageWindows.java
@@ -1,15 +1,18 @@
 package org.bamboorelay.core.process;
 
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.Comparator;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.DoubleSupplier;
 import java.util.function.LongPredicate;
+import java.util.function.Predicate;
 
 import io.vavr.control.Either;
 import io.vavr.control.Option;
@@ -30,6 +33,10 @@
  * one set of figures whoever sends it. {@code usage/reported} tells a successor where to
  * go on.
  * <p>
+ * The parts of each domain are taken one after another from its first, so that none is
+ * left out where it comes late or where its window has another length. A part of an
+ * earlier window becomes a correction.
+ * <p>
  * Thread-safe; guarded by its own lock.
  */
 public final class UsageWindows implements StoreDecision {
@@ -39,8 +46,8 @@
 
 	private static final String WINDOW_PREFIX = "usage/windows/";
 
-	/** The most parts that a later window can still correct. */
-	private static final int MAX_MISSING = 64;
+	/** The most parts of a domain in one window; bounds the size of a record. */
+	private static final int MAX_PARTS = 64;
 
 	/**
 	 * Wait for a domain's part beyond twice the grace period, in milliseconds: longer
@@ -63,16 +70,16 @@
 
 	private final Backoff backoff;
 
-	private final Map<PartId, UsageParts.Part> collected = new LinkedHashMap<>();
+	private final Map<FailureDomain, List<UsageParts.Part>> collected = new LinkedHashMap<>();
 
-	private final Set<PartId> asked = new LinkedHashSet<>();
+	/** Domains whose next part is not there yet. */
+	private final Set<FailureDomain> asked = new HashSet<>();
 
-	private final Map<FailureDomain, Long> firsts = new HashMap<>();
+	/** The start of each domain's next part. */
+	private final Map<FailureDomain, Long> nextParts = new TreeMap<>(Comparator.comparing(FailureDomain::value));
 
 	private List<FailureDomain> domains = List.of();
 
-	private @Nullable FailureDomain locating;
-
 	private long fencing;
 
 	private long wallMillis;
@@ -99,7 +106,7 @@
 
 	private boolean sent;
 
-	private @Nullable PartId asking;
+	private @Nullable FailureDomain asking;
 
 	private @Nullable WindowRecord frozen;
 
@@ -130,8 +137,6 @@
 		if (number != this.fencing) {
 			this.fencing = number;
 			this.pointer = null;
-			this.firsts.clear();
-			this.locating = null;
 			this.pointerRead = false;
 			this.nextAt = 0;
 			this.reachableSince = this.clock.millis();
@@ -187,32 +192,29 @@
 		}
 		Pointer from = this.pointer;
 		if (from == null) {
-			// The first window is the first of any domain, so that no part is left out.
-			Option<FailureDomain> unknown = Option
-				.ofOptional(this.domains.stream().filter((domain) -> !this.firsts.containsKey(domain)).findFirst());
-			if (unknown.isDefined()) {
-				this.locating = unknown.get();
-				return new StoreStep.Read(UsageParts.pointerKey(unknown.get()));
+			// The first window is the first of any domain that is known.
+			StoreStep search = ask((domain) -> !this.nextParts.containsKey(domain));
+			if (search != null) {
+				return search;
 			}
-			long start = this.firsts.values().stream().reduce(floor(this.wallMillis), Math::min);
-			return writePointer(start - this.windowMillis, start, List.of());
+			long start = this.nextParts.values().stream().reduce(floor(this.wallMillis), Math::min);
+			this.asked.clear();
+			return writePointer(start - this.windowMillis, start, nextParts());
 		}
 		WindowRecord record = this.frozen;
 		if (record != null) {
-			return this.sent ? writePointer(record.window(), record.end(), record.missing()) : null;
+			return this.sent ? writePointer(record.window(), record.end(), record.next()) : null;
 		}
 		long start = from.end();
 		long end = floor(start) + this.windowMillis;
 		if (!this.windowRead) {
 			return (this.wallMillis < end) ? null : new StoreStep.Read(WINDOW_PREFIX + start);
 		}
-		Option<PartId> wanted = wanted(from, start);
-		if (wanted.isDefined()) {
-			this.asking = wanted.get();
-			return new StoreStep.Read(UsageParts.key(wanted.get().domain(), wanted.get().window()));
+		StoreStep read = ask((domain) -> isBehind(domain, end));
+		if (read != null) {
+			return read;
 		}
-		boolean whole = this.domains.stream()
-			.allMatch((domain) -> this.collected.containsKey(new PartId(domain, start)));
+		boolean whole = this.domains.stream().noneMatch((domain) -> isBehind(domain, end));
 		boolean patient = this.wallMillis < end + 2 * this.graceMillis + PART_WAIT_MILLIS
 				|| this.clock.millis() - this.reachableSince < PART_WAIT_MILLIS;
 		if (!whole && patient) {
@@ -220,7 +222,7 @@
 			this.nextAt = this.clock.millis() + POLL_MILLIS;
 			return null;
 		}
-		return new StoreStep.Write(WINDOW_PREFIX + start, CoreJson.bytes(freeze(from, start, end)), 0);
+		return new StoreStep.Write(WINDOW_PREFIX + start, CoreJson.bytes(freeze(start, end)), 0);
 	}
 
 	@Override
@@ -250,25 +252,33 @@
 		if (key.equals(REPORTED_KEY)) {
 			onPointer(object);
 		}
-		else if (this.locating != null) {
-			this.firsts.put(this.locating,
-					object.flatMap((found) -> CoreJson.read(found.body(), UsageParts.Pointer.class))
-						.map(UsageParts.Pointer::first)
-						.getOrElse(Long.MAX_VALUE));
-			this.locating = null;
-		}
 		else if (key.startsWith(WINDOW_PREFIX)) {
 			this.windowRead = true;
 			object.flatMap((found) -> CoreJson.read(found.body(), WindowRecord.class))
 				.forEach((record) -> this.frozen = record);
 		}
 		else if (this.asking != null) {
-			PartId id = this.asking;
-			object.flatMap((found) -> CoreJson.read(found.body(), UsageParts.Part.class))
-				.filter(UsageParts.Part::closed)
-				.forEach((part) -> this.collected.put(id, part));
-			this.asked.add(id);
+			onPart(this.asking, object);
+		}
+	}
+
+	private void onPart(FailureDomain domain, Option<StoredObject> object) {
+		if (!this.nextParts.containsKey(domain)) {
+			this.asked.add(domain);
+			object.flatMap((found) -> CoreJson.read(found.body(), UsageParts.Pointer.class)).forEach((found) -> {
+				this.nextParts.put(domain, found.first());
+				this.asked.remove(domain);
+			});
+			return;
+		}
+		Option<UsageParts.Part> part = object.flatMap((found) -> CoreJson.read(found.body(), UsageParts.Part.class))
+			.filter(UsageParts.Part::closed);
+		if (part.isEmpty()) {
+			this.asked.add(domain);
+			return;
 		}
+		this.collected.computeIfAbsent(domain, (unused) -> new ArrayList<>()).add(part.get());
+		this.nextParts.put(domain, part.get().end());
 	}
 
 	private void onPointer(Option<StoredObject> object) {
@@ -287,48 +297,65 @@
 		this.windowRead = false;
 		this.collected.clear();
 		this.asked.clear();
+		this.nextParts.clear();
+		if (this.pointer != null) {
+			this.pointer.next().forEach((next) -> this.nextParts.put(next.domain(), next.window()));
+		}
 	}
 
-	private StoreStep writePointer(long window, long end, List<PartId> missing) {
+	private StoreStep writePointer(long window, long end, List<PartId> next) {
 		String token = this.holder + "/" + this.fencing + "/" + (++this.tokenCount);
-		return new StoreStep.Write(REPORTED_KEY, CoreJson.bytes(new Pointer(token, window, end, missing)),
+		return new StoreStep.Write(REPORTED_KEY, CoreJson.bytes(new Pointer(token, window, end, next)),
 				this.pointerVersion);
 	}
 
-	private Option<PartId> wanted(Pointer from, long start) {
-		List<PartId> all = new ArrayList<>(from.missing());
-		this.domains.forEach((domain) -> all.add(new PartId(domain, start)));
-		return Option.ofOptional(
-				all.stream().filter((id) -> !this.collected.containsKey(id) && !this.asked.contains(id)).findFirst());
+	private @Nullable StoreStep ask(Predicate<FailureDomain> wanted) {
+		// A domain that left the inventory may still have counts to report.
+		Set<FailureDomain> all = new LinkedHashSet<>(this.domains);
+		all.addAll(this.nextParts.keySet());
+		for (FailureDomain domain : all) {
+			if (wanted.test(domain) && !this.asked.contains(domain)) {
+				this.asking = domain;
+				Long window = this.nextParts.get(domain);
+				return new StoreStep.Read(
+						(window != null) ? UsageParts.key(domain, window) : UsageParts.pointerKey(domain));
+			}
+		}
+		return null;
 	}
 
-	private WindowRecord freeze(Pointer from, long start, long end) {
+	private boolean isBehind(FailureDomain domain, long end) {
+		Long next = this.nextParts.get(domain);
+		return (next == null || next < end) && this.collected.getOrDefault(domain, List.of()).size() < MAX_PARTS;
+	}
+
+	private List<PartId> nextParts() {
+		return this.nextParts.entrySet().stream().map((next) -> new PartId(next.getKey(), next.getValue())).toList();
+	}
+
+	private WindowRecord freeze(long start, long end) {
 		List<List<UsageCount>> figures = new ArrayList<>();
 		List<Correction> corrections = new ArrayList<>();
 		List<Gap> gaps = new ArrayList<>();
-		List<PartId> missing = new ArrayList<>(from.missing());
-		missing.removeAll(this.collected.keySet());
-		this.collected.forEach((id, part) -> {
-			if (id.window() == start) {
+		this.collected.forEach((domain, parts) -> parts.forEach((part) -> {
+			if (part.window() >= start) {
 				figures.add(part.figures());
 			}
 			else {
-				corrections.add(new Correction("domain:" + id.domain(), id.window(), part.figures()));
+				corrections.add(new Correction("domain:" + domain, part.window(), part.figures()));
 			}
 			corrections.addAll(part.corrections());
 			gaps.addAll(part.gaps());
-		});
+		}));
 		for (FailureDomain domain : this.domains) {
-			PartId id = new PartId(domain, start);
-			if (!this.collected.containsKey(id)) {
-				missing.add(id);
+			Long next = this.nextParts.get(domain);
+			if (next == null || next < end) {
 				gaps.add(new Gap("domain:" + domain, start, 0));
 			}
 		}
-		int drop = Math.max(0, missing.size() - MAX_MISSING);
 		String token = this.holder + "/" + this.fencing + "/" + (++this.tokenCount);
 		return new WindowRecord(token, this.fencing, start, end, UsageFigures.sum(figures), corrections, gaps,
-				missing.subList(drop, missing.size()));
+				nextParts());
 	}
 
 	private long floor(long wall) {
@@ -336,10 +363,10 @@
 	}
 
 	/**
-	 * A part that a window lacked.
+	 * A part of a domain.
 	 *
 	 * @param domain the failure domain
-	 * @param window the start of the window, in milliseconds since the epoch
+	 * @param window the start of the part, in milliseconds since the epoch
 	 */
 	public record PartId(FailureDomain domain, long window) {
 	}
@@ -354,24 +381,24 @@
 	 * @param figures what was served
 	 * @param corrections late counts of earlier windows
 	 * @param gaps counters that were not read
-	 * @param missing the parts that later windows look for
+	 * @param next the part of each domain that the next window starts with
 	 */
 	public record WindowRecord(String token, long fencing, long window, long end, List<UsageCount> figures,
-			List<Correction> corrections, List<Gap> gaps, List<PartId> missing) {
+			List<Correction> corrections, List<Gap> gaps, List<PartId> next) {
 
 		public WindowRecord {
 			figures = List.copyOf(figures);
 			corrections = List.copyOf(corrections);
 			gaps = List.copyOf(gaps);
-			missing = List.copyOf(missing);
+			next = List.copyOf(next);
 		}
 
 	}
 
-	private record Pointer(String token, long window, long end, List<PartId> missing) {
+	private record Pointer(String token, long window, long end, List<PartId> next) {
 
 		private Pointer {
-			missing = List.copyOf(missing);
+			next = List.copyOf(next);
 		}
 
 	}
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/process/HolderSimulation.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/process/HolderSimulation.java
@@ -63,6 +63,9 @@
 
 	final boolean fencedReceiver;
 
+	/** Length of new windows, in milliseconds. */
+	long windowMillis = WINDOW;
+
 	int ordersAfterLease;
 
 	int reportsAfterLease;
@@ -325,7 +328,7 @@
 			if (this.domainLease.fencing() > 0) {
 				this.parts.begin(this.domainLease.fencing());
 			}
-			this.parts.onTick(HolderSimulation.this.clock.millis(), WINDOW, GRACE);
+			this.parts.onTick(HolderSimulation.this.clock.millis(), HolderSimulation.this.windowMillis, GRACE);
 			HolderSimulation.this.entries.values().forEach((entry) -> {
 				if (entry.reachable) {
 					this.parts.onCounters(entry.host, entry.counters());
@@ -342,7 +345,8 @@
 				return;
 			}
 			this.windows.begin(fencing);
-			this.windows.onTick(HolderSimulation.this.clock.millis(), List.of(DOMAIN), WINDOW, GRACE);
+			this.windows.onTick(HolderSimulation.this.clock.millis(), List.of(DOMAIN),
+					HolderSimulation.this.windowMillis, GRACE);
 			Option<WindowRecord> due = this.windows.sendable();
 			if (due.isEmpty()) {
 				drive(this.windows);
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/process/HolderTakeoverTests.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/process/HolderTakeoverTests.java
@@ -114,6 +114,68 @@
 		assertThat(simulation.gaps()).isZero();
 	}
 
+	/**
+	 * Guards against the loss of a domain's first part. The write that names it takes
+	 * effect only after the first window of the deployment was chosen.
+	 */
+	@Test
+	void partThatIsNamedLateIsReported() {
+		HolderSimulation simulation = new HolderSimulation(31, 1, true);
+		String[] key = new String[1];
+		simulation.store.beforeWrite((next) -> key[0] = next);
+		long nextWindow = simulation.clock.millis() + HolderSimulation.WINDOW;
+		simulation.store.faults(() -> {
+			boolean named = key[0].equals(UsageParts.pointerKey(HolderSimulation.DOMAIN));
+			boolean chosen = key[0].equals(UsageWindows.REPORTED_KEY) && simulation.clock.millis() >= nextWindow;
+			return (named || (key[0].equals(UsageWindows.REPORTED_KEY) && !chosen)) ? Fault.LATE : Fault.NONE;
+		});
+		simulation.entries.get("gt-a-1").requests = 5;
+		while (simulation.store.peek(UsageWindows.REPORTED_KEY).isEmpty()) {
+			simulation.runFor(20, 20);
+		}
+		simulation.store.faults(() -> Fault.NONE);
+		simulation.store.deliverLate();
+		simulation.runFor(60_000, 20);
+		assertThat(simulation.violations).isEmpty();
+		assertThat(simulation.reported()).isEqualTo(5);
+	}
+
+	/**
+	 * Guards against counts that are lost or reported twice where the length of windows
+	 * changes while windows run, once before and once after a change of the holder.
+	 */
+	@ParameterizedTest
+	@ValueSource(longs = { 4_000, 7_000, 15_000, 20_000 })
+	void changedWindowLengthLosesNoCount(long length) {
+		for (int offset = 0; offset < 20_000; offset += 2_300) {
+			HolderSimulation simulation = new HolderSimulation(offset, 2, true);
+			runUnderLoad(simulation, 15_000 + offset);
+			simulation.windowMillis = length;
+			runUnderLoad(simulation, 11_000);
+			simulation.kill(0);
+			simulation.kill(1);
+			runUnderLoad(simulation, 21_000);
+			simulation.windowMillis = 6_000;
+			runUnderLoad(simulation, 30_000);
+			simulation.runFor(60_000, 20);
+			assertThat(simulation.violations).as("offset %s", offset).isEmpty();
+			assertThat(simulation.reported()).as("offset %s", offset).isEqualTo(simulation.served());
+			assertThat(simulation.gaps()).as("offset %s", offset).isZero();
+			long end = simulation.reports.keySet().iterator().next();
+			for (UsageWindows.WindowRecord report : simulation.reports.values()) {
+				assertThat(report.window()).as("start of a window, offset %s", offset).isEqualTo(end);
+				end = report.end();
+			}
+		}
+	}
+
+	private static void runUnderLoad(HolderSimulation simulation, long millis) {
+		for (long i = 0; i < millis; i += 100) {
+			simulation.entries.values().forEach((entry) -> entry.requests++);
+			simulation.runFor(100, 20);
+		}
+	}
+
 	/**
 	 * Holders are frozen, killed and restarted, entries come and go, and the store is
 	 * down, slow, loses answers and applies writes late. A failing seed is printed.
@@ -124,8 +186,6 @@
 			Random random = new Random(seed);
 			HolderSimulation simulation = new HolderSimulation(seed, 2 + random.nextInt(2), random.nextBoolean());
 			int[] frozen = new int[simulation.holders.size()];
-			// The very first window of a deployment is chosen without faults.
-			simulation.runFor(12_000, 40);
 			simulation.store.faults(() -> fault(random));
 			for (int i = 0; i < 600; i++) {
 				act(simulation, frozen, random);
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/scenario/ControlNode.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/scenario/ControlNode.java
@@ -201,7 +201,7 @@
 			.flatMap((peer) -> this.world.usage.counters(peer).counts().stream())
 			.toList();
 		return new WindowRecord(frozen.token(), frozen.fencing(), frozen.window(), frozen.end(), live,
-				frozen.corrections(), frozen.gaps(), frozen.missing());
+				frozen.corrections(), frozen.gaps(), frozen.next());
 	}
 
 	String name() {
