Show that four process tests fail without what they guard

UsageTests, ColdEndpointTests, ConfigurationTests and StoreOutageTests were never seen failing. Each mechanism was taken out alone on a scratch copy.

Failed as they were: StoreOutageTests without the wait after a failure (calls above twice the busiest second) and without serving on while all domains are heard (503 at 4.2 s of the outage); ColdEndpointTests with the allowance at the capacity, though only by a wait that ended.

Passed, so strengthened: UsageTests with a frozen window computed anew, as its only part never changes. A new test brings a domain's part and an entry host's counts after their windows were frozen and kills the reporter between; it fails on two sets of figures, and on each missing kind of correction. ConfigurationTests had no older version that could come late. A new test lets a host read version 1 slowly while version 2 arrives; without the rule that versions only rise it sees 1 again. ColdEndpointTests without the restart of the allowance passed, since 8 s of cold start left no time for growth; it is 20 s now, and the crash is reported itself. With all mechanisms the strengthened classes pass.

One run failed because two runs of the module chose the same port ("Address already in use"). A port is now claimed until its test process ends.

--- a/bamboorelay-process-tests/src/test/java/org/bamboorelay/processtests/ColdEndpointTests.java
+++ b/bamboorelay-process-tests/src/test/java/org/bamboorelay/processtests/ColdEndpointTests.java
@@ -23,6 +23,13 @@
 	 */
 	private static final int CALLERS_PER_HOST = 4;
 
+	/**
+	 * Long enough for several answers after the owner's successor lends, so that an
+	 * allowance that grows while the endpoint is cold exceeds what it bears. With 8,000
+	 * it did not.
+	 */
+	private static final int COLD_MILLIS = 20_000;
+
 	/**
 	 * A fresh engine that bears two requests while cold joins under load from six entry
 	 * hosts, and the owner of its allowance is killed while it is cold. Fails where an
@@ -44,24 +51,26 @@
 			List<Thread> callers = callers(deployment, key, running);
 
 			Standin fresh = deployment.endpoint(FRESH, Deployment.MODEL, "valle-a", false, "--tokens-per-second", "200",
-					"--capacity", "16", "--cold-start-ms", "8000", "--cold-bears", "2");
+					"--capacity", "16", "--cold-start-ms", "" + COLD_MILLIS, "--cold-bears", "2");
 			Wait.until(Wait.START_MILLIS, "work at the fresh endpoint",
 					() -> Http.get(fresh.address(), "/load").json().path("running").asInt() > 0);
 			assertThat(Http.get(fresh.address(), "/load").json().path("warm").asBoolean()).as("still cold").isFalse();
 			String owner = owner(deployment);
 			deployment.program(owner).kill();
 			Wait.until(Wait.START_MILLIS, "another owner", () -> !List.of(owner, "").contains(owner(deployment)));
-			Wait.until(Wait.START_MILLIS, "warm endpoint",
-					() -> Http.get(fresh.address(), "/load").json().path("warm").asBoolean());
-			assertThat(fresh.count("cold_crashes")).as("crashes of the fresh endpoint").isZero();
+			Wait.until(COLD_MILLIS + Wait.START_MILLIS, "warm endpoint", () -> {
+				// An engine that crashes begins its cold start anew.
+				assertThat(fresh.count("cold_crashes")).as("crashes of the fresh endpoint").isZero();
+				return Http.get(fresh.address(), "/load").json().path("warm").asBoolean();
+			});
 			Wait.until(Wait.START_MILLIS, "use above what it bears cold",
 					() -> Http.get(fresh.address(), "/load").json().path("running").asInt() > 2);
 
 			fresh.fault("cold", "true");
 			long completions = fresh.count("COMPLETION");
-			Wait.until(Wait.START_MILLIS, "work after it turned cold",
+			Wait.until(COLD_MILLIS + Wait.START_MILLIS, "work after it turned cold",
 					() -> fresh.count("COMPLETION") > completions + CALLERS_PER_HOST);
-			Wait.until(Wait.START_MILLIS, "use above what it bears cold",
+			Wait.until(COLD_MILLIS + Wait.START_MILLIS, "use above what it bears cold",
 					() -> Http.get(fresh.address(), "/load").json().path("running").asInt() > 2);
 			assertThat(fresh.count("cold_crashes")).as("crashes after it turned cold silently").isLessThanOrEqualTo(1);
 			running.set(false);
--- a/bamboorelay-process-tests/src/test/java/org/bamboorelay/processtests/ConfigurationTests.java
+++ b/bamboorelay-process-tests/src/test/java/org/bamboorelay/processtests/ConfigurationTests.java
@@ -4,6 +4,7 @@
 import java.util.List;
 
 import org.bamboorelay.processtests.Deployment.Operator;
+import org.bamboorelay.processtests.Http.Standin;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -14,6 +15,10 @@
  */
 class ConfigurationTests {
 
+	private static final String HEAD = "/objects/config/head";
+
+	private static final int PARTS = 4;
+
 	/**
 	 * Two operators change the same version at once; later an entry host restarts while
 	 * the object API is down. Fails where a write is not conditional, where changes are
@@ -72,6 +77,49 @@
 		}
 	}
 
+	/**
+	 * A host reads the configuration at its start from a store that answers slowly, and
+	 * gets a newer version from its peers before that read ends. Fails where an older
+	 * version replaces a newer one.
+	 */
+	@Test
+	void slowReadDoesNotBringAnOlderVersionBack() throws Exception {
+		try (Deployment deployment = new Deployment("configuration-slow", 1, "valle-a", "valle-b")) {
+			deployment.set("plain_steady", "0");
+			deployment.set("model_steady", "0");
+			deployment.apply().ok();
+			deployment.startAll();
+			deployment.hostNames().forEach((host) -> awaitVersion(deployment, host, 1, Wait.START_MILLIS));
+			String slow = "valle-a-1";
+			Standin store = deployment.platform("object-api");
+			// The processes that run already keep the parts, which stay the same.
+			store.fault("slow", "{\"ms\":1000,\"match\":\"config/parts\"}");
+			long parts = partReads(store);
+			deployment.program(slow).restart();
+			Wait.until(Wait.START_MILLIS, "first part read slowly", () -> partReads(store) > parts);
+			String head = Http.get(store.address(), HEAD).ok().text();
+			Http.send(store.address(), "PUT", HEAD, "", head.replace("\"version\":1,", "\"version\":2,")).ok();
+			awaitVersion(deployment, slow, 2, Wait.BOUND_MILLIS);
+			assertThat(partReads(store)).as("parts read before the newer version").isLessThan(parts + PARTS);
+			Wait.until(Wait.START_MILLIS, "end of the slow read", () -> partReads(store) == parts + PARTS);
+			assertThat(deployment.program(slow).log()).as("slow read").doesNotContain("config.store-unread");
+			long end = System.nanoTime();
+			while (Wait.millisSince(end) < Wait.BOUND_MILLIS) {
+				assertThat(deployment.status(slow).path("config_version").asLong()).as("version after the slow read")
+					.isEqualTo(2);
+			}
+		}
+	}
+
+	private static long partReads(Standin store) {
+		return Http.get(store.address(), "/_record")
+			.ok()
+			.text()
+			.lines()
+			.filter((line) -> line.contains("\"method\":\"GET\"") && line.contains("/objects/config/parts/"))
+			.count();
+	}
+
 	private static void awaitEverywhere(Deployment deployment, long version, long acceptedNanos) {
 		deployment.hostNames()
 			.forEach((host) -> awaitVersion(deployment, host, version,
--- a/bamboorelay-process-tests/src/test/java/org/bamboorelay/processtests/Ports.java
+++ b/bamboorelay-process-tests/src/test/java/org/bamboorelay/processtests/Ports.java
@@ -3,8 +3,8 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
-import java.util.HashSet;
-import java.util.Set;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
 
 /**
@@ -22,8 +22,13 @@
 
 	private static final int ATTEMPTS = 1_000;
 
-	/** A port is free until its process starts, so that it could be chosen twice. */
-	private static final Set<Integer> CHOSEN = new HashSet<>();
+	/**
+	 * A port is free until its process starts, so that it could be chosen twice, also by
+	 * another run of these tests. A listener at the port minus this number claims it.
+	 */
+	private static final int CLAIM_OFFSET = 12_000;
+
+	private static final List<ServerSocket> CLAIMS = new ArrayList<>();
 
 	private Ports() {
 	}
@@ -32,7 +37,11 @@
 		int fork = Integer.getInteger("fork.number", 1) % 3;
 		for (int i = 0; i < ATTEMPTS; i++) {
 			int port = FIRST + fork * RANGE + ThreadLocalRandom.current().nextInt(RANGE);
-			if (!CHOSEN.add(port)) {
+			try {
+				CLAIMS.add(new ServerSocket(port - CLAIM_OFFSET, 1, InetAddress.getLoopbackAddress()));
+			}
+			catch (IOException ex) {
+				// Claimed; try another.
 				continue;
 			}
 			try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
--- a/bamboorelay-process-tests/src/test/java/org/bamboorelay/processtests/UsageTests.java
+++ b/bamboorelay-process-tests/src/test/java/org/bamboorelay/processtests/UsageTests.java
@@ -3,9 +3,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Predicate;
+import java.util.stream.StreamSupport;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.bamboorelay.processtests.Http.Seen;
@@ -71,15 +74,96 @@
 
 			traffic.stop();
 			assertThat(traffic.failures).as("answers that were no 200").isEmpty();
-			// The requests that waited for the service count, too.
-			long served = endpoint.count("executions");
-			Wait.until(REPORT_MILLIS, served + " requests in reports", () -> requests(intake) >= served);
-			assertThat(requests(intake)).as("reported requests").isEqualTo(served);
-			requireOneSetOfFigures(intake);
+			requireAllServed(endpoint, intake);
+			requireOneSetOfFigures(intake, 3);
 		}
 	}
 
-	private static void requireOneSetOfFigures(Standin intake) {
+	/**
+	 * A domain's part and the counters of another domain's entry host come after their
+	 * windows were frozen, and the reporter is killed once the part is there. Fails where
+	 * a successor computes a frozen window anew, and where late counts are not corrected.
+	 */
+	@Test
+	void lateCountsAreCorrectedAndFrozenWindowsStay() throws Exception {
+		try (Deployment deployment = new Deployment("usage-late", 1, "valle-a", "valle-b", "valle-c")) {
+			Standin endpoint = deployment.endpoint("cuotas-1", Deployment.PLAIN, DOMAIN, false, "--latency-ms", "20");
+			Standin intake = deployment.platform("usage-intake");
+			deployment.set("model_steady", "0");
+			deployment.apply().ok();
+			deployment.startAll();
+			String key = deployment.grant();
+			deployment.hostNames().forEach((host) -> deployment.awaitService(host, key, Deployment.PLAIN));
+			Traffic traffic = new Traffic(deployment, key);
+			Wait.until(REPORT_MILLIS, "a report with figures", () -> requests(intake) > 0);
+			String reporter = reporter(deployment);
+			List<String> others = deployment.hostNames().stream().filter((name) -> !name.equals(reporter)).toList();
+			String late = others.get(0);
+			String unread = others.get(1);
+
+			// A whole window without a reading of the host's counters.
+			deployment.peer(unread).cutFrom(Set.of(domain(unread)));
+			long cutAt = System.currentTimeMillis();
+			Wait.until(REPORT_MILLIS, "report of a window without counters",
+					() -> intake.seen("/reports").stream().anyMatch((seen) -> start(seen) > cutAt));
+			deployment.healPeers();
+			Wait.until(REPORT_MILLIS, "correction of an entry host's counts",
+					() -> hasCorrection(intake, (source) -> !source.startsWith("domain:")));
+
+			deployment.program(late + "-control").freeze();
+			intake.fault("lose-answers", "true");
+			Predicate<Seen> lacksPart = (
+					seen) -> seen.body().path("gaps").toString().contains("domain:" + domain(late));
+			Wait.until(REPORT_MILLIS + Wait.TAKEOVER_MILLIS, "report that lacks a part",
+					() -> intake.seen("/reports").stream().anyMatch(lacksPart));
+			long window = start(intake.seen("/reports").stream().filter(lacksPart).findFirst().orElseThrow());
+			deployment.program(late + "-control").resume();
+			Wait.until(REPORT_MILLIS + Wait.TAKEOVER_MILLIS, "the late part", () -> Http
+				.get(deployment.platform("object-api").address(), "/objects/usage/parts/" + domain(late) + "/" + window)
+				.json()
+				.path("closed")
+				.asBoolean());
+			deployment.program(reporter + "-control").kill();
+			intake.clear("lose-answers");
+			Wait.until(REPORT_MILLIS + Wait.TAKEOVER_MILLIS, "report of the next reporter",
+					() -> intake.seen("/reports")
+						.stream()
+						.anyMatch((seen) -> seen.body().path("fencing").asLong() > 1));
+			requireOneSetOfFigures(intake, 2);
+			Wait.until(REPORT_MILLIS + Wait.TAKEOVER_MILLIS, "correction of a domain's part",
+					() -> hasCorrection(intake, ("domain:" + domain(late))::equals));
+			deployment.program(reporter + "-control").restart();
+			traffic.stop();
+			assertThat(traffic.failures).as("answers that were no 200").isEmpty();
+			requireAllServed(endpoint, intake);
+			requireOneSetOfFigures(intake, 2);
+		}
+	}
+
+	private static void requireAllServed(Standin endpoint, Standin intake) {
+		// The requests that waited for the service count, too.
+		long served = endpoint.count("executions");
+		Wait.until(REPORT_MILLIS + Wait.TAKEOVER_MILLIS, served + " requests in reports",
+				() -> requests(intake) >= served);
+		assertThat(requests(intake)).as("reported requests").isEqualTo(served);
+	}
+
+	private static boolean hasCorrection(Standin intake, Predicate<String> source) {
+		return intake.seen("/reports")
+			.stream()
+			.flatMap((seen) -> StreamSupport.stream(seen.body().path("corrections").spliterator(), false))
+			.anyMatch((correction) -> source.test(correction.path("source").asText()));
+	}
+
+	private static long start(Seen report) {
+		return report.body().path("window").asLong();
+	}
+
+	private static String domain(String host) {
+		return host.substring(0, host.length() - "-1".length());
+	}
+
+	private static void requireOneSetOfFigures(Standin intake, int terms) {
 		Map<Long, String> figures = new TreeMap<>();
 		long highest = 0;
 		for (Seen seen : intake.seen("/reports")) {
@@ -92,7 +176,7 @@
 			assertThat((known != null) ? known : text).as("figures of window " + seen.body().path("window"))
 				.isEqualTo(text);
 		}
-		assertThat(highest).as("terms of reporters").isGreaterThanOrEqualTo(3);
+		assertThat(highest).as("terms of reporters").isGreaterThanOrEqualTo(terms);
 	}
 
 	/** Sums each window once, corrections included. */
