Show that a late answer does not reach another request

The read timeout of plain calls was a constant of 30 s, so that only doubled and crossed answers stood for late ones. It is now a parameter of the route, and a test starts the process with 500 ms: an endpoint answers after the timeout, and the next request to it gets its own answer.

With connections that are kept after the timeout (trial: neither closed by the pool nor by the HTTP library) the test fails: the next request meets the late answer, refuses it by its id and goes elsewhere ("good 2" instead of "answer 3"). The 8 tests of the class passed; the test passed again alone after it keeps its view of the configuration fresh, without which a busy machine had it refused once as stale.

--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/EntryProcess.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/EntryProcess.java
@@ -57,6 +57,9 @@
 
 	private static final long MIN_STORE_RETRY_MILLIS = 250;
 
+	/** The longest wait for bytes of an endpoint's answer, in milliseconds. */
+	private static final int READ_TIMEOUT_MILLIS = 30_000;
+
 	private static final long MAX_STORE_RETRY_MILLIS = 4_000;
 
 	private static final long DRAIN_QUIET_MILLIS = 300;
@@ -93,7 +96,7 @@
 
 	private final AtomicBoolean leaving = new AtomicBoolean();
 
-	private EntryProcess(EntrySettings settings, EntryPlugins plugins) throws IOException {
+	private EntryProcess(EntrySettings settings, EntryPlugins plugins, int readTimeoutMillis) throws IOException {
 		this.settings = settings;
 		this.plugins = plugins;
 		Clock clock = Clock.monotonic();
@@ -120,8 +123,8 @@
 		RetryBudget budget = RetryBudget.of(RETRY_BURST);
 		RunningStreams running = new RunningStreams();
 		List<CallerRoute> routes = new ArrayList<>();
-		routes.add(PlainRoute.of(this.configuration, credits, this.pool, IdempotencyRecords.of(store, counters),
-				this.usage, budget, counters));
+		routes.add(PlainRoute.of(this.configuration, credits, this.pool, readTimeoutMillis,
+				IdempotencyRecords.of(store, counters), this.usage, budget, counters));
 		routes.add(CompletionRoute.of(this.configuration, credits, engines, running, this.usage, budget, counters));
 		routes.addAll(plugins.routes(parts, credits));
 		AtomicLong runningRequests = new AtomicLong();
@@ -168,8 +171,12 @@
 	 * @throws IOException where an address cannot be bound
 	 */
 	public static EntryProcess start(EntrySettings settings, EntryPlugins plugins) throws IOException {
+		return start(settings, plugins, READ_TIMEOUT_MILLIS);
+	}
+
+	static EntryProcess start(EntrySettings settings, EntryPlugins plugins, int readTimeoutMillis) throws IOException {
 		Objects.requireNonNull(plugins, "plugins");
-		EntryProcess process = new EntryProcess(settings, plugins);
+		EntryProcess process = new EntryProcess(settings, plugins, readTimeoutMillis);
 		LOG.atInfo()
 			.addKeyValue("event", "process.started")
 			.addKeyValue("host", settings.host())
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/PlainRoute.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/PlainRoute.java
@@ -60,8 +60,6 @@
 
 	private static final int MAX_ATTEMPTS = 3;
 
-	private static final int READ_TIMEOUT_MILLIS = 30_000;
-
 	private static final long RETRY_AFTER_MILLIS = 1_000;
 
 	private final LiveConfiguration configuration;
@@ -70,6 +68,8 @@
 
 	private final HttpConnectionPool pool;
 
+	private final int readTimeoutMillis;
+
 	private final IdempotencyRecords records;
 
 	private final UsageMeter usage;
@@ -81,10 +81,12 @@
 	private final Problems problems;
 
 	private PlainRoute(LiveConfiguration configuration, CreditSource credits, HttpConnectionPool pool,
-			IdempotencyRecords records, UsageMeter usage, RetryBudget budget, Counters counters) {
+			int readTimeoutMillis, IdempotencyRecords records, UsageMeter usage, RetryBudget budget,
+			Counters counters) {
 		this.configuration = Objects.requireNonNull(configuration, "configuration");
 		this.credits = Objects.requireNonNull(credits, "credits");
 		this.pool = Objects.requireNonNull(pool, "pool");
+		this.readTimeoutMillis = readTimeoutMillis;
 		this.records = Objects.requireNonNull(records, "records");
 		this.usage = Objects.requireNonNull(usage, "usage");
 		this.budget = Objects.requireNonNull(budget, "budget");
@@ -97,6 +99,7 @@
 	 * @param configuration the configuration
 	 * @param credits admits requests
 	 * @param pool connections to endpoints
+	 * @param readTimeoutMillis the longest wait for bytes of an answer, in milliseconds
 	 * @param records what is known of used idempotency keys
 	 * @param usage counts whole answers
 	 * @param budget the budget of retries, shared by all routes
@@ -104,8 +107,9 @@
 	 * @return the route
 	 */
 	public static PlainRoute of(LiveConfiguration configuration, CreditSource credits, HttpConnectionPool pool,
-			IdempotencyRecords records, UsageMeter usage, RetryBudget budget, Counters counters) {
-		return new PlainRoute(configuration, credits, pool, records, usage, budget, counters);
+			int readTimeoutMillis, IdempotencyRecords records, UsageMeter usage, RetryBudget budget,
+			Counters counters) {
+		return new PlainRoute(configuration, credits, pool, readTimeoutMillis, records, usage, budget, counters);
 	}
 
 	/**
@@ -255,7 +259,7 @@
 			String id = (attempt == 1) ? this.request.requestId() : this.request.requestId() + "-r" + attempt;
 			long started = System.nanoTime();
 			Either<HttpFailure, HttpExchange> result = PlainRoute.this.pool.execute(credit.address(), message(id),
-					this.idempotent, READ_TIMEOUT_MILLIS);
+					this.idempotent, PlainRoute.this.readTimeoutMillis);
 			if (result.isLeft()) {
 				credit.end(Credit.Outcome.FAILED, 0, 0);
 				return Either.left(Failed.of(result.getLeft()));
--- a/bamboorelay-entry/src/test/java/org/bamboorelay/entry/process/ExchangeFailureTests.java
+++ b/bamboorelay-entry/src/test/java/org/bamboorelay/entry/process/ExchangeFailureTests.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.Logger;
@@ -117,6 +118,41 @@
 		}
 	}
 
+	/**
+	 * Guards against an answer that comes after the read timeout and is read as the
+	 * answer of the next request on the same connection.
+	 */
+	@Test
+	void lateAnswerDoesNotReachAnotherRequest() throws IOException {
+		CountDownLatch release = new CountDownLatch(1);
+		try (RawEndpoint late = new RawEndpoint((request, count) -> {
+			if (count == 2) {
+				awaitQuietly(release);
+			}
+			return RawEndpoint.ok(request, "200 OK", "answer " + count);
+		});
+				RawEndpoint good = new RawEndpoint(
+						(request, count) -> RawEndpoint.ok(request, "200 OK", "good " + count));
+				TestEntry entry = TestEntry.withReadTimeout(500, late.address(), good.address())) {
+			assertThat(entry.send(get(TestEntry.KEY_NORTE)).body()).isEqualTo("answer 1");
+			// On a busy machine the view of the configuration could pass its age of 4 s.
+			entry.process().configuration().noteView(1, 0);
+			assertThat(entry.send(get(TestEntry.KEY_NORTE)).body()).as("repeated elsewhere").isEqualTo("good 1");
+			release.countDown();
+			entry.process().configuration().noteView(1, 0);
+			assertThat(entry.send(get(TestEntry.KEY_NORTE)).body()).as("next request").isEqualTo("answer 3");
+		}
+	}
+
+	private static void awaitQuietly(CountDownLatch latch) {
+		try {
+			latch.await();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	/**
 	 * Guards against a non-idempotent request that runs again where its caller, who lost
 	 * the answer, repeats it at another host, while answers of the store are lost too.
--- a/bamboorelay-entry/src/test/java/org/bamboorelay/entry/process/TestEntry.java
+++ b/bamboorelay-entry/src/test/java/org/bamboorelay/entry/process/TestEntry.java
@@ -38,25 +38,35 @@
 
 	static final String KEY_SUR = "key-of-sur-0123456789";
 
+	private static final int READ_TIMEOUT_MILLIS = 30_000;
+
 	private static final String NO_STORE = "127.0.0.1:1";
 
 	private final EntryProcess process;
 
 	private final List<Credit.Outcome> outcomes = new CopyOnWriteArrayList<>();
 
-	private TestEntry(String host, List<String> peers, String store, List<String> endpoints) throws IOException {
+	private TestEntry(String host, List<String> peers, String store, int readTimeoutMillis, List<String> endpoints)
+			throws IOException {
 		EntrySettings settings = new EntrySettings("huerto", HostId.of(host), FailureDomain.of("gt-centro-a"),
 				"127.0.0.1:0", "127.0.0.1:0", store, "operator-secret", 0, peers);
 		CreditSource credits = (request) -> credit(request, endpoints);
-		this.process = EntryProcess.start(settings, (parts) -> credits);
+		this.process = EntryProcess.start(settings, (parts) -> credits, readTimeoutMillis);
 	}
 
 	static TestEntry with(String... endpoints) throws IOException {
 		return withStore("host-1", NO_STORE, endpoints);
 	}
 
+	static TestEntry withReadTimeout(int millis, String... endpoints) throws IOException {
+		return ready(new TestEntry("host-1", List.of(), NO_STORE, millis, List.of(endpoints)));
+	}
+
 	static TestEntry withStore(String host, String store, String... endpoints) throws IOException {
-		TestEntry entry = new TestEntry(host, List.of(), store, List.of(endpoints));
+		return ready(new TestEntry(host, List.of(), store, READ_TIMEOUT_MILLIS, List.of(endpoints)));
+	}
+
+	private static TestEntry ready(TestEntry entry) {
 		entry.process.configuration().accept(configuration(1), 0);
 		entry.process.configuration().peerHolds(1);
 		entry.process.configuration().noteAnswer();
@@ -65,7 +75,7 @@
 	}
 
 	static TestEntry peer(String host, String... peers) throws IOException {
-		return new TestEntry(host, List.of(peers), NO_STORE, List.of());
+		return new TestEntry(host, List.of(peers), NO_STORE, READ_TIMEOUT_MILLIS, List.of());
 	}
 
 	/**
