--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/PlainRoute.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/PlainRoute.java
@@ -52,14 +52,14 @@
 
 	private static final String IDEMPOTENCY_KEY = "Idempotency-Key";
 
-	private static final int READ_TIMEOUT_MILLIS = 30_000;
-
 	private final LiveConfiguration configuration;
 
 	private final CreditSource credits;
 
 	private final HttpConnectionPool pool;
 
+	private final int readTimeoutMillis;
+
 	private final IdempotencyRecords records;
 
 	private final UsageMeter usage;
@@ -71,10 +71,12 @@
 	private final Problems problems;
 
 	private PlainRoute(LiveConfiguration configuration, CreditSource credits, HttpConnectionPool pool,
-			IdempotencyRecords records, UsageMeter usage, RetryBudget budget, Counters counters) {
+			int readTimeoutMillis, IdempotencyRecords records, UsageMeter usage, RetryBudget budget,
+			Counters counters) {
 		this.configuration = Objects.requireNonNull(configuration, "configuration");
 		this.credits = Objects.requireNonNull(credits, "credits");
 		this.pool = Objects.requireNonNull(pool, "pool");
+		this.readTimeoutMillis = readTimeoutMillis;
 		this.records = Objects.requireNonNull(records, "records");
 		this.usage = Objects.requireNonNull(usage, "usage");
 		this.budget = Objects.requireNonNull(budget, "budget");
@@ -87,6 +89,7 @@
 	 * @param configuration the configuration
 	 * @param credits admits requests
 	 * @param pool connections to endpoints
+	 * @param readTimeoutMillis the longest wait for bytes of an answer, in milliseconds
 	 * @param records what is known of used idempotency keys
 	 * @param usage counts whole answers
 	 * @param budget the budget of retries, shared by all routes
@@ -94,8 +97,9 @@
 	 * @return the route
 	 */
 	public static PlainRoute of(LiveConfiguration configuration, CreditSource credits, HttpConnectionPool pool,
-			IdempotencyRecords records, UsageMeter usage, RetryBudget budget, Counters counters) {
-		return new PlainRoute(configuration, credits, pool, records, usage, budget, counters);
+			int readTimeoutMillis, IdempotencyRecords records, UsageMeter usage, RetryBudget budget,
+			Counters counters) {
+		return new PlainRoute(configuration, credits, pool, readTimeoutMillis, records, usage, budget, counters);
 	}
 
 	/**
@@ -217,7 +221,7 @@
 			String id = attemptId();
 			long started = System.nanoTime();
 			Either<HttpFailure, HttpExchange> result = PlainRoute.this.pool.execute(credit.address(), message(id),
-					this.idempotent, READ_TIMEOUT_MILLIS);
+					this.idempotent, PlainRoute.this.readTimeoutMillis);
 			if (result.isLeft()) {
 				credit.end(Credit.Outcome.FAILED, 0, 0);
 				return Either.left(Failed.of(result.getLeft()));
