--- a/bamboorelay-cli/src/main/java/org/bamboorelay/cli/version/ProposedChange.java
+++ b/bamboorelay-cli/src/main/java/org/bamboorelay/cli/version/ProposedChange.java
@@ -39,7 +39,8 @@
 			return Either.left(faults);
 		}
 		for (ConfigurationFault fault : ConfigurationChecks.check(inventory.get(), rules.get())) {
-			boolean ofRules = fault.key().matches("(staleness|spending|admission|usage|isolation|policies)\\..*");
+			boolean ofRules = fault.key()
+				.matches("(priorities|staleness|spending|admission|usage|isolation|policies)\\b.*");
 			Path file = ofRules ? rulesFile : inventoryFile;
 			faults.add(SettingsReader.locate(file, fault));
 		}
--- a/bamboorelay-cli/src/test/java/org/bamboorelay/cli/process/OperatorMainTests.java
+++ b/bamboorelay-cli/src/test/java/org/bamboorelay/cli/process/OperatorMainTests.java
@@ -44,6 +44,38 @@
 				+ ": workspaces.services: found \"cuotas\", allowed: one of [modelo-huerto, cuotas-app]");
 	}
 
+	@Test
+	void eachBadPriorityIsNamedWithItsLine(@TempDir Path folder) throws IOException {
+		Path rules = folder.resolve("rules.toml");
+		String sample = Files.readString(SAMPLE.resolve("rules.toml"));
+		Files.writeString(rules, sample.substring(sample.indexOf("[[staleness]]")) + """
+
+				[[priorities]]
+				workspace = "huertos-peten"
+				service = "cuotas"
+				level = 10
+				[[priorities]]
+				workspace = "huertos-norte"
+				level = 4
+				[[priorities]]
+				workspace = "huertos-peten"
+				class = "rollout"
+				level = 4
+				""");
+		String inventory = SAMPLE.resolve("inventory.toml").toString();
+		assertThat(run("check", inventory, rules.toString())).isEqualTo(ExitCode.INVALID);
+		int line = (int) Files.readString(rules).lines().count();
+		String peten = "priorities[2]: found \"huertos-peten\", allowed: one rule for the same requests; priorities[0]";
+		assertThat(this.err.toString(StandardCharsets.UTF_8)).containsSubsequence(
+				(line - 8) + ": priorities[0].service: found \"cuotas\", allowed: one of [modelo-huerto, cuotas-app]",
+				(line - 7) + ": priorities[0].level: found \"10\", allowed: a whole number from 0 to 9",
+				(line - 5) + ": priorities[1].workspace: found \"huertos-norte\"", (line - 3) + ": " + peten);
+		Files.writeString(rules, Files.readString(rules).replace("\"rollout\"", "\"batch\""));
+		run("check", inventory, rules.toString());
+		assertThat(this.err.toString(StandardCharsets.UTF_8))
+			.contains((line - 1) + ": priorities[2].class: found \"batch\", allowed: one of [interactive, rollout]");
+	}
+
 	@Test
 	void unknownCommandIsAUsageError(@TempDir Path folder) throws IOException {
 		Path settings = folder.resolve("operator.toml");
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/request/AdmissionQueue.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/request/AdmissionQueue.java
@@ -1,27 +1,26 @@
 package org.bamboorelay.core.request;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
-import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.TreeMap;
-import java.util.TreeSet;
 import java.util.function.Predicate;
 
 import io.vavr.control.Either;
+import org.bamboorelay.core.version.Rules;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Orders the requests that wait for one service: interactive before rollout, and inside a
- * class by the tokens that each workspace was served, divided by its weight. Bounded in
- * count and in expected wait.
+ * Orders the requests that wait for one service: interactive before rollout, inside a
+ * class by priority level, and inside a level by the tokens that each workspace was
+ * served, divided by its weight. Levels below the highest waiting one have a guaranteed
+ * share. Bounded in count and in expected wait.
  * <p>
- * A full queue makes room for a workspace below its share by dropping the newest request
- * of the workspace that is furthest above its own.
+ * A full queue makes room for a higher level by dropping requests of a lower one, down to
+ * the lower one's guaranteed part of the places, and for a workspace below its share by
+ * dropping the newest request of the workspace that is furthest above its own.
  * <p>
  * Not thread-safe; guarded by the shard of the service.
  */
@@ -42,6 +41,8 @@
 
 	private Limits limits;
 
+	private Levels levels = Levels.NONE;
+
 	private boolean fair = true;
 
 	private int size;
@@ -77,6 +78,21 @@
 		this.limits = Objects.requireNonNull(newLimits, "newLimits");
 	}
 
+	/**
+	 * Changes the priority levels; requests that wait already move to their new level.
+	 * @param newLevels the levels
+	 */
+	public void levels(Levels newLevels) {
+		Objects.requireNonNull(newLevels, "newLevels");
+		if (newLevels.equals(this.levels)) {
+			return;
+		}
+		this.levels = newLevels;
+		this.interactive.forget();
+		this.rollout.forget();
+		this.arrivals.values().forEach((ticket) -> queue(ticket.demand).move(ticket, lane(ticket.demand)));
+	}
+
 	/**
 	 * Switches between the policy and its baseline.
 	 * @param on false for the baseline {@code first-come}
@@ -92,9 +108,8 @@
 	 * @return the place in the queue, or why there is none
 	 */
 	public Either<Overload, Admission> offer(Demand demand, long nowMillis) {
-		this.rate.advance(nowMillis, this.size > 0);
-		ClassQueue queue = queue(demand.interactive());
-		Lane lane = queue.lane(demand.workspace(), demand.weight());
+		advance(nowMillis);
+		LevelQueue.Lane lane = lane(demand);
 		long wait = expectedWait(demand, lane);
 		long maxWait = demand.interactive() ? this.limits.maxWaitInteractiveMillis()
 				: this.limits.maxWaitRolloutMillis();
@@ -110,7 +125,7 @@
 			remove(evicted);
 		}
 		Ticket ticket = new Ticket(demand, lane, this.nextSequence++, nowMillis, nowMillis + maxWait);
-		queue.add(ticket);
+		queue(demand).add(ticket);
 		this.arrivals.put(ticket.sequence, ticket);
 		this.size++;
 		return Either.right(new Admission(ticket, evicted));
@@ -123,11 +138,11 @@
 	 * @return the request, or null where none can be served
 	 */
 	public @Nullable Ticket poll(Predicate<Demand> servable, long nowMillis) {
-		this.rate.advance(nowMillis, this.size > 0);
+		advance(nowMillis);
 		Ticket ticket;
 		if (this.fair) {
-			ticket = this.interactive.first(servable);
-			ticket = (ticket != null) ? ticket : this.rollout.first(servable);
+			ticket = this.interactive.take(servable);
+			ticket = (ticket != null) ? ticket : this.rollout.take(servable);
 		}
 		else {
 			ticket = this.arrivals.values()
@@ -135,17 +150,21 @@
 				.filter((entry) -> servable.test(entry.demand))
 				.findFirst()
 				.orElse(null);
+			if (ticket != null) {
+				queue(ticket.demand).takeOut(ticket);
+			}
 		}
 		if (ticket == null) {
 			return null;
 		}
-		remove(ticket);
-		queue(ticket.demand.interactive()).charge(ticket.lane, ticket.demand.expectedTokens());
+		this.arrivals.remove(ticket.sequence);
+		this.size--;
 		// A request that passes an empty queue at once tells nothing about the drain
 		// rate.
 		ticket.counted = this.size > 0 || nowMillis > ticket.offeredMillis;
 		if (ticket.counted) {
 			this.rate.drained();
+			ticket.lane.queue().rate().drained();
 		}
 		return ticket;
 	}
@@ -156,14 +175,13 @@
 	 * @param ticket the request
 	 */
 	public void putBack(Ticket ticket) {
-		ClassQueue queue = queue(ticket.demand.interactive());
-		queue.charge(ticket.lane, -ticket.demand.expectedTokens());
-		queue.addFirst(ticket);
-		this.arrivals.put(ticket.sequence, ticket);
-		this.size++;
 		if (ticket.counted) {
 			this.rate.undrained();
+			ticket.lane.queue().rate().undrained();
 		}
+		queue(ticket.demand).putBack(ticket, lane(ticket.demand));
+		this.arrivals.put(ticket.sequence, ticket);
+		this.size++;
 	}
 
 	/**
@@ -172,7 +190,7 @@
 	 * @param tokens tokens that were served
 	 */
 	public void served(Ticket ticket, long tokens) {
-		queue(ticket.demand.interactive()).charge(ticket.lane, tokens - ticket.demand.expectedTokens());
+		queue(ticket.demand).correct(ticket, tokens - ticket.demand.expectedTokens());
 	}
 
 	/**
@@ -184,7 +202,7 @@
 		if (!ticket.waiting) {
 			return false;
 		}
-		queue(ticket.demand.interactive()).remove(ticket);
+		queue(ticket.demand).remove(ticket);
 		this.arrivals.remove(ticket.sequence);
 		this.size--;
 		return true;
@@ -202,7 +220,7 @@
 			Ticket ticket = tickets.next();
 			if (condition.test(ticket)) {
 				tickets.remove();
-				queue(ticket.demand.interactive()).remove(ticket);
+				queue(ticket.demand).remove(ticket);
 				this.size--;
 				removed.add(ticket);
 			}
@@ -219,39 +237,47 @@
 		return retryAfter((perMilli > 0) ? (long) (this.size / perMilli) : 0);
 	}
 
-	private long expectedWait(Demand demand, Lane lane) {
+	/**
+	 * Estimates when a request that waited in vain or had to make room can come back.
+	 * @param demand the request
+	 * @return the expected wait of a like request, and at least the time in which the
+	 * whole queue drains, in milliseconds
+	 */
+	public long retryAfterMillis(Demand demand) {
+		return Math.max(retryAfterMillis(), retryAfter(expectedWait(demand, lane(demand))));
+	}
+
+	private void advance(long nowMillis) {
+		this.rate.advance(nowMillis, this.size > 0);
+		this.interactive.advance(nowMillis);
+		this.rollout.advance(nowMillis);
+	}
+
+	private long expectedWait(Demand demand, LevelQueue.Lane lane) {
 		double perMilli = this.rate.perMilli();
 		if (perMilli <= 0) {
 			return 0;
 		}
-		double ahead;
-		if (this.fair) {
-			ClassQueue queue = queue(demand.interactive());
-			double share = queue.activeWeight(lane) / lane.weight;
-			ahead = Math.min(queue.size, lane.tickets.size() * share);
-			ahead += demand.interactive() ? 0 : this.interactive.size;
-		}
-		else {
-			ahead = this.size;
+		if (!this.fair) {
+			return (long) (this.size / perMilli);
 		}
-		return (long) (ahead / perMilli);
+		double before = demand.interactive() ? 0 : this.interactive.size() / perMilli;
+		return (long) (before + queue(demand).expectedWait(lane, demand, perMilli));
 	}
 
-	private @Nullable Ticket victim(Demand demand, Lane lane) {
-		if (demand.interactive() && this.rollout.size > 0) {
-			return this.rollout.newestOfLongest();
+	private @Nullable Ticket victim(Demand demand, LevelQueue.Lane lane) {
+		if (demand.interactive() && this.rollout.size() > 0) {
+			return this.rollout.victim(this.limits.maxQueued());
 		}
-		ClassQueue queue = queue(demand.interactive());
-		Ticket newest = queue.newestOfLongest();
-		if (newest == null || newest.lane == lane) {
-			return null;
-		}
-		boolean below = (lane.tickets.size() + 1) / lane.weight < newest.lane.tickets.size() / newest.lane.weight;
-		return below ? newest : null;
+		return queue(demand).victim(lane, this.limits.maxQueued());
+	}
+
+	private LevelQueue.Lane lane(Demand demand) {
+		return queue(demand).lane(demand.workspace(), demand.weight(), this.levels.of(demand));
 	}
 
-	private ClassQueue queue(boolean isInteractive) {
-		return isInteractive ? this.interactive : this.rollout;
+	private ClassQueue queue(Demand demand) {
+		return demand.interactive() ? this.interactive : this.rollout;
 	}
 
 	private static long retryAfter(long waitMillis) {
@@ -276,6 +302,31 @@
 
 	}
 
+	/**
+	 * Priority levels of the workspaces; a higher level goes first.
+	 *
+	 * @param interactive levels of interactive requests, by workspace; the default level
+	 * where left out
+	 * @param rollout levels of rollout samples, by workspace; the default level where
+	 * left out
+	 */
+	public record Levels(Map<String, Integer> interactive, Map<String, Integer> rollout) {
+
+		/** The default level for all. */
+		public static final Levels NONE = new Levels(Map.of(), Map.of());
+
+		public Levels {
+			interactive = Map.copyOf(interactive);
+			rollout = Map.copyOf(rollout);
+		}
+
+		private int of(Demand demand) {
+			Map<String, Integer> levels = demand.interactive() ? this.interactive : this.rollout;
+			return levels.getOrDefault(demand.workspace(), Rules.PriorityRule.DEFAULT_LEVEL);
+		}
+
+	}
+
 	/**
 	 * A request that wants to be served.
 	 *
@@ -321,7 +372,11 @@
 
 		private final Demand demand;
 
-		private final Lane lane;
+		/** The workspace at the level in which the request waits, or was taken out. */
+		LevelQueue.Lane lane;
+
+		/** The level below which levels got their share when this was taken out. */
+		int reference;
 
 		private final long sequence;
 
@@ -329,11 +384,11 @@
 
 		private final long deadlineMillis;
 
-		private boolean waiting;
+		boolean waiting;
 
 		private boolean counted;
 
-		private Ticket(Demand demand, Lane lane, long sequence, long offeredMillis, long deadlineMillis) {
+		private Ticket(Demand demand, LevelQueue.Lane lane, long sequence, long offeredMillis, long deadlineMillis) {
 			this.demand = demand;
 			this.lane = lane;
 			this.sequence = sequence;
@@ -341,6 +396,11 @@
 			this.deadlineMillis = deadlineMillis;
 		}
 
+		Ticket at(LevelQueue.Lane newLane) {
+			this.lane = newLane;
+			return this;
+		}
+
 		/**
 		 * Returns the request.
 		 * @return the request
@@ -359,173 +419,4 @@
 
 	}
 
-	/** The requests of one workspace in one class. */
-	private static final class Lane {
-
-		private final String workspace;
-
-		private final Deque<Ticket> tickets = new ArrayDeque<>();
-
-		private double weight;
-
-		private double virtual;
-
-		private Lane(String workspace) {
-			this.workspace = workspace;
-		}
-
-	}
-
-	/** The workspaces of one class. */
-	private static final class ClassQueue {
-
-		private final Map<String, Lane> lanes = new HashMap<>();
-
-		private final TreeSet<Lane> active = new TreeSet<>(ClassQueue::compare);
-
-		/** No lane that becomes active starts below this counter. */
-		private double floor;
-
-		private int size;
-
-		private Lane lane(String workspace, double weight) {
-			Lane lane = this.lanes.computeIfAbsent(workspace, Lane::new);
-			lane.weight = weight;
-			return lane;
-		}
-
-		private void add(Ticket ticket) {
-			activate(ticket.lane);
-			ticket.lane.tickets.addLast(ticket);
-			entered(ticket);
-		}
-
-		private void addFirst(Ticket ticket) {
-			activate(ticket.lane);
-			ticket.lane.tickets.addFirst(ticket);
-			entered(ticket);
-		}
-
-		private void entered(Ticket ticket) {
-			this.active.add(ticket.lane);
-			ticket.waiting = true;
-			this.size++;
-		}
-
-		private void activate(Lane lane) {
-			if (lane.tickets.isEmpty()) {
-				lane.virtual = Math.max(lane.virtual, this.floor);
-			}
-		}
-
-		private void remove(Ticket ticket) {
-			Lane lane = ticket.lane;
-			if (lane.tickets.peekFirst() == ticket) {
-				lane.tickets.removeFirst();
-			}
-			else {
-				lane.tickets.removeLastOccurrence(ticket);
-			}
-			ticket.waiting = false;
-			this.size--;
-			if (lane.tickets.isEmpty()) {
-				this.active.remove(lane);
-			}
-		}
-
-		private void charge(Lane lane, long tokens) {
-			boolean wasActive = this.active.remove(lane);
-			if (tokens > 0 && !wasActive) {
-				// A request that was just taken out was at the minimum of its class.
-				this.floor = Math.max(this.floor, Math.min(lane.virtual, minimum()));
-			}
-			lane.virtual += tokens / lane.weight;
-			if (wasActive) {
-				this.active.add(lane);
-			}
-			if (!this.active.isEmpty()) {
-				this.floor = Math.max(this.floor, minimum());
-			}
-		}
-
-		private double minimum() {
-			return this.active.isEmpty() ? Double.MAX_VALUE : this.active.first().virtual;
-		}
-
-		private @Nullable Ticket first(Predicate<Demand> servable) {
-			for (Lane lane : this.active) {
-				Ticket head = lane.tickets.getFirst();
-				if (servable.test(head.demand)) {
-					return head;
-				}
-			}
-			return null;
-		}
-
-		private @Nullable Ticket newestOfLongest() {
-			Lane longest = null;
-			for (Lane lane : this.active) {
-				if (longest == null || lane.tickets.size() / lane.weight > longest.tickets.size() / longest.weight) {
-					longest = lane;
-				}
-			}
-			return (longest != null) ? longest.tickets.getLast() : null;
-		}
-
-		private double activeWeight(Lane including) {
-			double sum = including.tickets.isEmpty() ? including.weight : 0;
-			for (Lane lane : this.active) {
-				sum += lane.weight;
-			}
-			return sum;
-		}
-
-		private static int compare(Lane one, Lane two) {
-			int order = Double.compare(one.virtual, two.virtual);
-			return (order != 0) ? order : one.workspace.compareTo(two.workspace);
-		}
-
-	}
-
-	/**
-	 * Requests taken out per time in which requests waited. Idle time does not count, as
-	 * a queue without work says nothing about the rate at which it could drain.
-	 */
-	private static final class DrainRate {
-
-		private static final double TIME_CONSTANT_MILLIS = 5_000;
-
-		/** Less busy time than this says too little, in milliseconds. */
-		private static final double MIN_BUSY_MILLIS = 200;
-
-		private double drained;
-
-		private double busyMillis;
-
-		private long lastMillis = Long.MIN_VALUE;
-
-		private void advance(long nowMillis, boolean busy) {
-			if (this.lastMillis != Long.MIN_VALUE && nowMillis > this.lastMillis && busy) {
-				long elapsed = nowMillis - this.lastMillis;
-				double keep = Math.exp(-elapsed / TIME_CONSTANT_MILLIS);
-				this.drained *= keep;
-				this.busyMillis = this.busyMillis * keep + TIME_CONSTANT_MILLIS * (1 - keep);
-			}
-			this.lastMillis = nowMillis;
-		}
-
-		private void drained() {
-			this.drained++;
-		}
-
-		private void undrained() {
-			this.drained = Math.max(0, this.drained - 1);
-		}
-
-		private double perMilli() {
-			return (this.busyMillis >= MIN_BUSY_MILLIS) ? this.drained / this.busyMillis : 0;
-		}
-
-	}
-
 }
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/version/ConfigurationChecks.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/version/ConfigurationChecks.java
@@ -44,6 +44,7 @@
 			positive(workspace.weight(), "workspaces.weight", faults);
 			workspace.services().forEach((service) -> known(services, service, "workspaces.services", faults));
 		}
+		priorities(rules.priorities(), workspaces, services, faults);
 		rules.staleness().forEach((rule) -> known(services, rule.service(), "staleness.service", faults));
 		rules.spending().forEach((rule) -> known(services, rule.service(), "spending.service", faults));
 		positive(rules.usage().windowMillis(), "usage.window", faults);
@@ -51,6 +52,30 @@
 		return faults;
 	}
 
+	private static void priorities(List<Rules.PriorityRule> rules, Set<WorkspaceId> workspaces, Set<ServiceId> services,
+			List<ConfigurationFault> faults) {
+		for (int i = 0; i < rules.size(); i++) {
+			Rules.PriorityRule rule = rules.get(i);
+			String key = "priorities[" + i + "]";
+			known(workspaces, rule.workspace(), key + ".workspace", faults);
+			if (rule.service() != null) {
+				known(services, rule.service(), key + ".service", faults);
+			}
+			if (rule.level() < Rules.PriorityRule.MIN_LEVEL || rule.level() > Rules.PriorityRule.MAX_LEVEL) {
+				faults.add(new ConfigurationFault(key + ".level", Integer.toString(rule.level()),
+						"a whole number from " + Rules.PriorityRule.MIN_LEVEL + " to " + Rules.PriorityRule.MAX_LEVEL));
+			}
+			for (int k = 0; k < i; k++) {
+				Rules.PriorityRule other = rules.get(k);
+				if (other.specificity() == rule.specificity() && other.overlaps(rule)) {
+					faults.add(new ConfigurationFault(key, rule.workspace().value(),
+							"one rule for the same requests; priorities[" + k + "] is as specific for some of them"));
+					break;
+				}
+			}
+		}
+	}
+
 	private static <T> void unique(Set<T> seen, T name, String key, List<ConfigurationFault> faults) {
 		if (!seen.add(name)) {
 			faults.add(new ConfigurationFault(key, name.toString(), "a name that is used once"));
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/process/ScenarioWorld.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/process/ScenarioWorld.java
@@ -224,7 +224,7 @@
 	}
 
 	private void configure() {
-		Rules rules = new Rules(List.of(), List.of(), new Rules.AdmissionRule(10, 1_000, 1_000),
+		Rules rules = new Rules(List.of(), List.of(), List.of(), new Rules.AdmissionRule(10, 1_000, 1_000),
 				new Rules.UsageRule(60_000, 5_000), new Rules.IsolationRule(Rules.WhenIsolated.REFUSE, 4_000),
 				new Rules.PolicyRule("fair", "affinity", "ramp", "demand", "waves", "resume"));
 		Inventory inventory = new Inventory("parcela", List.of(), List.of(), List.of(), List.of());
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/scenario/World.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/scenario/World.java
@@ -120,7 +120,7 @@
 				WORKSPACES.stream()
 					.map((workspace) -> new Inventory.WorkspaceEntry(workspace, 1, List.of(SERVICE), List.of()))
 					.toList());
-		Rules rules = new Rules(List.of(), List.of(), new Rules.AdmissionRule(100, 5_000, 60_000),
+		Rules rules = new Rules(List.of(), List.of(), List.of(), new Rules.AdmissionRule(100, 5_000, 60_000),
 				new Rules.UsageRule(ControlNode.WINDOW_MILLIS, ControlNode.GRACE_MILLIS),
 				new Rules.IsolationRule(Rules.WhenIsolated.REFUSE, 4_000),
 				new Rules.PolicyRule("fair", "affinity", "ramp", "demand", "waves", "resume"));
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/version/ConfigurationAssemblyTests.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/version/ConfigurationAssemblyTests.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -39,10 +40,7 @@
 	@BeforeEach
 	void writeFirstVersion() {
 		Inventory inventory = new Inventory("parcela", List.of(), List.of(), List.of(), List.of());
-		Rules rules = new Rules(List.of(), List.of(), new Rules.AdmissionRule(10, 1_000, 1_000),
-				new Rules.UsageRule(60_000, 5_000), new Rules.IsolationRule(Rules.WhenIsolated.REFUSE, 4_000),
-				new Rules.PolicyRule("fair", "affinity", "ramp", "demand", "waves", "resume"));
-		Configuration configuration = new Configuration(1, inventory, rules, KeyTable.empty(), Set.of());
+		Configuration configuration = new Configuration(1, inventory, rules(), KeyTable.empty(), Set.of());
 		assertThat(this.first.write(configuration, Option.none()).isRight()).isTrue();
 	}
 
@@ -53,6 +51,23 @@
 		assertThat(ConfigurationAssembly.parse(ConfigurationAssembly.bytes(read)).get()).isEqualTo(read);
 	}
 
+	@Test
+	void mostSpecificPriorityDecidesAlsoAfterTheStore() {
+		ServiceId app = ServiceId.of("app");
+		WorkspaceId other = WorkspaceId.of("huerto-sur");
+		Rules rules = rules(new Rules.PriorityRule(WORKSPACE, app, Rules.RequestClass.ROLLOUT, 1),
+				new Rules.PriorityRule(WORKSPACE, app, null, 7), new Rules.PriorityRule(WORKSPACE, null, null, 3),
+				new Rules.PriorityRule(other, null, Rules.RequestClass.INTERACTIVE, 9));
+		Rules read = CoreJson.read(CoreJson.bytes(rules), Rules.class).get();
+		assertThat(read).isEqualTo(rules);
+		assertThat(read.levels(app, Rules.RequestClass.ROLLOUT)).isEqualTo(Map.of("huerto-norte", 1));
+		assertThat(read.levels(app, Rules.RequestClass.INTERACTIVE))
+			.isEqualTo(Map.of("huerto-norte", 7, "huerto-sur", 9));
+		assertThat(read.levels(ServiceId.of("model"), Rules.RequestClass.ROLLOUT)).isEqualTo(Map.of("huerto-norte", 3));
+		assertThat(new String(CoreJson.bytes(rules()))).as("readable by earlier releases").doesNotContain("priorities");
+		assertThat(CoreJson.read(CoreJson.bytes(rules()), Rules.class).get()).isEqualTo(rules());
+	}
+
 	@Test
 	void unchangedConfigurationCostsOneCall() {
 		this.second.read();
@@ -150,4 +165,10 @@
 		return ConfigurationAssembly.over(this.store, () -> "token-" + this.tokens.incrementAndGet());
 	}
 
+	private static Rules rules(Rules.PriorityRule... priorities) {
+		return new Rules(List.of(priorities), List.of(), List.of(), new Rules.AdmissionRule(10, 1_000, 1_000),
+				new Rules.UsageRule(60_000, 5_000), new Rules.IsolationRule(Rules.WhenIsolated.REFUSE, 4_000),
+				new Rules.PolicyRule("fair", "affinity", "ramp", "demand", "waves", "resume"));
+	}
+
 }
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/version/ConfigurationStateTests.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/version/ConfigurationStateTests.java
@@ -49,8 +49,8 @@
 	}
 
 	private static Configuration configuration(long version) {
-		Rules rules = new Rules(List.of(), List.of(), new Rules.AdmissionRule(1, 1, 1), new Rules.UsageRule(1, 1),
-				new Rules.IsolationRule(Rules.WhenIsolated.REFUSE, 4_000),
+		Rules rules = new Rules(List.of(), List.of(), List.of(), new Rules.AdmissionRule(1, 1, 1),
+				new Rules.UsageRule(1, 1), new Rules.IsolationRule(Rules.WhenIsolated.REFUSE, 4_000),
 				new Rules.PolicyRule("fair", "affinity", "ramp", "demand", "waves", "resume"));
 		return new Configuration(version, new Inventory("huerto", List.of(), List.of(), List.of(), List.of()), rules,
 				KeyTable.empty(), Set.of());
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/version/LiveConfigurationTests.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/version/LiveConfigurationTests.java
@@ -24,8 +24,8 @@
 
 	@BeforeEach
 	void serve() {
-		Rules rules = new Rules(List.of(), List.of(), new Rules.AdmissionRule(1, 1, 1), new Rules.UsageRule(1, 1),
-				new Rules.IsolationRule(Rules.WhenIsolated.REFUSE, 4_000),
+		Rules rules = new Rules(List.of(), List.of(), List.of(), new Rules.AdmissionRule(1, 1, 1),
+				new Rules.UsageRule(1, 1), new Rules.IsolationRule(Rules.WhenIsolated.REFUSE, 4_000),
 				new Rules.PolicyRule("fair", "affinity", "ramp", "demand", "waves", "resume"));
 		this.live.accept(new Configuration(1, new Inventory("huerto", List.of(), List.of(), List.of(), List.of()),
 				rules, KeyTable.empty().withGrant(KEY, WorkspaceId.of("norte")), Set.of()), 0);
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/CreditShard.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/CreditShard.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Predicate;
+import java.util.function.ToLongFunction;
 import java.util.random.RandomGenerator;
 
 import io.vavr.control.Either;
@@ -30,6 +31,7 @@
 import org.bamboorelay.core.version.FailureDomain;
 import org.bamboorelay.core.version.HostId;
 import org.bamboorelay.core.version.Inventory;
+import org.bamboorelay.core.version.Rules;
 import org.bamboorelay.core.version.ServiceId;
 import org.bamboorelay.core.version.WorkspaceId;
 import org.bamboorelay.entry.connection.PeerMesh;
@@ -310,7 +312,7 @@
 			if (this.queue.size() > 0) {
 				dispatch(now);
 				refuse(this.queue.removeIf((ticket) -> ticket.deadlineMillis() <= now), RefusalReason.DEADLINE,
-						"no endpoint had room in time", Math.max(1, this.queue.retryAfterMillis()));
+						"no endpoint had room in time", this.queue::retryAfterMillis);
 			}
 			return lapsed;
 		});
@@ -472,7 +474,7 @@
 		AdmissionQueue.Ticket evicted = offered.get().evicted();
 		if (evicted != null) {
 			refuse(List.of(evicted), RefusalReason.QUEUE_FULL, "too many requests wait for " + this.service,
-					this.queue.retryAfterMillis());
+					this.queue::retryAfterMillis);
 		}
 		waiter.ticket = offered.get().ticket();
 		dispatch(now);
@@ -490,7 +492,7 @@
 		if (this.eligibleChanged) {
 			this.eligibleChanged = false;
 			refuse(this.queue.removeIf((ticket) -> !servable(waiter(ticket).request)), RefusalReason.NO_ENDPOINT,
-					noEndpoint().detail(), NO_ENDPOINT_RETRY_MILLIS);
+					noEndpoint().detail(), (demand) -> NO_ENDPOINT_RETRY_MILLIS);
 		}
 		Set<EndpointId> ejected = new HashSet<>(this.ejection.ejected(now));
 		// Room does not grow during the loop, so one failure stands for all alike.
@@ -708,12 +710,15 @@
 		this.queue.limits(new AdmissionQueue.Limits(configuration.rules().admission().maxQueued(),
 				configuration.rules().admission().maxWaitInteractiveMillis(),
 				configuration.rules().admission().maxWaitRolloutMillis()));
+		this.queue.levels(
+				new AdmissionQueue.Levels(configuration.rules().levels(this.service, Rules.RequestClass.INTERACTIVE),
+						configuration.rules().levels(this.service, Rules.RequestClass.ROLLOUT)));
 	}
 
 	private static void refuse(List<AdmissionQueue.Ticket> tickets, RefusalReason reason, String detail,
-			long retryAfterMillis) {
-		tickets.forEach((ticket) -> waiter(ticket).steps
-			.add(CreditStep.of(Refusal.notRun(reason, detail).withRetryAfter(retryAfterMillis))));
+			ToLongFunction<AdmissionQueue.Demand> retryAfterMillis) {
+		tickets.forEach((ticket) -> waiter(ticket).steps.add(CreditStep
+			.of(Refusal.notRun(reason, detail).withRetryAfter(retryAfterMillis.applyAsLong(ticket.demand())))));
 	}
 
 	private Refusal noEndpoint() {
--- a/bamboorelay-entry/src/test/java/org/bamboorelay/entry/process/CreditCluster.java
+++ b/bamboorelay-entry/src/test/java/org/bamboorelay/entry/process/CreditCluster.java
@@ -76,7 +76,7 @@
 						List.of(new Inventory.ServiceEntry(SERVICE, Inventory.ServiceKind.MODEL, 1, capacity, 0, true,
 								List.of(), List.of())),
 						List.of()),
-				new Rules(List.of(), List.of(), new Rules.AdmissionRule(100, 60_000, 60_000),
+				new Rules(List.of(), List.of(), List.of(), new Rules.AdmissionRule(100, 60_000, 60_000),
 						new Rules.UsageRule(1_000, 1_000), new Rules.IsolationRule(Rules.WhenIsolated.REFUSE, 4_000),
 						new Rules.PolicyRule("fair", "affinity", "no-ramp", "demand", "waves", "resume")),
 				KeyTable.empty(), Set.of());
@@ -143,6 +143,14 @@
 		this.listeners.forEach((listener) -> listener.accept(this.configuration));
 	}
 
+	void priorities(Rules.PriorityRule... priorities) {
+		Rules rules = this.configuration.rules();
+		this.configuration = this.configuration.withInventoryAndRules(this.configuration.inventory(),
+				new Rules(List.of(priorities), rules.staleness(), rules.spending(), rules.admission(), rules.usage(),
+						rules.isolation(), rules.policies()));
+		this.listeners.forEach((listener) -> listener.accept(this.configuration));
+	}
+
 	void kill(String host) {
 		this.live.remove(HostId.of(host));
 		this.services.remove(HostId.of(host));
--- a/bamboorelay-entry/src/test/java/org/bamboorelay/entry/process/CreditServiceTests.java
+++ b/bamboorelay-entry/src/test/java/org/bamboorelay/entry/process/CreditServiceTests.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -12,6 +14,8 @@
 import org.bamboorelay.core.failure.Refusal;
 import org.bamboorelay.core.failure.RefusalReason;
 import org.bamboorelay.core.version.HostId;
+import org.bamboorelay.core.version.Rules;
+import org.bamboorelay.core.version.WorkspaceId;
 import org.bamboorelay.entry.request.Credit;
 import org.bamboorelay.entry.request.RouteRequest;
 import org.junit.jupiter.api.Test;
@@ -43,6 +47,35 @@
 		}
 	}
 
+	@Test
+	void waitingRequestsFollowTheLevelsOfTheRules() throws Exception {
+		try (CreditCluster cluster = new CreditCluster(1, "a1")) {
+			cluster.list("a", 1, cluster.endpoint("e1", "a", false));
+			cluster.run(3_000);
+			CreditService service = cluster.service("a1");
+			Credit credit = service.acquire(REQUEST).get();
+			Map<String, CompletableFuture<Credit>> waiting = new TreeMap<>();
+			for (String name : List.of("norte", "oeste", "sur")) {
+				RouteRequest request = new RouteRequest(CreditCluster.SERVICE, WorkspaceId.of(name), true, true, 0, 10,
+						null, List.of());
+				waiting.put(name, CompletableFuture.supplyAsync(() -> service.acquire(request).get()));
+				while (service.waiting(CreditCluster.SERVICE) < waiting.size()) {
+					Thread.onSpinWait();
+				}
+			}
+			cluster.priorities(new Rules.PriorityRule(WorkspaceId.of("oeste"), CreditCluster.SERVICE, null, 9),
+					new Rules.PriorityRule(WorkspaceId.of("norte"), null, Rules.RequestClass.INTERACTIVE, 0));
+			for (String name : List.of("oeste", "sur", "norte")) {
+				credit.end(Credit.Outcome.OK, 5, 10);
+				credit = CompletableFuture.anyOf(waiting.values().toArray(CompletableFuture[]::new))
+					.thenApply(Credit.class::cast)
+					.get(10, TimeUnit.SECONDS);
+				assertThat(waiting.get(name)).as(name).isDone();
+				waiting.remove(name);
+			}
+		}
+	}
+
 	@Test
 	void hostWithoutEndpointsGetsCreditsFromAnotherDomain() throws Exception {
 		try (CreditCluster cluster = new CreditCluster(4, "a1", "b1")) {
--- a/bamboorelay-entry/src/test/java/org/bamboorelay/entry/process/TestEntry.java
+++ b/bamboorelay-entry/src/test/java/org/bamboorelay/entry/process/TestEntry.java
@@ -82,7 +82,7 @@
 								List.of())),
 				List.of(new Inventory.WorkspaceEntry(WorkspaceId.of("norte"), 1, List.of(app, model), List.of()),
 						new Inventory.WorkspaceEntry(WorkspaceId.of("sur"), 1, List.of(model), List.of())));
-		Rules rules = new Rules(List.of(), List.of(), new Rules.AdmissionRule(10, 1_000, 1_000),
+		Rules rules = new Rules(List.of(), List.of(), List.of(), new Rules.AdmissionRule(10, 1_000, 1_000),
 				new Rules.UsageRule(1_000, 100), new Rules.IsolationRule(Rules.WhenIsolated.REFUSE, 4_000),
 				new Rules.PolicyRule("fair", "affinity", "ramp", "demand", "waves", "resume"));
 		KeyTable keys = KeyTable.empty()
--- a/bamboorelay-entry/src/test/java/org/bamboorelay/entry/request/RolloutWorld.java
+++ b/bamboorelay-entry/src/test/java/org/bamboorelay/entry/request/RolloutWorld.java
@@ -296,7 +296,7 @@
 							List.of())),
 					List.of(new Inventory.WorkspaceEntry(WORKSPACE, 1, List.of(MODEL),
 							List.of(TrainerId.of("cartas"), TrainerId.of("avisos")))));
-			Rules rules = new Rules(
+			Rules rules = new Rules(List.of(),
 					List.of(new Rules.StalenessRule(LineId.of("cartas"), MODEL, RolloutWorld.this.maxVersions),
 							new Rules.StalenessRule(LineId.of("avisos"), MODEL, 1)),
 					List.of(), new Rules.AdmissionRule(1, 1, 1), new Rules.UsageRule(1, 1),
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/version/SettingsReader.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/version/SettingsReader.java
@@ -99,7 +99,8 @@
 	public static SettingsFailure locate(Path file, ConfigurationFault fault) {
 		int line = 0;
 		try {
-			line = TomlLines.of(Files.readString(file, StandardCharsets.UTF_8)).line(fault.key(), fault.found());
+			TomlLines lines = TomlLines.of(Files.readString(file, StandardCharsets.UTF_8));
+			line = fault.key().contains("[") ? lines.line(fault.key()) : lines.line(fault.key(), fault.found());
 		}
 		catch (IOException ex) {
 			// The file was removed since it was read; the fault is told without its line.
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/version/TomlRecordChecker.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/version/TomlRecordChecker.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.regex.Pattern;
 
+import com.fasterxml.jackson.annotation.JsonProperty;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -25,9 +26,10 @@
  * Checks a TOML tree against a record type and collects every fault with its path.
  * <p>
  * A component whose name ends in {@code Millis} is read from the key without that suffix,
- * as a duration with a unit. Lists may be left out and are then empty; other components
- * must be present unless they are {@code @Nullable}. Enum constants are written in lower
- * case with hyphens.
+ * as a duration with a unit. A component with a {@link JsonProperty} is read from the key
+ * that this names, as some keys are reserved words in Java. Lists may be left out and are
+ * then empty; other components must be present unless they are {@code @Nullable}. Enum
+ * constants are written in lower case with hyphens.
  * <p>
  * Used by one thread.
  */
@@ -90,7 +92,7 @@
 	private void checkComponent(JsonNode table, RecordComponent component, String key, String path, ObjectNode result) {
 		JsonNode value = table.get(key);
 		String valuePath = join(path, key);
-		String property = snake(component.getName());
+		String property = (named(component) != null) ? key : snake(component.getName());
 		if (value != null) {
 			JsonNode checked = isDuration(component) ? duration(value, valuePath)
 					: checkValue(value, component.getGenericType(), valuePath);
@@ -200,9 +202,17 @@
 
 	private static String key(RecordComponent component) {
 		String name = component.getName();
+		JsonProperty named = named(component);
+		if (named != null) {
+			return named.value();
+		}
 		return snake(isDuration(component) ? name.substring(0, name.length() - MILLIS_SUFFIX.length()) : name);
 	}
 
+	private static @Nullable JsonProperty named(RecordComponent component) {
+		return component.getAccessor().getAnnotation(JsonProperty.class);
+	}
+
 	private static String snake(String name) {
 		return name.replaceAll("([A-Z])", "_$1").toLowerCase(Locale.ROOT);
 	}
--- a/bamboorelay-slopes/src/main/java/org/bamboorelay/slopes/process/Samples.java
+++ b/bamboorelay-slopes/src/main/java/org/bamboorelay/slopes/process/Samples.java
@@ -114,8 +114,8 @@
 		for (int i = 0; i < keys; i++) {
 			grants.add(new KeyTable.Grant(KeyHash.ofKey("key-" + i), workspace(i % Math.max(1, workspaces))));
 		}
-		Rules rules = new Rules(List.of(new Rules.StalenessRule(LineId.of("line-0"), service(0), 2)), spending,
-				new Rules.AdmissionRule(1_000_000, 2_000, 300_000), new Rules.UsageRule(60_000, 5_000),
+		Rules rules = new Rules(List.of(), List.of(new Rules.StalenessRule(LineId.of("line-0"), service(0), 2)),
+				spending, new Rules.AdmissionRule(1_000_000, 2_000, 300_000), new Rules.UsageRule(60_000, 5_000),
 				new Rules.IsolationRule(Rules.WhenIsolated.REFUSE, 4_000),
 				new Rules.PolicyRule("fair", "affinity", "no-ramp", "demand", "waves", "resume"));
 		return new Configuration(version, new Inventory("capacity", domains, entries, services, spaces), rules,
