--- a/bamboorelay-control/src/test/java/org/bamboorelay/control/process/UsageDutyTests.java
+++ b/bamboorelay-control/src/test/java/org/bamboorelay/control/process/UsageDutyTests.java
@@ -52,7 +52,7 @@
 			ControlContext context = new ControlContext(settings, "incarnation", this.store, PlatformClient.of(pool),
 					links, Counters.create(), Runnable::run);
 			context.accept(new Configuration(1, new Inventory("huerto", List.of(), List.of(), List.of(), List.of()),
-					new Rules(List.of(), List.of(), new Rules.AdmissionRule(100, 60_000, 60_000),
+					new Rules(List.of(), List.of(), List.of(), new Rules.AdmissionRule(100, 60_000, 60_000),
 							new Rules.UsageRule(1_000, 1_000),
 							new Rules.IsolationRule(Rules.WhenIsolated.REFUSE, 4_000),
 							new Rules.PolicyRule("fair", "affinity", "ramp", "demand", "waves", "resume")),
