Hold credits after a freeze and date the answers that raise an allowance

The end of a request tells the time to its first byte, which can lie seconds back.

Change: a ledger that was not driven for 1.5 s holds its endpoints for one credit length, as a new owner does. Each credit keeps the phase of the allowance in which it was lent. An answer from before the last halving does not raise the allowance; one from before its last start does not count.

CreditCluster of the entry tests let a slow answer move the clock by 3.5 s without ticks, which now is a freeze of all hosts; it ticks them meanwhile. The assertion of the test is the same.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/CreditLedger.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/CreditLedger.java
@@ -19,7 +19,8 @@
  * unless renewed.
  * <p>
  * A new owner lends nothing for one credit length: by then the credits of its predecessor
- * were either adopted or have lapsed.
+ * were either adopted or have lapsed. The same holds for an owner that was frozen, as
+ * another may have taken its place and credits could not be renewed.
  * <p>
  * Not thread-safe; guarded by the shard of the service.
  */
@@ -28,6 +29,12 @@
 	/** How long a credit lasts unless renewed, in milliseconds. */
 	public static final long CREDIT_MILLIS = 3_000;
 
+	/**
+	 * Time between two operations above which this process counts as frozen, in
+	 * milliseconds. Credits are expired each 100 ms.
+	 */
+	private static final long FREEZE_MILLIS = 1_500;
+
 	/** Part of a steady endpoint's allowance that rollout samples leave free. */
 	private static final int INTERACTIVE_RESERVE = 8;
 
@@ -50,6 +57,8 @@
 
 	private long lapsed;
 
+	private long expiredMillis = Long.MAX_VALUE;
+
 	private CreditLedger(EndpointSelection selection, LongSupplier ids) {
 		this.selection = selection;
 		this.ids = ids;
@@ -222,7 +231,7 @@
 		if (entry == null) {
 			return false;
 		}
-		this.lent.put(credit, new Lent(entry.slot, entry.tokens, nowMillis + CREDIT_MILLIS));
+		this.lent.put(credit, new Lent(entry.slot, entry.phase, entry.tokens, nowMillis + CREDIT_MILLIS));
 		return true;
 	}
 
@@ -262,7 +271,7 @@
 		}
 		boolean answered = outcome == Outcome.OK;
 		if (answered) {
-			entry.slot.allowance.answered(firstByteMillis);
+			entry.slot.allowance.answered(firstByteMillis, entry.phase);
 		}
 		else if (outcome == Outcome.FAILED || outcome == Outcome.REFUSED) {
 			entry.slot.allowance.failed();
@@ -272,11 +281,15 @@
 
 	/**
 	 * Drops credits that were not renewed in time, and starts lending for endpoints that
-	 * were owned for one credit length. All other operations that lend or take back call
-	 * this themselves.
+	 * were owned for one credit length. After a freeze all endpoints are held again. All
+	 * other operations that lend or take back call this themselves.
 	 * @param nowMillis the time, in milliseconds
 	 */
 	public void expire(long nowMillis) {
+		if (nowMillis - FREEZE_MILLIS > this.expiredMillis) {
+			holdAll(nowMillis + CREDIT_MILLIS);
+		}
+		this.expiredMillis = nowMillis;
 		while (!this.held.isEmpty() && this.held.peekFirst().heldUntilMillis <= nowMillis) {
 			Slot slot = this.held.removeFirst();
 			slot.holding = false;
@@ -294,9 +307,19 @@
 		}
 	}
 
+	private void holdAll(long untilMillis) {
+		this.held.clear();
+		this.slots.values().forEach((slot) -> {
+			slot.heldUntilMillis = untilMillis;
+			slot.holding = true;
+			this.held.add(slot);
+			refresh(slot);
+		});
+	}
+
 	private long enter(Slot slot, long prefixHash, long tokens, long nowMillis) {
 		long id = this.ids.getAsLong();
-		this.lent.put(id, new Lent(slot, tokens, nowMillis + CREDIT_MILLIS));
+		this.lent.put(id, new Lent(slot, slot.allowance.phase(), tokens, nowMillis + CREDIT_MILLIS));
 		slot.lent++;
 		this.selection.sent(slot.endpoint, prefixHash, tokens, nowMillis);
 		refresh(slot);
@@ -348,7 +371,7 @@
 	public record Loan(long credit, EndpointId endpoint) {
 	}
 
-	private record Lent(Slot slot, long tokens, long expiresMillis) {
+	private record Lent(Slot slot, int phase, long tokens, long expiresMillis) {
 	}
 
 	private static final class Slot {
@@ -359,7 +382,7 @@
 
 		private final EndpointAllowance allowance;
 
-		private final long heldUntilMillis;
+		private long heldUntilMillis;
 
 		private boolean holding = true;
 
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointAllowance.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointAllowance.java
@@ -44,6 +44,12 @@
 
 	private boolean warm = true;
 
+	/** Rises when the allowance falls or starts again. */
+	private int phase;
+
+	/** The phase in which the allowance last started again. */
+	private int startPhase;
+
 	private @Nullable String incarnation;
 
 	private int samples;
@@ -77,6 +83,14 @@
 		return this.ramp ? Math.min(this.allowance, this.capacity) : this.capacity;
 	}
 
+	/**
+	 * Returns the phase, to be kept with each request that is sent now.
+	 * @return a number that rises when the allowance falls or starts again
+	 */
+	public int phase() {
+		return this.phase;
+	}
+
 	/**
 	 * Switches between the ramp and its baseline.
 	 * @param on false for the baseline {@code no-ramp}
@@ -96,19 +110,25 @@
 		boolean changed = this.incarnation != null && !this.incarnation.equals(reportedIncarnation);
 		this.incarnation = reportedIncarnation;
 		this.capacity = Math.max(1, reportedCapacity);
+		boolean wasWarm = this.warm;
 		this.warm = reportedWarm;
-		if (changed || !reportedWarm) {
+		if (changed || !reportedWarm || !wasWarm) {
 			restart();
 		}
 		return changed;
 	}
 
 	/**
-	 * Takes a whole answer.
+	 * Takes a whole answer. One to a request that was sent before the allowance started
+	 * again says nothing of the endpoint as it is now. One to a request that was sent
+	 * before the last fall does not raise the allowance: a long stream that began on a
+	 * warm endpoint ends with a short time to its first byte after the endpoint turned
+	 * cold.
 	 * @param latencyMillis time to its first byte, in milliseconds
+	 * @param sentPhase the phase when the request was sent
 	 */
-	public void answered(long latencyMillis) {
-		if (!this.warm) {
+	public void answered(long latencyMillis, int sentPhase) {
+		if (!this.warm || sentPhase < this.startPhase) {
 			return;
 		}
 		double best = Math.max(this.bestMedian, MIN_MEDIAN_MILLIS);
@@ -117,7 +137,7 @@
 			halve();
 			return;
 		}
-		if (!comparable || latencyMillis <= GROWTH_FACTOR * best) {
+		if (sentPhase == this.phase && (!comparable || latencyMillis <= GROWTH_FACTOR * best)) {
 			this.allowance = Math.min(this.allowance + 1, this.capacity);
 		}
 		this.latencies[this.samples++ % WINDOW] = latencyMillis;
@@ -149,10 +169,12 @@
 
 	private void halve() {
 		this.allowance = Math.max(1, this.allowance / 2);
+		this.phase++;
 	}
 
 	private void restart() {
 		this.allowance = 1;
+		this.startPhase = ++this.phase;
 		this.samples = 0;
 		this.bestMedian = 0;
 	}
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/process/CreditLedgerTests.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/process/CreditLedgerTests.java
@@ -108,6 +108,24 @@
 		assertThat(ledger.lend(query(true), CreditLedger.CREDIT_MILLIS).isDefined()).isTrue();
 	}
 
+	@Test
+	void frozenOwnerLendsNothingForOneCreditLength() {
+		CreditLedger ledger = owner(false, 4, 0);
+		ledger.expire(3_000);
+		long credit = ledger.lend(query(true), 3_100).get().credit();
+		ledger.expire(4_600);
+		assertThat(ledger.free(true)).as("no freeze").isEqualTo(3);
+		// Its credit lapses and its successor lends before it runs again.
+		assertThat(ledger.lend(query(true), 14_000).isEmpty()).isTrue();
+		assertThat(ledger.renew(credit, 14_100)).isFalse();
+		ledger.adopt(ENDPOINT, 14_200);
+		for (long now = 15_000; now < 17_000; now += 1_000) {
+			assertThat(ledger.lend(query(true), now).isEmpty()).as("at %d ms", now).isTrue();
+		}
+		ledger.expire(17_000);
+		assertThat(ledger.free(true)).isEqualTo(3);
+	}
+
 	@Test
 	void newOwnerStartsWithTheAllowanceThatRunningRequestsProve() {
 		CreditLedger ledger = owner(true, 16, 0);
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/process/EndpointAllowanceTests.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/process/EndpointAllowanceTests.java
@@ -34,7 +34,7 @@
 	void warmEngineReachesItsCapacity() {
 		EndpointAllowance allowance = EndpointAllowance.of(true, CAPACITY);
 		for (int i = 0; i < CAPACITY; i++) {
-			allowance.answered(20);
+			allowance.answered(20, allowance.phase());
 		}
 		assertThat(allowance.value()).isEqualTo(CAPACITY);
 		allowance.reported("one", true, CAPACITY);
@@ -43,6 +43,35 @@
 		assertThat(allowance.value()).as("new incarnation").isEqualTo(1);
 	}
 
+	@Test
+	void answersToRequestsSentBeforeTheFallDoNotRaiseTheAllowance() {
+		EndpointAllowance allowance = EndpointAllowance.of(true, CAPACITY);
+		for (int i = 0; i < CAPACITY; i++) {
+			allowance.answered(20, allowance.phase());
+		}
+		int before = allowance.phase();
+		for (int i = 0; i < 4; i++) {
+			allowance.answered(1_000, before);
+		}
+		allowance.answered(20, before);
+		allowance.answered(20, before);
+		assertThat(allowance.value()).isEqualTo(1);
+		allowance.answered(20, allowance.phase());
+		assertThat(allowance.value()).isEqualTo(2);
+	}
+
+	@Test
+	void answersToRequestsOfTheColdStartAreNotComparedWith() {
+		EndpointAllowance allowance = EndpointAllowance.of(true, CAPACITY);
+		allowance.reported("one", false, CAPACITY);
+		int cold = allowance.phase();
+		allowance.reported("one", true, CAPACITY);
+		for (int i = 0; i < CAPACITY; i++) {
+			allowance.answered(1_000, cold);
+		}
+		assertThat(allowance.value()).isEqualTo(1);
+	}
+
 	/*
 	 * An engine that is cold between two times takes 20 times as long, and falls over
 	 * when it holds more than it bears for 3 s: three times the 1 s of a cold answer,
@@ -50,7 +79,7 @@
 	 */
 	private static boolean crashes(boolean ramp, int bears, int coldFromSeconds, int coldToSeconds, boolean says) {
 		EndpointAllowance allowance = EndpointAllowance.of(ramp, CAPACITY);
-		Deque<Long> started = new ArrayDeque<>();
+		Deque<Sent> started = new ArrayDeque<>();
 		long overloadedSince = -1;
 		for (long now = 0; now < 60_000; now += 10) {
 			boolean cold = now >= coldFromSeconds * 1_000L && now < coldToSeconds * 1_000L;
@@ -58,11 +87,12 @@
 				allowance.reported("one", !(says && cold), CAPACITY);
 			}
 			long latency = cold ? 1_000 : 50;
-			while (!started.isEmpty() && now - started.getFirst() >= latency) {
-				allowance.answered(now - started.removeFirst());
+			while (!started.isEmpty() && now - started.getFirst().atMillis >= latency) {
+				Sent sent = started.removeFirst();
+				allowance.answered(now - sent.atMillis, sent.phase);
 			}
 			while (started.size() < allowance.value()) {
-				started.addLast(now);
+				started.addLast(new Sent(now, allowance.phase()));
 			}
 			if (!cold || started.size() <= bears) {
 				overloadedSince = -1;
@@ -77,4 +107,7 @@
 		return false;
 	}
 
+	private record Sent(long atMillis, int phase) {
+	}
+
 }
--- a/bamboorelay-entry/src/test/java/org/bamboorelay/entry/process/CreditCluster.java
+++ b/bamboorelay-entry/src/test/java/org/bamboorelay/entry/process/CreditCluster.java
@@ -223,8 +223,9 @@
 			}
 			PeerMessage answer = CreditCluster.this.handlers.get(host).get(message.getClass()).apply(message);
 			if (message instanceof PeerMessage.CreditRequest) {
-				CreditCluster.this.clock.advance(CreditCluster.this.nextGrantMillis);
+				long delay = CreditCluster.this.nextGrantMillis;
 				CreditCluster.this.nextGrantMillis = 0;
+				CreditCluster.this.run(delay);
 			}
 			return Either.right(answer);
 		}
