Let only the trainer declare a batch lost

Cause: a host that did not reach the holders of a batch wrote a record that reopened its samples. Holders that are cut off look gone, and so a delayed fetch at such a host declared a batch lost that the trainer had received from another host. Ruled out: waiting until the holders are dead, as one may have served the batch before it died.

Change: a host that reaches no holder answers 410 and records nothing. The fetch of batch n+1 says with lost_before=true that the trainer gives batch n up; only then the record reopens its samples.

A trainer that fetches on after a 410 without lost_before acknowledges the batch and does not get it.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/request/DeliveryState.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/request/DeliveryState.java
@@ -19,8 +19,9 @@
  * number in a record only tells a former owner to stop.
  * <p>
  * The record n+1 also decides the fate of batch n. It either acknowledges the batch or
- * says that it was lost, and so a delayed fetch cannot declare an acknowledged batch
- * lost.
+ * says that it was lost. Only the trainer knows whether it received the batch, so only
+ * its fetch of batch n+1 decides this. A host that does not reach the holders may be cut
+ * off, while another one serves the batch.
  * <p>
  * Not thread-safe; each step has one, under the lock of its runner.
  */
@@ -140,13 +141,15 @@
 	/**
 	 * Decides how a fetch is answered.
 	 * @param seq the batch that is asked for
+	 * @param lostBefore whether the trainer gives up the batch before, which it did not
+	 * receive; false acknowledges that batch
 	 * @param max the most samples that the trainer takes
 	 * @param newest the trainer's newest version
 	 * @param bound the staleness bound in force
 	 * @param token unique token for a new record
 	 * @return what is to be done; exactly one action is an answer or a proposal
 	 */
-	public List<Action> fetch(long seq, int max, long newest, StalenessBound bound, String token) {
+	public List<Action> fetch(long seq, boolean lostBefore, int max, long newest, StalenessBound bound, String token) {
 		List<Action> actions = new ArrayList<>();
 		if (seq < next()) {
 			actions.add(answer(seq, newest, bound));
@@ -160,6 +163,10 @@
 			actions.add(new Action.OutOfOrder(next()));
 			return actions;
 		}
+		if (lostBefore && !this.chain.isEmpty() && !this.chain.get(this.chain.size() - 1).samples().isEmpty()) {
+			actions.add(propose(token, List.of(), true, false));
+			return actions;
+		}
 		if (this.delivered.size() == this.slots) {
 			actions.add(propose(token, List.of(), false, true));
 			return actions;
@@ -178,19 +185,6 @@
 		return actions;
 	}
 
-	/**
-	 * Decides what follows when no holder has the bytes of a batch any more.
-	 * @param seq the batch
-	 * @param token unique token for a new record
-	 * @return the record that reopens its slots, or that the batch is gone
-	 */
-	public Action lost(long seq, String token) {
-		if (seq == next() - 1 && !this.chain.get((int) seq).last()) {
-			return propose(token, List.of(), true, false);
-		}
-		return new Action.Gone(seq);
-	}
-
 	private Action answer(long seq, long newest, StalenessBound bound) {
 		BatchRecord record = this.chain.get((int) seq);
 		if (record.last()) {
@@ -254,7 +248,7 @@
 		}
 
 		/**
-		 * Answers that the batch was lost.
+		 * Answers that the trainer gave the batch up.
 		 *
 		 * @param seq the batch
 		 */
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/BatchExchange.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/BatchExchange.java
@@ -109,8 +109,10 @@
 	 * @param seq the batch
 	 * @param max the most samples
 	 * @param trainerVersion the trainer's newest version, as it says
+	 * @param lostBefore whether the trainer gives up the batch before
 	 */
-	record Question(TrainerId trainer, long step, WorkspaceId workspace, long seq, int max, long trainerVersion) {
+	record Question(TrainerId trainer, long step, WorkspaceId workspace, long seq, int max, long trainerVersion,
+			boolean lostBefore) {
 	}
 
 }
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/RolloutRoutes.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/RolloutRoutes.java
@@ -299,10 +299,14 @@
 	private Either<Refusal, Answer> fetch(CallerRequest request, WorkspaceId workspace, StepKey key, long seq) {
 		int max;
 		long trainerVersion;
+		String lostBefore = parameter(request.query(), "lost_before", "false");
+		if (!lostBefore.equals("true") && !lostBefore.equals("false")) {
+			return refuse(RefusalReason.BAD_REQUEST, "lost_before must be true or false: \"" + lostBefore + "\"");
+		}
 		try {
 			max = (int) Math.min(DeliveryState.MAX_BATCH_SAMPLES,
-					parameter(request.query(), "max", DeliveryState.MAX_BATCH_SAMPLES));
-			trainerVersion = parameter(request.query(), "trainer_version", 0);
+					Long.parseLong(parameter(request.query(), "max", "" + DeliveryState.MAX_BATCH_SAMPLES)));
+			trainerVersion = Long.parseLong(parameter(request.query(), "trainer_version", "0"));
 		}
 		catch (NumberFormatException ex) {
 			return refuse(RefusalReason.BAD_REQUEST, "max and trainer_version must be whole numbers");
@@ -311,7 +315,7 @@
 			return refuse(RefusalReason.BAD_REQUEST, "max must be positive and trainer_version not negative");
 		}
 		BatchExchange.Question question = new BatchExchange.Question(key.trainer(), key.step(), workspace, seq, max,
-				trainerVersion);
+				trainerVersion, lostBefore.equals("true"));
 		for (int owner = 0; owner < MAX_OWNERS; owner++) {
 			Either<StoreFailure, Option<Step>> step = readStep(key);
 			if (step.isLeft()) {
@@ -444,11 +448,11 @@
 		return Optional.empty();
 	}
 
-	private static long parameter(@Nullable String query, String name, long absent) {
+	private static String parameter(@Nullable String query, String name, String absent) {
 		if (query != null) {
 			for (String pair : query.split("&")) {
 				if (pair.startsWith(name + "=")) {
-					return Long.parseLong(pair.substring(name.length() + 1));
+					return pair.substring(name.length() + 1);
 				}
 			}
 		}
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/StepRunner.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/StepRunner.java
@@ -212,7 +212,8 @@
 	private Optional<BatchReply> decide(BatchExchange.Question question, long newest) {
 		List<DeliveryState.Action> actions;
 		synchronized (this.lock) {
-			actions = this.delivery.fetch(question.seq(), question.max(), newest, bound(), this.parts.tokens().get());
+			actions = this.delivery.fetch(question.seq(), question.lostBefore(), question.max(), newest, bound(),
+					this.parts.tokens().get());
 		}
 		Optional<BatchReply> reply = Optional.empty();
 		for (DeliveryState.Action action : actions) {
@@ -311,7 +312,7 @@
 				return found.unsure()
 						? Optional.of(BatchReply.refused(RefusalReason.NO_ENDPOINT,
 								"a host that holds sample " + sample.id() + " does not answer"))
-						: lost(serve.record().seq());
+						: Optional.of(gone(serve.record().seq()));
 			}
 			samples.add(Json.tree(found.body().get())
 				.getOrElseThrow(
@@ -329,21 +330,10 @@
 		return Optional.of(BatchReply.of(batch));
 	}
 
-	private Optional<BatchReply> lost(long seq) {
-		DeliveryState.Action action;
-		synchronized (this.lock) {
-			action = this.delivery.lost(seq, this.parts.tokens().get());
-		}
-		if (action instanceof DeliveryState.Action.Propose propose) {
-			// The next round answers by what the store then says of the batch.
-			return propose(propose.record());
-		}
-		return Optional.of(gone(seq));
-	}
-
 	private static BatchReply gone(long seq) {
 		return BatchReply.refused(RefusalReason.BATCH_LOST,
-				"no host holds batch " + seq + " any more; fetch the next batch");
+				"no holder of batch " + seq + " is reached; a trainer that did not receive it fetches batch "
+						+ (seq + 1) + " with lost_before=true");
 	}
 
 	private static BatchReply storeFailed(StoreFailure failure) {
--- a/bamboorelay-load/src/main/java/org/bamboorelay/load/process/TrainerLoad.java
+++ b/bamboorelay-load/src/main/java/org/bamboorelay/load/process/TrainerLoad.java
@@ -125,11 +125,12 @@
 		long submitted = System.nanoTime();
 		this.submitMillis += (submitted - announced) / 1_000_000L;
 		this.delivered.put(step, new ArrayList<>());
+		boolean lostBefore = false;
 		for (int seq = 0;; seq++) {
 			Answer answer;
 			do {
 				answer = repeat("GET", base + "/steps/" + version + "/batches/" + seq + "?max=" + BATCH_MAX
-						+ "&trainer_version=" + version, null);
+						+ "&trainer_version=" + version + "&lost_before=" + lostBefore, null);
 				if (answer == null) {
 					return false;
 				}
@@ -142,6 +143,7 @@
 				this.finished.put(step, this.trainer.prompts() * this.trainer.samplesPerPrompt());
 				return true;
 			}
+			lostBefore = answer.status() == 410;
 			if (answer.isOk()) {
 				if (seq == 0) {
 					this.firstBatchMillis += (System.nanoTime() - submitted) / 1_000_000L;
--- a/bamboorelay-slopes/src/main/java/org/bamboorelay/slopes/process/StoreSlopes.java
+++ b/bamboorelay-slopes/src/main/java/org/bamboorelay/slopes/process/StoreSlopes.java
@@ -112,7 +112,8 @@
 		plan.order().forEach((slot) -> delivery.ready(entry(slot)));
 		int writes = 0;
 		while (!delivery.isComplete()) {
-			for (DeliveryState.Action action : delivery.fetch(delivery.next(), size, 1, new StalenessBound(2), "t")) {
+			for (DeliveryState.Action action : delivery.fetch(delivery.next(), false, size, 1, new StalenessBound(2),
+					"t")) {
 				if (action instanceof DeliveryState.Action.Propose propose) {
 					delivery.recorded(propose.record());
 					writes++;
