Ask each peer before a starting host puts a version in force

Cause: ConfigurationTests failed once on a busy machine, as a restarted host showed version 2 when all had version 3 and the object API was down. A control process that had not read version 3 before the outage offers its own, and a peer that has not heard of it may answer first. The host put what came first in force, and went back for some hundred milliseconds. Found by reading the code after that failure; the process test was not repeated with the log of the host. Ruled out: an old answer after a newer one, as held versions only rise.

Change: a host with peers in its settings puts nothing in force before each of them answered what it holds or could not be reached, at most for 2 s. The first exchange with a peer asks for its configuration, two peers at a time, so that a start still costs at most two bodies.

Conclusion: a restart no longer takes a host back to an older version while a peer that it reaches holds a newer one.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/version/LiveConfiguration.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/version/LiveConfiguration.java
@@ -54,6 +54,8 @@
 
 	private volatile long tickedAtMillis;
 
+	private boolean heldBack;
+
 	private LiveConfiguration(Clock clock, Predicate<Set<FailureDomain>> hears) {
 		this.clock = Objects.requireNonNull(clock, "clock");
 		this.hears = Objects.requireNonNull(hears, "hears");
@@ -122,6 +124,22 @@
 		return this.withdrawn;
 	}
 
+	/**
+	 * Puts no version in force until {@link #release()}. A process that starts calls this
+	 * before it asks its peers, as the first answer may name an older version than the
+	 * one that was in force here before the restart.
+	 */
+	public synchronized void holdBack() {
+		this.heldBack = true;
+	}
+
+	/**
+	 * Lets versions come in force again.
+	 */
+	public synchronized void release() {
+		this.heldBack = false;
+	}
+
 	/**
 	 * Notes that the store or a peer answered.
 	 */
@@ -199,6 +217,9 @@
 	}
 
 	private synchronized void settle() {
+		if (this.heldBack) {
+			return;
+		}
 		Option<Configuration> settled = this.state.settle(this.clock.millis());
 		if (settled.isDefined()) {
 			Configuration configuration = settled.get();
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/connection/ConfigurationExchange.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/connection/ConfigurationExchange.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.Executor;
 import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
 
 import io.vavr.control.Either;
 import org.bamboorelay.core.connection.PeerMessage;
@@ -34,6 +35,9 @@
 	 */
 	private static final int MAX_FETCHES = 2;
 
+	/** A peer that does not answer holds up the first answers of others no longer. */
+	private static final long ASK_WAIT_MILLIS = 500;
+
 	private final FailureDomain domain;
 
 	private final LiveConfiguration configuration;
@@ -85,11 +89,7 @@
 		}
 		this.threads.execute(() -> {
 			try {
-				Either<PeerFailure, PeerMessage> answer = link
-					.call(new PeerMessage.ConfigFetch(this.configuration.heldVersion()), CALL_TIMEOUT_MILLIS);
-				if (answer.isRight() && answer.get() instanceof PeerMessage.ConfigBody body) {
-					onBody(link, body);
-				}
+				call(link);
 			}
 			finally {
 				this.fetches.release();
@@ -97,6 +97,34 @@
 		});
 	}
 
+	/**
+	 * Asks a peer for a newer version, and returns once it was taken.
+	 * @param link the link to the peer
+	 */
+	void ask(PeerLink link) {
+		boolean acquired = false;
+		try {
+			acquired = this.fetches.tryAcquire(ASK_WAIT_MILLIS, TimeUnit.MILLISECONDS);
+			call(link);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		finally {
+			if (acquired) {
+				this.fetches.release();
+			}
+		}
+	}
+
+	private void call(PeerLink link) {
+		Either<PeerFailure, PeerMessage> answer = link
+			.call(new PeerMessage.ConfigFetch(this.configuration.heldVersion()), CALL_TIMEOUT_MILLIS);
+		if (answer.isRight() && answer.get() instanceof PeerMessage.ConfigBody body) {
+			onBody(link, body);
+		}
+	}
+
 	private void onBody(PeerLink link, PeerMessage.ConfigBody body) {
 		if (body.body().length > 0) {
 			Json.read(body.body(), Configuration.class)
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/connection/TcpPeerMesh.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/connection/TcpPeerMesh.java
@@ -48,6 +48,13 @@
 
 	private static final long MAX_BACKOFF_MILLIS = 2_000;
 
+	/**
+	 * The longest wait of a starting host for the versions that its peers hold, in
+	 * milliseconds. A peer that accepts a link and does not answer must not keep the host
+	 * from starting.
+	 */
+	private static final long FIRST_ANSWERS_MILLIS = 2_000;
+
 	/**
 	 * Interval of comparing withdrawn keys with one peer, in milliseconds. Two different
 	 * sets of equal size look the same in heartbeats.
@@ -95,6 +102,8 @@
 
 	private long nextExchangeMillis;
 
+	private volatile long heldBackUntilMillis;
+
 	private TcpPeerMesh(PeerMessage.Hello hello, LiveConfiguration configuration, Membership membership, Clock clock,
 			Counters counters, Executor threads) {
 		this.hello = Objects.requireNonNull(hello, "hello");
@@ -141,6 +150,10 @@
 		PeerListener opened = PeerListener.open(address, port, this.hello, this::handle, this::onLinkEnd, this.threads);
 		this.listener = opened;
 		String own = address + ":" + opened.port();
+		if (!bootstrap.isEmpty()) {
+			this.configuration.holdBack();
+			this.heldBackUntilMillis = this.clock.millis() + FIRST_ANSWERS_MILLIS;
+		}
 		bootstrap.stream().filter((peer) -> !peer.equals(own)).forEach((peer) -> this.peers.add(peer));
 	}
 
@@ -269,6 +282,9 @@
 			this.membership.tick(now);
 		}
 		this.lastTickMillis = now;
+		if (now >= this.heldBackUntilMillis || this.peers.all().stream().allMatch((peer) -> peer.asked)) {
+			this.configuration.release();
+		}
 		this.configuration.tick();
 		this.peers.all().forEach((peer) -> connect(peer, now));
 		if (this.followed && this.peers.all().stream().allMatch((peer) -> peer.asked)) {
@@ -364,7 +380,10 @@
 	}
 
 	private void onAsked(PeerLink link) {
-		this.peers.all().stream().filter((peer) -> peer.link == link).forEach((peer) -> peer.asked = true);
+		this.peers.all().stream().filter((peer) -> peer.link == link && !peer.asked).forEach((peer) -> {
+			this.configurations.ask(link);
+			peer.asked = true;
+		});
 	}
 
 	private PeerMessage.Heartbeat heartbeat() {
--- a/bamboorelay-entry/src/test/java/org/bamboorelay/entry/process/PeerExchangeTests.java
+++ b/bamboorelay-entry/src/test/java/org/bamboorelay/entry/process/PeerExchangeTests.java
@@ -79,6 +79,35 @@
 		}
 	}
 
+	/**
+	 * Guards against a restarted host that goes back to an older version, because a peer
+	 * that has not heard of the newest one answers first.
+	 */
+	@Test
+	void restartingHostPutsNoOlderVersionInForceThanAPeerHolds() throws IOException {
+		List<TestEntry> peers = new ArrayList<>();
+		try {
+			for (int i = 0; i < 6; i++) {
+				TestEntry peer = TestEntry.peer("host-" + i);
+				peer.process().configuration().accept(TestEntry.configuration((i < 5) ? 6 : 7), 0);
+				peers.add(peer);
+			}
+			String[] addresses = peers.stream()
+				.map((peer) -> "127.0.0.1:" + peer.process().peerPort())
+				.toArray(String[]::new);
+			try (TestEntry joining = TestEntry.peer("host-9", addresses)) {
+				Queue<Long> inForce = new ConcurrentLinkedQueue<>();
+				joining.process().configuration().onChange((changed) -> inForce.add(changed.version()));
+				joining.process().configuration().current().forEach((present) -> inForce.add(present.version()));
+				await(() -> joining.process().configuration().isReady());
+				assertThat(inForce).containsOnly(7L);
+			}
+		}
+		finally {
+			peers.forEach(TestEntry::close);
+		}
+	}
+
 	@Test
 	void withdrawalsReachPeersInBothDirections() throws IOException {
 		try (TestEntry one = TestEntry.peer("host-1");
