Do not raise an allowance by answers of adopted requests

Cause: a holder that was frozen registers its running requests again, and the owner dated them as sent now.

Change: an adopted request counts as sent in the phase before the present one, so that its answer does not raise the allowance.

The new test of CreditLedgerTests asserts an allowance of 1 after such an answer.

Conclusion: only answers to requests that this owner dated raise the allowance.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/CreditLedger.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/CreditLedger.java
@@ -221,7 +221,7 @@
 		if (slot == null) {
 			return Option.none();
 		}
-		long id = enter(slot, query.prefixHash(), query.expectedTokens(), nowMillis);
+		long id = enter(slot, slot.allowance.phase(), query.prefixHash(), query.expectedTokens(), nowMillis);
 		return Option.some(new Loan(id, slot.endpoint));
 	}
 
@@ -254,7 +254,8 @@
 		if (slot == null) {
 			return Option.none();
 		}
-		long id = enter(slot, 0, 1, nowMillis);
+		// When it was sent is not known, so its answer must not raise the allowance.
+		long id = enter(slot, slot.allowance.phase() - 1, 0, 1, nowMillis);
 		if (nowMillis < slot.heldUntilMillis) {
 			slot.allowance.adopted(slot.lent);
 		}
@@ -324,9 +325,9 @@
 		});
 	}
 
-	private long enter(Slot slot, long prefixHash, long tokens, long nowMillis) {
+	private long enter(Slot slot, int phase, long prefixHash, long tokens, long nowMillis) {
 		long id = this.ids.getAsLong();
-		this.lent.put(id, new Lent(slot, slot.allowance.phase(), tokens, nowMillis + CREDIT_MILLIS));
+		this.lent.put(id, new Lent(slot, phase, tokens, nowMillis + CREDIT_MILLIS));
 		slot.lent++;
 		this.selection.sent(slot.endpoint, prefixHash, tokens, nowMillis);
 		refresh(slot);
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/process/CreditLedgerTests.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/process/CreditLedgerTests.java
@@ -159,6 +159,21 @@
 		assertThat(ledger.adopt(EndpointId.of("e2"), 100).isEmpty()).as("not owned").isTrue();
 	}
 
+	/**
+	 * Guards against an allowance that rises again for a cold endpoint when a holder was
+	 * frozen and registers requests that it sent while the endpoint was warm.
+	 */
+	@Test
+	void answersOfAdoptedRequestsDoNotRaiseTheAllowance() {
+		CreditLedger ledger = owner(true, 16, 0);
+		long credit = ledger.adopt(ENDPOINT, 3_000).get();
+		ledger.giveBack(credit, CreditLedger.Outcome.OK, 20, 3_100);
+		assertThat(ledger.allowance(ENDPOINT)).isEqualTo(1);
+		credit = ledger.lend(query(true), 3_200).get().credit();
+		ledger.giveBack(credit, CreditLedger.Outcome.OK, 20, 3_300);
+		assertThat(ledger.allowance(ENDPOINT)).isEqualTo(2);
+	}
+
 	@Test
 	void endpointThatTakesNoWorkGetsNone() {
 		CreditLedger ledger = owner(false, 4, 0);
