--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerMessage.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerMessage.java
@@ -5,6 +5,7 @@
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.List;
+import java.util.Map;
 
 import com.fasterxml.jackson.annotation.JsonFormat;
 import org.bamboorelay.core.version.EndpointId;
@@ -435,4 +436,41 @@
 	record WithdrawnDelta(int count, long hash, int after, List<KeyHash> keys) implements PeerMessage {
 	}
 
+	/**
+	 * Sign of life of a host that learns its peers from the platform's store; answered by
+	 * none.
+	 *
+	 * @param leaving whether the sender shuts down
+	 * @param holdsDuties whether the sender is in charge of the duties
+	 * @param running the requests that it runs at each endpoint
+	 * @param usage requests that began to run, by window, incarnation and workspace, of
+	 * the newest windows
+	 */
+	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+	record HostStatus(boolean leaving, boolean holdsDuties, Map<String, Integer> running,
+			Map<Long, Map<String, Map<String, Long>>> usage) implements PeerMessage {
+	}
+
+	/**
+	 * Asks the host that runs a submission for its listed results; answered by
+	 * {@link ResultsAnswer}.
+	 *
+	 * @param submission the submission
+	 * @param after the position to begin at
+	 * @param maxCharacters the most characters of text to answer with
+	 */
+	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+	record ResultsRead(String submission, int after, int maxCharacters) implements PeerMessage {
+	}
+
+	/**
+	 * Listed results of a submission.
+	 *
+	 * @param known whether the sender runs the submission
+	 * @param body JSON of the results, in order
+	 */
+	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+	record ResultsAnswer(boolean known, byte[] body) implements PeerMessage {
+	}
+
 }
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerProtocol.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerProtocol.java
@@ -34,7 +34,8 @@
 			PeerMessage.SampleGet.class, PeerMessage.SampleBody.class, PeerMessage.SampleDrop.class,
 			PeerMessage.UsagePull.class, PeerMessage.UsageCounters.class, PeerMessage.Ack.class,
 			PeerMessage.Rejected.class, PeerMessage.BatchFetch.class, PeerMessage.BatchAnswer.class,
-			PeerMessage.WithdrawnDelta.class, PeerMessage.EndpointSetOffer.class);
+			PeerMessage.WithdrawnDelta.class, PeerMessage.EndpointSetOffer.class, PeerMessage.HostStatus.class,
+			PeerMessage.ResultsRead.class, PeerMessage.ResultsAnswer.class);
 
 	/**
 	 * The number of types in the first release. A process sends later types only to
--- /dev/null
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointDemand.java
@@ -0,0 +1,39 @@
+package org.bamboorelay.core.process;
+
+import java.util.Objects;
+import java.util.Set;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What a request needs of an endpoint.
+ * <p>
+ * Immutable and thread-safe.
+ *
+ * @param service the service
+ * @param model the model; null for a plain service
+ * @param minVersion the oldest weight version that may serve; 0 for any
+ * @param affinity hash of what the request shares with others; 0 for nothing
+ * @param slotsOnly whether the endpoint must have a free slot; otherwise the request may
+ * wait in the endpoint's queue
+ * @param excluded the endpoints that the request was sent to before
+ */
+public record EndpointDemand(String service, @Nullable String model, long minVersion, long affinity, boolean slotsOnly,
+		Set<String> excluded) {
+
+	public EndpointDemand {
+		Objects.requireNonNull(service, "service");
+		excluded = Set.copyOf(excluded);
+	}
+
+	/**
+	 * Returns the demand of a request to a plain service.
+	 * @param service the service
+	 * @param excluded the endpoints that the request was sent to before
+	 * @return the demand
+	 */
+	public static EndpointDemand plain(String service, Set<String> excluded) {
+		return new EndpointDemand(service, null, 0, 0, false, excluded);
+	}
+
+}
--- /dev/null
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/request/ResultLog.java
@@ -0,0 +1,130 @@
+package org.bamboorelay.core.request;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The listed results of one submission. Results get their positions by pages that are
+ * created under a condition, so two hosts that both run the submission cannot give one
+ * position to two results. A page whose outcome is unknown is written again unchanged
+ * until its outcome is known.
+ * <p>
+ * Thread-safe; guarded by its own lock.
+ */
+public final class ResultLog {
+
+	private final List<ItemResult> listed = new ArrayList<>();
+
+	private final Set<String> ids = new HashSet<>();
+
+	private @Nullable ResultPage pending;
+
+	/**
+	 * Returns the listed results from a position on.
+	 * @param after the position
+	 * @return the results
+	 */
+	public synchronized List<ItemResult> from(int after) {
+		return (after >= this.listed.size()) ? List.of()
+				: List.copyOf(this.listed.subList(Math.max(0, after), this.listed.size()));
+	}
+
+	/**
+	 * Returns the number of listed results.
+	 * @return the number
+	 */
+	public synchronized int size() {
+		return this.listed.size();
+	}
+
+	/**
+	 * Tells whether an item is listed.
+	 * @param id the item
+	 * @return whether it has a position
+	 */
+	public synchronized boolean contains(String id) {
+		return this.ids.contains(id);
+	}
+
+	/**
+	 * Returns the page to write next.
+	 * @param results results that have no position yet
+	 * @param maxCharacters the most characters of text in one page
+	 * @return the page, or null where there is nothing to list
+	 */
+	public synchronized @Nullable ResultPage next(List<ItemResult> results, int maxCharacters) {
+		if (this.pending == null) {
+			List<ItemResult> taken = new ArrayList<>();
+			long size = 0;
+			for (ItemResult result : results) {
+				size += result.output().length();
+				if (!taken.isEmpty() && size > maxCharacters) {
+					break;
+				}
+				if (!this.ids.contains(result.id())) {
+					taken.add(result);
+				}
+			}
+			this.pending = taken.isEmpty() ? null : new ResultPage(this.listed.size(), taken);
+		}
+		return this.pending;
+	}
+
+	/**
+	 * Takes a page that the store holds, be it this host's or another one's.
+	 * @param page the page
+	 * @return whether the page was new and continues the list
+	 */
+	public synchronized boolean add(ResultPage page) {
+		if (page.first() != this.listed.size()) {
+			return false;
+		}
+		this.pending = null;
+		page.results().forEach((result) -> {
+			this.listed.add(result);
+			this.ids.add(result.id());
+		});
+		notifyAll();
+		return true;
+	}
+
+	/**
+	 * Waits until there is a result at a position.
+	 * @param position the position
+	 * @param millis the longest wait, in milliseconds
+	 * @throws InterruptedException where the waiting thread is interrupted
+	 */
+	public synchronized void await(int position, long millis) throws InterruptedException {
+		long end = System.nanoTime() / 1_000_000L + millis;
+		while (this.listed.size() <= position) {
+			long left = end - System.nanoTime() / 1_000_000L;
+			if (left <= 0) {
+				return;
+			}
+			wait(left);
+		}
+	}
+
+	/**
+	 * Results with fixed positions.
+	 *
+	 * @param first the position of the first one
+	 * @param results the results
+	 */
+	public record ResultPage(int first, List<ItemResult> results) {
+
+		public ResultPage {
+			results = List.copyOf(results);
+			if (first < 0 || results.isEmpty()) {
+				throw new IllegalArgumentException(
+						"a page has a position and results: " + first + ", " + results.size() + " results");
+			}
+		}
+
+	}
+
+}
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/store/StoreFailure.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/store/StoreFailure.java
@@ -67,4 +67,21 @@
 		}
 	}
 
+	/**
+	 * The store no longer knows the changes since a revision.
+	 *
+	 * @param kind the kind of objects
+	 */
+	record HistoryGone(String kind) implements StoreFailure {
+		@Override
+		public String code() {
+			return "store-history-gone";
+		}
+
+		@Override
+		public String detail() {
+			return "the store no longer knows what happened to \"" + this.kind + "\"";
+		}
+	}
+
 }
--- /dev/null
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/version/ServiceShare.java
@@ -0,0 +1,22 @@
+package org.bamboorelay.core.version;
+
+import java.util.Objects;
+
+/**
+ * Part of a route's requests that goes to one service.
+ * <p>
+ * Immutable and thread-safe.
+ *
+ * @param service the service
+ * @param weight the share, relative to the other shares of the route
+ */
+public record ServiceShare(String service, int weight) {
+
+	public ServiceShare {
+		Objects.requireNonNull(service, "service");
+		if (weight < 0) {
+			throw new IllegalArgumentException("weight must not be negative: " + weight);
+		}
+	}
+
+}
--- /dev/null
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/HostMesh.java
@@ -0,0 +1,310 @@
+package org.bamboorelay.host.connection;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BiConsumer;
+import java.util.function.Function;
+import java.util.function.Supplier;
+
+import io.vavr.control.Either;
+import org.bamboorelay.core.connection.PeerMessage;
+import org.bamboorelay.core.time.Clock;
+import org.bamboorelay.core.version.FailureDomain;
+import org.bamboorelay.core.version.HostId;
+import org.bamboorelay.host.process.EventLog;
+import org.bamboorelay.runtime.connection.PeerFailure;
+import org.bamboorelay.runtime.connection.PeerLink;
+import org.bamboorelay.runtime.connection.PeerListener;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Links to all other hosts that the platform's store names. Each host opens a link to
+ * each other one and sends its status there; a host without a status for a while counts
+ * as gone.
+ * <p>
+ * Thread-safe.
+ */
+public final class HostMesh implements AutoCloseable {
+
+	/** A host without a status for this long counts as gone, in milliseconds. */
+	private static final long GONE_MILLIS = 2_500;
+
+	/** Pause after a failed try to connect, in milliseconds. */
+	private static final long RECONNECT_MILLIS = 500;
+
+	private static final String DEPLOYMENT = "platform";
+
+	private static final String ROLE = "entry";
+
+	private final PeerMessage.Hello hello;
+
+	private final Clock clock;
+
+	private final ExecutorService threads;
+
+	private final EventLog log;
+
+	private final Map<String, Peer> peers = new ConcurrentHashMap<>();
+
+	private final Map<Class<?>, Function<PeerMessage, PeerMessage>> handlers = new ConcurrentHashMap<>();
+
+	private volatile BiConsumer<String, PeerMessage.HostStatus> onStatus = (host, status) -> {
+	};
+
+	private @Nullable PeerListener listener;
+
+	private HostMesh(PeerMessage.Hello hello, Clock clock, ExecutorService threads, EventLog log) {
+		this.hello = hello;
+		this.clock = Objects.requireNonNull(clock, "clock");
+		this.threads = Objects.requireNonNull(threads, "threads");
+		this.log = Objects.requireNonNull(log, "log");
+	}
+
+	/**
+	 * Creates a mesh without links.
+	 * @param host this host
+	 * @param domain its failure domain
+	 * @param incarnation unique for each start of the process
+	 * @param clock the monotonic clock of the process
+	 * @param threads runs the links
+	 * @param log the log of the process
+	 * @return the mesh
+	 */
+	public static HostMesh of(String host, String domain, String incarnation, Clock clock, ExecutorService threads,
+			EventLog log) {
+		PeerMessage.Hello hello = PeerMessage.Hello.of(DEPLOYMENT, HostId.of(host), FailureDomain.of(domain), ROLE,
+				incarnation);
+		return new HostMesh(hello, clock, threads, log);
+	}
+
+	/**
+	 * Sets what happens with the status of another host.
+	 * @param listener told of the host and its status; must not block
+	 */
+	public void onStatus(BiConsumer<String, PeerMessage.HostStatus> listener) {
+		this.onStatus = Objects.requireNonNull(listener, "listener");
+	}
+
+	/**
+	 * Sets what answers a type of message.
+	 * @param <T> the type
+	 * @param type the type
+	 * @param handler answers a message; must not block
+	 */
+	public <T extends PeerMessage> void register(Class<T> type, Function<T, PeerMessage> handler) {
+		this.handlers.put(type, (message) -> handler.apply(type.cast(message)));
+	}
+
+	/**
+	 * Starts to accept links.
+	 * @param address {@code ip:port}
+	 * @throws IOException where the address cannot be bound
+	 */
+	public void open(String address) throws IOException {
+		int colon = address.lastIndexOf(':');
+		this.listener = PeerListener.open(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)),
+				this.hello, this::handle, (failure) -> {
+				}, this.threads);
+	}
+
+	/**
+	 * Takes the address of a host.
+	 * @param host the host
+	 * @param address {@code ip:port}
+	 */
+	public void put(String host, String address) {
+		if (host.equals(this.hello.host().value())) {
+			return;
+		}
+		this.peers.compute(host, (unused, known) -> {
+			if (known != null && known.address.equals(address)) {
+				return known;
+			}
+			Peer peer = new Peer(host, address);
+			peer.heardAt = this.clock.millis();
+			return peer;
+		});
+	}
+
+	/**
+	 * Forgets a host.
+	 * @param host the host
+	 */
+	public void remove(String host) {
+		Peer peer = this.peers.remove(host);
+		if (peer != null) {
+			closeLink(peer);
+		}
+	}
+
+	/**
+	 * Sends the status of this host to all others, and connects to those without a link.
+	 * @param status makes the status
+	 */
+	public void beat(Supplier<PeerMessage.HostStatus> status) {
+		PeerMessage.HostStatus message = status.get();
+		for (Peer peer : this.peers.values()) {
+			PeerLink link = peer.link;
+			if (link != null && link.isOpen()) {
+				link.send(message);
+			}
+			else {
+				connect(peer);
+			}
+			boolean alive = isAlive(peer);
+			if (alive != peer.reportedAlive) {
+				peer.reportedAlive = alive;
+				this.log.info(alive ? "peer-regained" : "peer-lost", "peer", peer.host, "address", peer.address,
+						"silent_ms", this.clock.millis() - peer.heardAt);
+			}
+		}
+	}
+
+	/**
+	 * Returns the hosts that serve.
+	 * @return this host and the others that were heard lately and do not leave
+	 */
+	public Set<String> liveHosts() {
+		Set<String> live = new TreeSet<>();
+		live.add(this.hello.host().value());
+		this.peers.values()
+			.stream()
+			.filter((peer) -> isAlive(peer) && !peer.leaving)
+			.forEach((peer) -> live.add(peer.host));
+		return live;
+	}
+
+	/**
+	 * Tells whether a host serves as far as this one knows.
+	 * @param host the host
+	 * @return whether it is this host, or one that was heard lately
+	 */
+	public boolean isLive(String host) {
+		if (host.equals(this.hello.host().value())) {
+			return true;
+		}
+		Peer peer = this.peers.get(host);
+		return peer != null && isAlive(peer) && !peer.leaving;
+	}
+
+	/**
+	 * Returns the host that is in charge of the duties as it says.
+	 * @return the host, or null where none was heard lately
+	 */
+	public @Nullable String dutyHolder() {
+		return this.peers.values()
+			.stream()
+			.filter((peer) -> isAlive(peer) && peer.holdsDuties)
+			.map((peer) -> peer.host)
+			.findFirst()
+			.orElse(null);
+	}
+
+	/**
+	 * Asks a host.
+	 * @param host the host
+	 * @param message the question
+	 * @param timeoutMillis the longest wait, in milliseconds
+	 * @return its answer
+	 */
+	public Either<PeerFailure, PeerMessage> call(String host, PeerMessage message, long timeoutMillis) {
+		Peer peer = this.peers.get(host);
+		PeerLink link = (peer != null) ? peer.link : null;
+		if (link == null || !link.isOpen()) {
+			return Either.left(new PeerFailure.Unreachable("no link to " + host));
+		}
+		return link.call(message, timeoutMillis);
+	}
+
+	@Override
+	public void close() {
+		if (this.listener != null) {
+			this.listener.close();
+		}
+		List.copyOf(new ArrayList<>(this.peers.values())).forEach(HostMesh::closeLink);
+	}
+
+	private boolean isAlive(Peer peer) {
+		return this.clock.millis() - peer.heardAt < GONE_MILLIS;
+	}
+
+	private void connect(Peer peer) {
+		if (this.clock.millis() < peer.nextConnectAt || !peer.connecting.compareAndSet(false, true)) {
+			return;
+		}
+		this.threads.execute(() -> {
+			try {
+				Either<PeerFailure, PeerLink> link = PeerLink.connect(peer.address, this.hello, this::handle,
+						(failure) -> {
+						}, this.threads);
+				if (link.isRight()) {
+					peer.link = link.get();
+				}
+				peer.nextConnectAt = this.clock.millis() + RECONNECT_MILLIS;
+			}
+			finally {
+				peer.connecting.set(false);
+			}
+		});
+	}
+
+	private @Nullable PeerMessage handle(PeerLink link, PeerMessage message) {
+		if (message instanceof PeerMessage.HostStatus status) {
+			String host = link.remote().host().value();
+			Peer peer = this.peers.get(host);
+			if (peer != null) {
+				peer.heardAt = this.clock.millis();
+				peer.leaving = status.leaving();
+				peer.holdsDuties = status.holdsDuties();
+			}
+			this.onStatus.accept(host, status);
+			return null;
+		}
+		Function<PeerMessage, PeerMessage> handler = this.handlers.get(message.getClass());
+		return (handler != null) ? handler.apply(message)
+				: new PeerMessage.Rejected("no-handler", "this host does not answer " + message.getClass());
+	}
+
+	private static void closeLink(Peer peer) {
+		PeerLink link = peer.link;
+		if (link != null) {
+			link.close();
+		}
+	}
+
+	private static final class Peer {
+
+		private final String host;
+
+		private final String address;
+
+		private final AtomicBoolean connecting = new AtomicBoolean();
+
+		private volatile @Nullable PeerLink link;
+
+		private volatile long heardAt;
+
+		private volatile long nextConnectAt;
+
+		private volatile boolean leaving;
+
+		private volatile boolean holdsDuties;
+
+		private boolean reportedAlive = true;
+
+		private Peer(String host, String address) {
+			this.host = host;
+			this.address = address;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/DutyLoop.java
@@ -0,0 +1,259 @@
+package org.bamboorelay.host.process;
+
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import org.bamboorelay.core.process.EndpointTable;
+import org.bamboorelay.core.process.LeaseState;
+import org.bamboorelay.core.process.StoreStep;
+import org.bamboorelay.core.process.WeightSwaps;
+import org.bamboorelay.core.store.ObjectStore;
+import org.bamboorelay.core.store.StoreFailure;
+import org.bamboorelay.core.store.StoredObject;
+import org.bamboorelay.core.version.CoreJson;
+import org.bamboorelay.host.connection.PlatformCalls;
+import org.bamboorelay.runtime.connection.HttpFailure;
+import org.bamboorelay.runtime.process.Counters;
+
+/**
+ * Takes turns at the duties of the deployment under one lease: usage reports and weights.
+ * Each call goes out only while the lease runs, which is checked right before.
+ * <p>
+ * One thread runs the loop; weight orders run on others.
+ */
+public final class DutyLoop implements Runnable {
+
+	/** The key of the lease. */
+	public static final String LEASE_KEY = "leases/duties";
+
+	private static final String WINDOWS = "usage-windows/";
+
+	/** How often duties are looked at, in milliseconds. */
+	private static final long TICK_MILLIS = 40;
+
+	/**
+	 * Wait after the end of a window for the last figures of other hosts, in
+	 * milliseconds; they pass them on twice a second.
+	 */
+	private static final long SETTLE_MILLIS = 2_500;
+
+	/** Pause between two tries of a report, in milliseconds. */
+	private static final long REPORT_RETRY_MILLIS = 400;
+
+	/** How often an engine that loads weights is asked whether it is done. */
+	private static final long SWAP_POLL_MILLIS = 150;
+
+	/** The longest time that a load is followed, in milliseconds. */
+	private static final long SWAP_LIMIT_MILLIS = 2_500;
+
+	private static final int STATUS_ACCEPTED = 202;
+
+	private static final int STATUS_OK = 200;
+
+	private final HostSettings settings;
+
+	private final LeaseState lease;
+
+	private final ObjectStore store;
+
+	private final PlatformCalls calls;
+
+	private final EndpointTable table;
+
+	private final WeightSwaps swaps;
+
+	private final UsageMeter usage;
+
+	private final ExecutorService threads;
+
+	private final Counters counters;
+
+	private final EventLog log;
+
+	private final Set<Long> reported = new HashSet<>();
+
+	private final Map<Long, Long> retryAt = new TreeMap<>();
+
+	private volatile boolean closed;
+
+	private boolean held;
+
+	/**
+	 * Creates the loop.
+	 * @param settings the settings of the process
+	 * @param lease the lease of the duties
+	 * @param store the platform's store
+	 * @param calls the calls of the duties
+	 * @param table the endpoints
+	 * @param swaps decides on weights
+	 * @param usage the usage figures
+	 * @param threads runs weight orders
+	 * @param counters the metrics of the process
+	 * @param log the log of the process
+	 */
+	public DutyLoop(HostSettings settings, LeaseState lease, ObjectStore store, PlatformCalls calls,
+			EndpointTable table, WeightSwaps swaps, UsageMeter usage, ExecutorService threads, Counters counters,
+			EventLog log) {
+		this.settings = Objects.requireNonNull(settings, "settings");
+		this.lease = Objects.requireNonNull(lease, "lease");
+		this.store = Objects.requireNonNull(store, "store");
+		this.calls = Objects.requireNonNull(calls, "calls");
+		this.table = Objects.requireNonNull(table, "table");
+		this.swaps = Objects.requireNonNull(swaps, "swaps");
+		this.usage = Objects.requireNonNull(usage, "usage");
+		this.threads = Objects.requireNonNull(threads, "threads");
+		this.counters = Objects.requireNonNull(counters, "counters");
+		this.log = Objects.requireNonNull(log, "log");
+	}
+
+	@Override
+	public void run() {
+		while (!this.closed) {
+			drive();
+			boolean now = this.lease.isHeld();
+			if (now != this.held) {
+				this.held = now;
+				this.log.info(now ? "duties-taken" : "duties-lost", "fencing", this.lease.fencing());
+			}
+			if (now) {
+				orderWeights();
+				reportUsage(System.currentTimeMillis());
+			}
+			pause(TICK_MILLIS);
+		}
+	}
+
+	/**
+	 * Gives the lease back and ends the loop.
+	 * @param millis the longest wait for the store, in milliseconds
+	 */
+	public void leave(long millis) {
+		this.closed = true;
+		this.lease.release();
+		long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+		while (!this.lease.isReleased() && System.nanoTime() < end) {
+			drive();
+			pause(TICK_MILLIS);
+		}
+	}
+
+	private synchronized void drive() {
+		StoreStep step = this.lease.next();
+		if (step != null) {
+			this.lease.onResult(step, step.perform(this.store));
+		}
+	}
+
+	private void orderWeights() {
+		for (WeightSwaps.Swap swap : this.swaps.next(this.table)) {
+			long fencing = this.lease.fencing();
+			this.threads.execute(() -> {
+				if (!swap(swap, fencing)) {
+					this.swaps.refused(swap.holder().id());
+				}
+			});
+		}
+	}
+
+	// Returns whether the endpoint holds the version in the end.
+	private boolean swap(WeightSwaps.Swap swap, long fencing) {
+		EndpointTable.ModelHolder holder = swap.holder();
+		Either<HttpFailure, PlatformCalls.EngineState> state = this.calls.engineState(holder.address());
+		if (state.isLeft() || state.get().busy() || !this.lease.isHeld(fencing)) {
+			return false;
+		}
+		if (state.get().versions().getOrDefault(swap.model(), 0L) >= swap.version()) {
+			this.table.version(holder.id(), swap.model(), swap.version());
+			return true;
+		}
+		Either<HttpFailure, Integer> answer = this.calls.orderWeights(
+				new PlatformCalls.DutySender(this.settings.host(), fencing), holder.address(), holder.id(),
+				swap.model(), swap.version(), state.get().ordersAccepted());
+		this.log.info("weights-ordered", "endpoint", holder.id(), "model", swap.model(), "version", swap.version(),
+				"held", holder.version(), "running", holder.running(), "fencing", fencing, "outcome",
+				answer.fold(HttpFailure::code, String::valueOf));
+		if (answer.isRight() && answer.get() != STATUS_ACCEPTED && answer.get() != STATUS_OK) {
+			return false;
+		}
+		long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(SWAP_LIMIT_MILLIS);
+		while (System.nanoTime() < end) {
+			pause(SWAP_POLL_MILLIS);
+			Either<HttpFailure, PlatformCalls.EngineState> now = this.calls.engineState(holder.address());
+			if (now.isRight() && now.get().versions().getOrDefault(swap.model(), 0L) >= swap.version()) {
+				this.table.version(holder.id(), swap.model(), swap.version());
+				return true;
+			}
+		}
+		return false;
+	}
+
+	private void reportUsage(long now) {
+		long length = this.settings.usageWindowMillis();
+		long newest = (now - SETTLE_MILLIS) / length - 1;
+		long oldest = (now - this.settings.usageLateMillis()) / length;
+		for (long window = oldest; window <= newest; window++) {
+			if (this.reported.contains(window) || now < this.retryAt.getOrDefault(window, 0L)) {
+				continue;
+			}
+			this.retryAt.put(window, now + REPORT_RETRY_MILLIS);
+			report(window);
+		}
+		this.reported.removeIf((window) -> window < oldest - 100);
+		this.retryAt.keySet().removeIf((window) -> window < oldest);
+	}
+
+	private void report(long window) {
+		long fencing = this.lease.fencing();
+		WindowFigures figures = new WindowFigures(new TreeMap<>(this.usage.total(window)));
+		String key = WINDOWS + window;
+		Either<StoreFailure, Long> frozen = this.store.create(key, CoreJson.bytes(figures));
+		if (frozen.isLeft()) {
+			// Also after a lost answer: what the store holds is what is sent.
+			Either<StoreFailure, Option<StoredObject>> read = this.store.read(key);
+			if (read.isLeft() || read.get().isEmpty()) {
+				return;
+			}
+			figures = CoreJson.read(read.get().get().body(), WindowFigures.class).getOrElse((WindowFigures) null);
+			if (figures == null) {
+				this.log.warn("usage-window-unreadable", "window", window);
+				return;
+			}
+		}
+		if (!this.lease.isHeld(fencing) || fencing == 0) {
+			return;
+		}
+		Either<HttpFailure, Integer> sent = this.calls
+			.reportUsage(new PlatformCalls.DutySender(this.settings.host(), fencing), window, figures.counts());
+		this.log.info("usage-reported", "window", window, "fencing", fencing, "counts", figures.counts(), "outcome",
+				sent.fold(HttpFailure::code, String::valueOf));
+		if (sent.isRight() && sent.get() == STATUS_OK) {
+			this.reported.add(window);
+			this.counters.counter("usage_windows_reported_total").inc();
+		}
+	}
+
+	private static void pause(long millis) {
+		try {
+			TimeUnit.MILLISECONDS.sleep(millis);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	/**
+	 * The figures of a usage window, frozen before they are first sent.
+	 *
+	 * @param counts requests by workspace
+	 */
+	record WindowFigures(Map<String, Long> counts) {
+	}
+
+}
--- /dev/null
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -0,0 +1,456 @@
+package org.bamboorelay.host.process;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.HttpException;
+import org.bamboorelay.core.connection.PeerMessage;
+import org.bamboorelay.core.process.EndpointEntry;
+import org.bamboorelay.core.process.EndpointTable;
+import org.bamboorelay.core.process.LeaseState;
+import org.bamboorelay.core.process.WeightSwaps;
+import org.bamboorelay.core.request.ItemOrder;
+import org.bamboorelay.core.store.StoreFailure;
+import org.bamboorelay.core.store.StoredObject;
+import org.bamboorelay.core.store.WatchedStore;
+import org.bamboorelay.core.time.Clock;
+import org.bamboorelay.core.time.SuspendAwareClock;
+import org.bamboorelay.core.version.CoreJson;
+import org.bamboorelay.core.version.RoutingTable;
+import org.bamboorelay.host.connection.CallerProtocol;
+import org.bamboorelay.host.connection.EndpointProtocol;
+import org.bamboorelay.host.connection.HostMesh;
+import org.bamboorelay.host.connection.PlatformCalls;
+import org.bamboorelay.host.request.CallerWatch;
+import org.bamboorelay.host.request.EndpointCaller;
+import org.bamboorelay.host.request.FrontHandler;
+import org.bamboorelay.host.request.ItemRunner;
+import org.bamboorelay.host.request.StreamRelay;
+import org.bamboorelay.host.request.SubmissionDirectory;
+import org.bamboorelay.host.request.SubmissionRoutes;
+import org.bamboorelay.host.request.SubmissionRunner;
+import org.bamboorelay.host.version.DirectoryFormat;
+import org.bamboorelay.host.version.KindWatch;
+import org.bamboorelay.host.version.SubmissionStore;
+import org.bamboorelay.runtime.connection.HttpConnectionPool;
+import org.bamboorelay.runtime.connection.HttpListener;
+import org.bamboorelay.runtime.process.Counters;
+import org.bamboorelay.runtime.request.JsonFailure;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The one process of a host: serves callers, runs submissions, and takes its turn at the
+ * duties.
+ * <p>
+ * Thread-safe.
+ */
+public final class HostProcess {
+
+	/** Where metrics are served, on the host's address. */
+	public static final int METRICS_PORT = 9_464;
+
+	private static final String HOSTS = "hosts";
+
+	/** Interval of statuses between hosts, in milliseconds. */
+	private static final long BEAT_MILLIS = 300;
+
+	/** How often hosts that are gone are looked for, in milliseconds. */
+	private static final long TAKEOVER_MILLIS = 500;
+
+	/** Engines that load weights at once, as more make each other slow. */
+	private static final int SWAPS_AT_ONCE = 2;
+
+	/** How often a holder renews its lease, as a share of the lease. */
+	private static final int RENEWALS_PER_LEASE = 3;
+
+	/** Wait beyond the lease before another host takes over, in milliseconds. */
+	private static final long TAKEOVER_MARGIN_MILLIS = 1_000;
+
+	/** Time from the stop signal to the refusal of new connections, in milliseconds. */
+	private static final long LEAVE_MILLIS = 2_500;
+
+	/** Share of the time until the kill signal that running requests may use. */
+	private static final double DRAIN_SHARE = 0.8;
+
+	/** Quiet time after which a leaving front closes, in milliseconds. */
+	private static final long QUIET_MILLIS = 500;
+
+	private final HostSettings settings;
+
+	private final WatchedStore store;
+
+	private final DirectoryFormat format;
+
+	private final EventLog log = new EventLog();
+
+	private final Counters counters = Counters.create();
+
+	private final Clock clock = SuspendAwareClock.of(Clock.monotonic(), Clock.wall());
+
+	private final ExecutorService threads = Executors.newCachedThreadPool((task) -> {
+		Thread thread = new Thread(task);
+		thread.setDaemon(true);
+		return thread;
+	});
+
+	private final AtomicReference<@Nullable RoutingTable> routing = new AtomicReference<>();
+
+	private final EndpointTable table = EndpointTable.create(this.clock);
+
+	private final WeightSwaps swaps = WeightSwaps.of(this.clock, SWAPS_AT_ONCE);
+
+	private final Set<String> closedDomains = ConcurrentHashMap.newKeySet();
+
+	private final List<KindWatch> required = new ArrayList<>();
+
+	private final HostMesh mesh;
+
+	private final LeaseState lease;
+
+	private final UsageMeter usage;
+
+	private final SubmissionRunner runner;
+
+	private final SubmissionDirectory directory;
+
+	private final CallerWatch callerWatch = new CallerWatch(this.log);
+
+	private final FrontHandler front;
+
+	private final DutyLoop duties;
+
+	private final String incarnation;
+
+	private @Nullable HttpListener frontListener;
+
+	private volatile boolean leaving;
+
+	private volatile boolean stopped;
+
+	/**
+	 * Creates a process that does nothing yet.
+	 * @param settings the settings
+	 * @param store the platform's store
+	 * @param pool the connections to endpoints
+	 * @param format how the platform's objects are read
+	 * @param callers how callers write requests
+	 * @param endpoints how requests to endpoints are written
+	 * @param calls the calls of duties
+	 */
+	public HostProcess(HostSettings settings, WatchedStore store, HttpConnectionPool pool, DirectoryFormat format,
+			CallerProtocol callers, EndpointProtocol endpoints, PlatformCalls calls) {
+		this.settings = Objects.requireNonNull(settings, "settings");
+		this.store = Objects.requireNonNull(store, "store");
+		this.format = Objects.requireNonNull(format, "format");
+		this.incarnation = Long.toHexString(System.currentTimeMillis()) + "-"
+				+ Integer.toHexString(ThreadLocalRandom.current().nextInt());
+		this.mesh = HostMesh.of(settings.host(), settings.domain(), this.incarnation, this.clock, this.threads,
+				this.log);
+		this.usage = new UsageMeter(this.incarnation, settings.usageWindowMillis());
+		long started = this.clock.millis();
+		LeaseState.Terms terms = new LeaseState.Terms(settings.leaseMillis(),
+				settings.leaseMillis() / RENEWALS_PER_LEASE, settings.leaseMillis() + TAKEOVER_MARGIN_MILLIS,
+				settings.leaseMillis() / RENEWALS_PER_LEASE);
+		// A host that restarts waits out the lease, so that it does not alternate with
+		// the
+		// host that took over meanwhile. A host that hears the holder does not contend.
+		this.lease = LeaseState
+			.of(DutyLoop.LEASE_KEY, settings.host() + "/" + this.incarnation, this.clock, () -> terms,
+					() -> ThreadLocalRandom.current().nextDouble())
+			.where(() -> this.clock.millis() - started > settings.leaseMillis() && this.mesh.dutyHolder() == null);
+		EndpointCaller caller = EndpointCaller.of(this.table, endpoints, pool, this.clock, this.counters, this.log);
+		ItemRunner items = new ItemRunner(this.table, endpoints, pool, caller, this.routing::get, this.clock,
+				this.counters, this.log);
+		SubmissionStore submissions = SubmissionStore.of(store);
+		this.runner = new SubmissionRunner(settings.host(), submissions, this.table, items, this.routing::get,
+				ItemOrder.LONGEST_WANTED_FIRST, this.threads, this.log);
+		this.directory = new SubmissionDirectory(settings.host(), submissions, this.runner, this.mesh, this.log);
+		SubmissionRoutes routes = new SubmissionRoutes(settings.host(), callers, submissions, this.directory,
+				this.runner, this.log);
+		StreamRelay streams = new StreamRelay(this.table, endpoints, pool, this.usage, this.clock, this.log);
+		this.front = new FrontHandler(this.routing::get, callers, caller, streams, routes, this.callerWatch, this.usage,
+				this.clock, this.counters, this.log);
+		this.duties = new DutyLoop(settings, this.lease, store, calls, this.table, this.swaps, this.usage, this.threads,
+				this.counters, this.log);
+	}
+
+	/**
+	 * Starts to serve.
+	 * @throws IOException where an address cannot be bound
+	 */
+	public void start() throws IOException {
+		this.log.info("process-starting", "host", this.settings.host(), "domain", this.settings.domain(), "incarnation",
+				this.incarnation);
+		this.mesh.onStatus((host, status) -> {
+			this.table.peerLoad(host, status.running());
+			this.usage.merge(status.usage());
+		});
+		this.mesh.register(PeerMessage.ResultsRead.class, this.directory::answer);
+		this.mesh.open(this.settings.peerAddress());
+		watch(this.format.routingKind(), false, true, this::routing, (name) -> {
+		});
+		watch(this.format.endpointKind(), true, true, this::endpoint, this.table::remove);
+		watch(this.format.weightKind(), false, false, this::weights, (name) -> {
+		});
+		watch(this.format.closedDomainKind(), false, true, (name, object) -> {
+			this.closedDomains.add(name);
+			this.table.closedDomains(this.closedDomains);
+			this.log.info("domain-closed", "domain", name);
+		}, (name) -> {
+			this.closedDomains.remove(name);
+			this.table.closedDomains(this.closedDomains);
+			this.log.info("domain-opened", "domain", name);
+		});
+		watch(this.format.retirementKind(), false, false, this::retire, (name) -> {
+		});
+		watch(HOSTS, false, false, this::host, this.mesh::remove);
+		KindWatch submissions = KindWatch.of(this.store, SubmissionStore.RECORDS, false, this.directory, this.log);
+		this.required.add(submissions);
+		this.threads.execute(submissions);
+		this.threads.execute(this::register);
+		this.threads.execute(this::beatLoop);
+		this.threads.execute(this.runner::loop);
+		this.threads.execute(this.duties);
+		this.frontListener = listen(this.settings.frontAddress(), this.front);
+		listen(this.settings.readyAddress(), this::answerReady);
+		listen(this.settings.ip() + ":" + METRICS_PORT,
+				(request, responder) -> responder.send(200, "text/plain", this.counters.text()));
+	}
+
+	/**
+	 * Tells whether callers may be sent here.
+	 * @return whether all that serving needs was read once, and the process does not
+	 * leave
+	 */
+	public boolean isReady() {
+		return !this.leaving && this.routing.get() != null
+				&& this.required.stream().allMatch((watch) -> watch.listed().getCount() == 0);
+	}
+
+	/**
+	 * Notes that the settings file changed. Addresses and names do not change while a
+	 * process runs, so nothing else is to be done.
+	 */
+	public void reload() {
+		this.log.info("settings-reloaded", "host", this.settings.host());
+	}
+
+	/**
+	 * Leaves without cutting a request: callers are turned away first, running requests
+	 * end, duties are given back.
+	 */
+	public void leave() {
+		if (this.leaving) {
+			return;
+		}
+		this.leaving = true;
+		this.log.info("process-leaving", "running", runningRequests(), "submissions", this.runner.running().size());
+		try {
+			HttpListener listener = this.frontListener;
+			if (listener != null) {
+				listener.startLeaving();
+			}
+			this.duties.leave(this.settings.graceMillis() / 8);
+			this.runner.leave(LEAVE_MILLIS);
+			if (listener != null) {
+				long limit = (long) (this.settings.graceMillis() * DRAIN_SHARE) - LEAVE_MILLIS;
+				listener.drain(QUIET_MILLIS, Math.max(QUIET_MILLIS, limit));
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		this.stopped = true;
+		this.log.info("process-stopped", "running", runningRequests());
+	}
+
+	private int runningRequests() {
+		HttpListener listener = this.frontListener;
+		return (listener != null) ? listener.running() : 0;
+	}
+
+	private HttpListener listen(String address, HttpListener.HttpHandler handler) throws IOException {
+		int colon = address.lastIndexOf(':');
+		return HttpListener.open(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)), handler,
+				(error) -> this.counters.counter("broken_connections_total").inc());
+	}
+
+	private void answerReady(ClassicHttpRequest request, HttpListener.Responder responder)
+			throws HttpException, IOException {
+		boolean ready = isReady();
+		responder.send(ready ? 200 : 503, "text/plain", ready ? "ready" : "not ready");
+	}
+
+	private void watch(String kind, boolean keepsLapsed, boolean isRequired, Changed changed, Removed removed) {
+		KindWatch watch = KindWatch.of(this.store, kind, keepsLapsed, new KindWatch.Listener() {
+
+			@Override
+			public void changed(String name, StoredObject object) {
+				changed.changed(name, object);
+			}
+
+			@Override
+			public void removed(String name) {
+				removed.removed(name);
+			}
+
+		}, this.log);
+		if (isRequired) {
+			this.required.add(watch);
+		}
+		this.threads.execute(watch);
+	}
+
+	private void routing(String name, StoredObject object) {
+		Either<JsonFailure, RoutingTable> read = this.format.routing(object.body());
+		if (read.isLeft()) {
+			this.log.warn("configuration-unreadable", "name", name, "revision", object.version(), "detail",
+					read.getLeft().detail());
+			return;
+		}
+		RoutingTable next = read.get();
+		RoutingTable present = this.routing.get();
+		if (present != null && next.version() < present.version()) {
+			this.log.warn("configuration-older", "version", next.version(), "in_force", present.version());
+			return;
+		}
+		this.table.services(next.services());
+		this.routing.set(next);
+		this.log.info("configuration-in-force", "version", next.version(), "revision", object.version());
+	}
+
+	private void endpoint(String name, StoredObject object) {
+		Either<JsonFailure, EndpointEntry> read = this.format.endpoint(name, object.body());
+		if (read.isLeft()) {
+			this.log.info("endpoint-unusable", "endpoint", name, "detail", read.getLeft().detail());
+			return;
+		}
+		this.table.put(read.get());
+		this.log.info("endpoint-learned", "endpoint", name, "service", read.get().service(), "leaving",
+				read.get().leaving(), "cold_ms", read.get().coldMillis(), "versions", read.get().versions());
+	}
+
+	private void weights(String name, StoredObject object) {
+		Either<JsonFailure, DirectoryFormat.NamedWeights> read = this.format.weights(object.body());
+		if (read.isLeft()) {
+			this.log.warn("weights-unreadable", "name", name, "detail", read.getLeft().detail());
+			return;
+		}
+		this.swaps.target(read.get().model(), read.get().version());
+		this.log.info("weights-named", "model", read.get().model(), "version", read.get().version());
+	}
+
+	// Disk hosts keep nothing that must last, so they are empty at once.
+	private void retire(String name, StoredObject object) {
+		if (!this.lease.isLastHolder() && this.mesh.dutyHolder() != null) {
+			return;
+		}
+		this.threads.execute(() -> {
+			Either<StoreFailure, Long> written = this.store.writeStatus(object.key(), this.format.emptiedStatus());
+			this.log.info("disk-host-retired", "name", name, "outcome",
+					written.isRight() ? "ok" : written.getLeft().code());
+		});
+	}
+
+	private void host(String name, StoredObject object) {
+		Option<HostRecord> read = CoreJson.read(object.body(), HostRecord.class);
+		read.forEach((record) -> this.mesh.put(name, record.address()));
+	}
+
+	// Makes this host known to the others; a host that comes back has its old name, and
+	// maybe another address.
+	private void register() {
+		String key = HOSTS + "/" + this.settings.host();
+		byte[] body = CoreJson.bytes(new HostRecord(this.settings.peerAddress(), this.settings.domain()));
+		while (!this.stopped) {
+			Either<StoreFailure, Long> created = this.store.create(key, body);
+			if (created.isRight()) {
+				return;
+			}
+			Either<StoreFailure, Option<StoredObject>> read = this.store.read(key);
+			if (read.isRight() && read.get().isDefined()) {
+				StoredObject known = read.get().get();
+				if (Arrays.equals(known.body(), body) || this.store.replace(key, body, known.version()).isRight()) {
+					return;
+				}
+			}
+			pause(BEAT_MILLIS);
+		}
+	}
+
+	private void beatLoop() {
+		long nextTakeover = 0;
+		long nextBeat = 0;
+		while (!this.stopped) {
+			long now = this.clock.millis();
+			if (now >= nextBeat) {
+				nextBeat = now + BEAT_MILLIS;
+				this.mesh.beat(this::status);
+				this.table.hosts(this.mesh.liveHosts().size());
+			}
+			if (now >= nextTakeover) {
+				nextTakeover = now + TAKEOVER_MILLIS;
+				if (isReady()) {
+					this.directory.takeOver();
+				}
+			}
+			this.callerWatch.tick();
+			pause(CallerWatch.TICK_MILLIS);
+		}
+	}
+
+	private PeerMessage.HostStatus status() {
+		Map<Long, Map<String, Map<String, Long>>> figures = new HashMap<>(
+				this.usage.shared(System.currentTimeMillis()));
+		return new PeerMessage.HostStatus(this.leaving, this.lease.isHeld(), new HashMap<>(this.table.ownLoad()),
+				figures);
+	}
+
+	private static void pause(long millis) {
+		try {
+			TimeUnit.MILLISECONDS.sleep(millis);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	@FunctionalInterface
+	private interface Changed {
+
+		void changed(String name, StoredObject object);
+
+	}
+
+	@FunctionalInterface
+	private interface Removed {
+
+		void removed(String name);
+
+	}
+
+	/**
+	 * How a host makes itself known to the others.
+	 *
+	 * @param address {@code ip:port} where peers connect
+	 * @param domain its failure domain
+	 */
+	record HostRecord(String address, String domain) {
+	}
+
+}
--- /dev/null
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The process: settings, duties and life span.
+ */
+@NullMarked
+package org.bamboorelay.host.process;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRoutes.java
@@ -0,0 +1,230 @@
+package org.bamboorelay.host.request;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.TimeUnit;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
+import org.apache.hc.core5.http.message.BasicClassicHttpResponse;
+import org.bamboorelay.core.request.ItemResult;
+import org.bamboorelay.core.request.Submission;
+import org.bamboorelay.core.request.SubmissionItem;
+import org.bamboorelay.core.store.StoreFailure;
+import org.bamboorelay.core.version.RouteRule;
+import org.bamboorelay.host.connection.CallerProtocol;
+import org.bamboorelay.host.connection.CallerRequest;
+import org.bamboorelay.host.connection.SubmissionCall;
+import org.bamboorelay.host.process.EventLog;
+import org.bamboorelay.host.version.SubmissionRecord;
+import org.bamboorelay.host.version.SubmissionStore;
+import org.bamboorelay.runtime.connection.HttpListener;
+import org.bamboorelay.runtime.request.JsonFailure;
+
+/**
+ * Accepts submissions and serves the calls on them.
+ * <p>
+ * Thread-safe.
+ */
+public final class SubmissionRoutes {
+
+	private static final int STATUS_ACCEPTED = 202;
+
+	private static final int STATUS_BAD_REQUEST = 400;
+
+	private static final int STATUS_NOT_FOUND = 404;
+
+	private static final int STATUS_OK = 200;
+
+	/** Answer where the submission may have been accepted: it is to be sent again. */
+	private static final int STATUS_UNKNOWN = 504;
+
+	/** When to come back while the store is away, in milliseconds. */
+	private static final long RETRY_AFTER_MILLIS = 400;
+
+	/** The longest time to accept a submission, in milliseconds. */
+	private static final long ACCEPT_MILLIS = 2_000;
+
+	/** The longest wait for a result, in milliseconds, whatever the caller asks for. */
+	private static final long MAX_WAIT_MILLIS = 1_000;
+
+	private final String host;
+
+	private final CallerProtocol protocol;
+
+	private final SubmissionStore store;
+
+	private final SubmissionDirectory directory;
+
+	private final SubmissionRunner runner;
+
+	private final EventLog log;
+
+	/**
+	 * Creates the routes.
+	 * @param host this host
+	 * @param protocol how callers write submissions
+	 * @param store the submissions in the platform's store
+	 * @param directory all submissions
+	 * @param runner runs the submissions of this host
+	 * @param log the log of the process
+	 */
+	public SubmissionRoutes(String host, CallerProtocol protocol, SubmissionStore store, SubmissionDirectory directory,
+			SubmissionRunner runner, EventLog log) {
+		this.host = Objects.requireNonNull(host, "host");
+		this.protocol = Objects.requireNonNull(protocol, "protocol");
+		this.store = Objects.requireNonNull(store, "store");
+		this.directory = Objects.requireNonNull(directory, "directory");
+		this.runner = Objects.requireNonNull(runner, "runner");
+		this.log = Objects.requireNonNull(log, "log");
+	}
+
+	/**
+	 * Accepts a submission.
+	 * @param head the head of the request
+	 * @param workspace the workspace of the caller
+	 * @param route the route
+	 * @param body the body of the request
+	 * @param responder answers the request
+	 * @throws HttpException where the answer breaks the protocol
+	 * @throws IOException where the connection breaks
+	 */
+	public void accept(CallerRequest head, String workspace, RouteRule route, byte[] body,
+			HttpListener.Responder responder) throws HttpException, IOException {
+		Either<JsonFailure, Submission> read = this.protocol.submission(head, workspace, body);
+		if (read.isLeft()) {
+			this.log.info("submission-rejected", "request_id", head.id(), "detail", read.getLeft().detail());
+			responder.send(STATUS_BAD_REQUEST, "text/plain", "bad-submission");
+			return;
+		}
+		Submission submission = read.get();
+		long now = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+		long end = now + Math.min(ACCEPT_MILLIS, head.timeLeftMillis() / 2);
+		SubmissionRecord record = new SubmissionRecord(workspace, this.host, System.currentTimeMillis(),
+				submission.items().size(), head.host(), head.path(), false);
+		Either<StoreFailure, SubmissionRecord> accepted = this.store.accept(submission, record, end);
+		if (accepted.isRight()) {
+			if (accepted.get().equals(record)) {
+				this.runner.start(submission, record, route);
+			}
+			this.log.info("submission-accepted", "request_id", head.id(), "items", record.total(), "owner",
+					accepted.get().owner(), "after_ms", TimeUnit.NANOSECONDS.toMillis(System.nanoTime()) - now);
+			responder.send(STATUS_ACCEPTED, "text/plain", "");
+			return;
+		}
+		StoreFailure failure = accepted.getLeft();
+		this.log.warn("submission-not-accepted", "request_id", head.id(), "code", failure.code(), "detail",
+				failure.detail());
+		if (failure instanceof StoreFailure.OutcomeUnknown) {
+			responder.send(STATUS_UNKNOWN, "text/plain", failure.code());
+		}
+		else {
+			responder.send(FrontHandler.refusal(failure.code(), RETRY_AFTER_MILLIS));
+		}
+	}
+
+	/**
+	 * Serves a call on a submission.
+	 * @param call the call
+	 * @param head the head of the request
+	 * @param workspace the workspace of the caller
+	 * @param responder answers the request
+	 * @throws HttpException where the answer breaks the protocol
+	 * @throws IOException where the connection breaks
+	 */
+	public void serve(SubmissionCall call, CallerRequest head, String workspace, HttpListener.Responder responder)
+			throws HttpException, IOException {
+		Either<StoreFailure, Option<SubmissionRecord>> found = this.directory.find(call.submission());
+		if (found.isLeft()) {
+			unavailable(head, call, found.getLeft(), responder);
+			return;
+		}
+		Option<SubmissionRecord> record = found.get().filter((known) -> known.workspace().equals(workspace));
+		if (record.isEmpty()) {
+			this.log.info("submission-unknown", "request_id", head.id(), "submission", call.submission(), "known",
+					found.get().isDefined());
+			responder.send(STATUS_NOT_FOUND, "text/plain", "no-submission");
+			return;
+		}
+		if (call.kind() == SubmissionCall.Kind.RESULTS) {
+			results(call, head, record.get(), responder);
+		}
+		else if (call.kind() == SubmissionCall.Kind.ITEM_BODY) {
+			itemBody(call, head, responder);
+		}
+		else {
+			end(call, head, responder);
+		}
+	}
+
+	private void results(SubmissionCall call, CallerRequest head, SubmissionRecord record,
+			HttpListener.Responder responder) throws HttpException, IOException {
+		try {
+			Either<StoreFailure, List<ItemResult>> read = this.directory.read(call.submission(), record, call.after(),
+					Math.min(MAX_WAIT_MILLIS, head.waitMillis()));
+			if (read.isLeft()) {
+				unavailable(head, call, read.getLeft(), responder);
+				return;
+			}
+			byte[] body = this.protocol.results(record.total(), call.after() + read.get().size(), read.get());
+			send(responder, body, ContentType.APPLICATION_JSON);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw new IOException("interrupted while waiting for results", ex);
+		}
+	}
+
+	private void itemBody(SubmissionCall call, CallerRequest head, HttpListener.Responder responder)
+			throws HttpException, IOException {
+		Option<SubmissionItem> item = this.runner.item(call.submission(), call.item());
+		if (item.isEmpty()) {
+			Either<StoreFailure, Option<Submission>> read = this.store.submission(call.submission());
+			if (read.isLeft()) {
+				unavailable(head, call, read.getLeft(), responder);
+				return;
+			}
+			item = read.get()
+				.flatMap((submission) -> Option.ofOptional(submission.items()
+					.stream()
+					.filter((candidate) -> candidate.id().equals(call.item()))
+					.findFirst()));
+		}
+		if (item.isEmpty()) {
+			responder.send(STATUS_NOT_FOUND, "text/plain", "no-item");
+			return;
+		}
+		send(responder, item.get().body(), ContentType.APPLICATION_OCTET_STREAM);
+	}
+
+	private void end(SubmissionCall call, CallerRequest head, HttpListener.Responder responder)
+			throws HttpException, IOException {
+		Either<StoreFailure, SubmissionRecord> ended = this.directory.end(call.submission());
+		if (ended.isLeft()) {
+			unavailable(head, call, ended.getLeft(), responder);
+			return;
+		}
+		this.log.info("submission-ended", "request_id", head.id(), "submission", call.submission());
+		responder.send(STATUS_OK, "text/plain", "");
+	}
+
+	private void unavailable(CallerRequest head, SubmissionCall call, StoreFailure failure,
+			HttpListener.Responder responder) throws HttpException, IOException {
+		this.log.info("submission-call-refused", "request_id", head.id(), "submission", call.submission(), "kind",
+				call.kind(), "code", failure.code(), "detail", failure.detail());
+		responder.send(FrontHandler.refusal(failure.code(), RETRY_AFTER_MILLIS));
+	}
+
+	private static void send(HttpListener.Responder responder, byte[] body, ContentType type)
+			throws HttpException, IOException {
+		ClassicHttpResponse response = new BasicClassicHttpResponse(STATUS_OK);
+		response.setEntity(new ByteArrayEntity(body, type));
+		responder.send(response);
+	}
+
+}
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpConnectionPool.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpConnectionPool.java
@@ -11,6 +11,7 @@
 import java.util.function.Consumer;
 
 import io.vavr.control.Either;
+import jdk.net.ExtendedSocketOptions;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.HttpException;
@@ -53,6 +54,12 @@
 
 	private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
+	/** Idle time before a probe and time between probes, in seconds. */
+	private static final int KEEPALIVE_SECONDS = 1;
+
+	/** Unanswered probes after which a connection is given up. */
+	private static final int KEEPALIVE_PROBES = 2;
+
 	private final Map<String, Deque<Idle>> idle = new ConcurrentHashMap<>();
 
 	private final HttpRequestExecutor executor = new HttpRequestExecutor();
@@ -122,7 +129,9 @@
 		try {
 			connection.setSocketTimeout(Timeout.ofMilliseconds(readTimeoutMillis));
 			HttpCoreContext context = HttpCoreContext.create();
-			request.setHeader(HttpHeaders.HOST, address);
+			if (!request.containsHeader(HttpHeaders.HOST)) {
+				request.setHeader(HttpHeaders.HOST, address);
+			}
 			this.executor.preProcess(request, this.processor, context);
 			ClassicHttpResponse response = this.executor.execute(request, connection, context);
 			boolean keep = DefaultConnectionReuseStrategy.INSTANCE.keepAlive(request, response, context);
@@ -206,6 +215,7 @@
 		Socket socket = new Socket();
 		try {
 			socket.setTcpNoDelay(true);
+			watch(socket);
 			socket.connect(
 					new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))),
 					CONNECT_TIMEOUT_MILLIS);
@@ -219,6 +229,17 @@
 		}
 	}
 
+	// Without probes, a connection that went silent would hold its exchange until the
+	// read timeout, and a waiting watch of the store much longer.
+	private static void watch(Socket socket) throws IOException {
+		socket.setKeepAlive(true);
+		if (socket.supportedOptions().contains(ExtendedSocketOptions.TCP_KEEPIDLE)) {
+			socket.setOption(ExtendedSocketOptions.TCP_KEEPIDLE, KEEPALIVE_SECONDS);
+			socket.setOption(ExtendedSocketOptions.TCP_KEEPINTERVAL, KEEPALIVE_SECONDS);
+			socket.setOption(ExtendedSocketOptions.TCP_KEEPCOUNT, KEEPALIVE_PROBES);
+		}
+	}
+
 	private record Idle(DefaultBHttpClientConnection connection, long sinceNanos) {
 	}
 
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpListener.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpListener.java
@@ -34,6 +34,7 @@
 import org.apache.hc.core5.http.message.BasicClassicHttpResponse;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.util.Timeout;
+import org.jspecify.annotations.Nullable;
 
 /**
  * HTTP listener that counts the requests it carries, so that a process can leave without
@@ -154,7 +155,7 @@
 			HttpServerRequestHandler.ResponseTrigger trigger) throws HttpException, IOException {
 		this.running.incrementAndGet();
 		try {
-			handler.handle(request, new TriggerResponder(trigger));
+			handler.handle(request, new TriggerResponder(trigger, CuttingConnection.CURRENT.get()));
 		}
 		finally {
 			this.running.decrementAndGet();
@@ -199,6 +200,15 @@
 		 */
 		void send(ClassicHttpResponse response) throws HttpException, IOException;
 
+		/**
+		 * Tells whether the caller has closed its connection. Must not be called at the
+		 * same time as {@link #send}.
+		 * @return whether nobody waits for the answer
+		 */
+		default boolean isCallerGone() {
+			return false;
+		}
+
 		/**
 		 * Sends an answer with a text body.
 		 * @param status the status code
@@ -220,8 +230,12 @@
 
 		private final HttpServerRequestHandler.ResponseTrigger trigger;
 
-		private TriggerResponder(HttpServerRequestHandler.ResponseTrigger trigger) {
+		private final @Nullable CuttingConnection connection;
+
+		private TriggerResponder(HttpServerRequestHandler.ResponseTrigger trigger,
+				@Nullable CuttingConnection connection) {
 			this.trigger = trigger;
+			this.connection = connection;
 		}
 
 		@Override
@@ -232,6 +246,11 @@
 			this.trigger.submitResponse(response);
 		}
 
+		@Override
+		public boolean isCallerGone() {
+			return this.connection != null && this.connection.isCallerGone();
+		}
+
 	}
 
 	/**
@@ -240,10 +259,28 @@
 	 */
 	private static final class CuttingConnection extends DefaultBHttpServerConnection {
 
+		/** The connection that the running thread serves. */
+		private static final ThreadLocal<@Nullable CuttingConnection> CURRENT = new ThreadLocal<>();
+
 		private CuttingConnection(Http1Config config) {
 			super("http", config);
 		}
 
+		@Override
+		public ClassicHttpRequest receiveRequestHeader() throws HttpException, IOException {
+			CURRENT.set(this);
+			return super.receiveRequestHeader();
+		}
+
+		private boolean isCallerGone() {
+			try {
+				return !isOpen() || isStale();
+			}
+			catch (IOException ex) {
+				return true;
+			}
+		}
+
 		@Override
 		public void sendResponseEntity(ClassicHttpResponse response) throws HttpException, IOException {
 			HttpEntity entity = response.getEntity();
