--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerMessage.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerMessage.java
@@ -442,13 +442,16 @@
 	 *
 	 * @param leaving whether the sender shuts down
 	 * @param holdsDuties whether the sender is in charge of the duties
+	 * @param leaseVersion the version of the duties' lease that it wrote last; 0 where it
+	 * is not in charge
+	 * @param loading the endpoints that load weights on its order
 	 * @param running the requests that it runs at each endpoint
 	 * @param usage requests that began to run, by window, incarnation and workspace, of
 	 * the newest windows
 	 */
 	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
-	record HostStatus(boolean leaving, boolean holdsDuties, Map<String, Integer> running,
-			Map<Long, Map<String, Map<String, Long>>> usage) implements PeerMessage {
+	record HostStatus(boolean leaving, boolean holdsDuties, long leaseVersion, List<String> loading,
+			Map<String, Integer> running, Map<Long, Map<String, Map<String, Long>>> usage) implements PeerMessage {
 	}
 
 	/**
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.TreeSet;
 
 import org.bamboorelay.core.time.Clock;
 import org.bamboorelay.core.version.ServiceRule;
@@ -42,6 +43,9 @@
 	/** How far affinity outweighs load, in slots. */
 	private static final double AFFINITY_SLOTS = 2.0;
 
+	/** A run moves to an endpoint that is faster by this factor. */
+	private static final double MOVE_PACE_RATIO = 1.7;
+
 	/** Peers' figures older than this are left out, in milliseconds. */
 	private static final long PEER_LOAD_MILLIS = 2_500;
 
@@ -55,6 +59,8 @@
 
 	private final Set<String> closedDomains = new HashSet<>();
 
+	private final Set<String> loading = new HashSet<>();
+
 	private int hosts = 1;
 
 	private EndpointTable(Clock clock) {
@@ -262,6 +268,45 @@
 		}
 	}
 
+	/**
+	 * Returns the models that endpoints hold.
+	 * @return the models
+	 */
+	public synchronized Set<String> models() {
+		Set<String> models = new TreeSet<>();
+		this.endpoints.values().forEach((endpoint) -> models.addAll(endpoint.versions.keySet()));
+		return models;
+	}
+
+	/**
+	 * Takes the endpoints that load weights, which start no request until they are done.
+	 * @param ids the endpoints
+	 */
+	public synchronized void loading(Set<String> ids) {
+		this.loading.clear();
+		this.loading.addAll(ids);
+	}
+
+	/**
+	 * Tells whether a run should move: its endpoint works much slower than others do, and
+	 * one of those has a free slot.
+	 * @param id the endpoint of the run
+	 * @param demand what the run needs
+	 * @return whether to break the run off and resume it elsewhere
+	 */
+	public synchronized boolean isWorthMoving(String id, EndpointDemand demand) {
+		Endpoint present = this.endpoints.get(id);
+		if (present == null || present.pace == 0) {
+			return false;
+		}
+		long now = this.clock.millis();
+		return this.endpoints.values()
+			.stream()
+			.anyMatch((endpoint) -> endpoint != present && endpoint.pace > 0
+					&& endpoint.pace * MOVE_PACE_RATIO < present.pace && isOpen(endpoint, demand, now)
+					&& now >= endpoint.coldUntil);
+	}
+
 	/**
 	 * Returns the endpoints that hold a model.
 	 * @param model the model
@@ -306,7 +351,7 @@
 	}
 
 	private boolean isOpen(Endpoint endpoint, EndpointDemand demand, long now) {
-		if (!isUsable(endpoint, demand) || now < endpoint.pausedUntil
+		if (!isUsable(endpoint, demand) || now < endpoint.pausedUntil || this.loading.contains(endpoint.entry.id())
 				|| demand.excluded().contains(endpoint.entry.id())) {
 			return false;
 		}
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/LeaseState.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/LeaseState.java
@@ -144,6 +144,27 @@
 		return isOwn();
 	}
 
+	/**
+	 * Returns the version of the lease that this process wrote last.
+	 * @return the version; 0 where this process is not in charge
+	 */
+	public synchronized long heldVersion() {
+		return isHeld() ? this.seenVersion : 0;
+	}
+
+	/**
+	 * Takes the version that the holder says it wrote, so that a contender knows without
+	 * reading since when the lease is unchanged.
+	 * @param version the version
+	 */
+	public synchronized void heard(long version) {
+		if (version > this.seenVersion && !isOwn()) {
+			this.seenVersion = version;
+			this.seenSince = this.clock.millis();
+			this.mustRead = true;
+		}
+	}
+
 	/**
 	 * Gives the lease back at the next step. The caller has finished its orders.
 	 */
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/WeightSwaps.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/WeightSwaps.java
@@ -69,12 +69,12 @@
 	public synchronized List<Swap> next(EndpointTable table) {
 		long now = this.clock.millis();
 		Map<String, List<EndpointTable.ModelHolder>> holders = new HashMap<>();
-		this.targets.keySet().forEach((model) -> holders.put(model, table.holders(model)));
+		table.models().forEach((model) -> holders.put(model, table.holders(model)));
 		assign(holders);
 		settle(holders, now);
 		List<Swap> candidates = new ArrayList<>();
 		holders.forEach((model, list) -> {
-			long target = this.targets.get(model);
+			long target = this.targets.getOrDefault(model, 0L);
 			list.stream()
 				.filter((holder) -> holder.version() < target && model.equals(this.assigned.get(holder.id()))
 						&& !this.running.containsKey(holder.id()))
@@ -121,11 +121,12 @@
 		Map<String, Integer> counts = new HashMap<>();
 		this.assigned.values().forEach((model) -> counts.merge(model, 1, Integer::sum));
 		for (EndpointTable.ModelHolder holder : free) {
-			String best = this.targets.keySet()
+			String best = holders.keySet()
 				.stream()
 				.filter((model) -> holder.versions().containsKey(model))
 				.min(Comparator.<String>comparingInt((model) -> counts.getOrDefault(model, 0))
-					.thenComparingLong((model) -> this.targets.get(model) - holder.versions().getOrDefault(model, 0L))
+					.thenComparingLong(
+							(model) -> this.targets.getOrDefault(model, 0L) - holder.versions().getOrDefault(model, 0L))
 					.thenComparing(Comparator.naturalOrder()))
 				.orElse(null);
 			if (best != null) {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/EventLog.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/EventLog.java
@@ -21,7 +21,7 @@
 	private static final Logger LOGGER = LoggerFactory.getLogger("bamboorelay");
 
 	/** Lines of one event in one second, so that logging stays cheap under load. */
-	private static final int LINES_PER_SECOND = 40;
+	private static final int LINES_PER_SECOND = 200;
 
 	private final Map<String, Limit> limits = new ConcurrentHashMap<>();
 
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 
 import io.vavr.control.Either;
@@ -79,7 +80,7 @@
 	private static final int RENEWALS_PER_LEASE = 3;
 
 	/** Wait beyond the lease before another host takes over, in milliseconds. */
-	private static final long TAKEOVER_MARGIN_MILLIS = 1_000;
+	private static final long TAKEOVER_MARGIN_MILLIS = 700;
 
 	/** Time from the stop signal to the refusal of new connections, in milliseconds. */
 	private static final long LEAVE_MILLIS = 2_500;
@@ -122,6 +123,8 @@
 
 	private final LeaseState lease;
 
+	private final AtomicLong lastHeld;
+
 	private final UsageMeter usage;
 
 	private final SubmissionRunner runner;
@@ -162,17 +165,19 @@
 		this.mesh = HostMesh.of(settings.host(), settings.domain(), this.incarnation, this.clock, this.threads,
 				this.log);
 		this.usage = new UsageMeter(this.incarnation, settings.usageWindowMillis());
-		long started = this.clock.millis();
-		LeaseState.Terms terms = new LeaseState.Terms(settings.leaseMillis(),
-				settings.leaseMillis() / RENEWALS_PER_LEASE, settings.leaseMillis() + TAKEOVER_MARGIN_MILLIS,
-				settings.leaseMillis() / RENEWALS_PER_LEASE);
-		// A host that restarts waits out the lease, so that it does not alternate with
-		// the
-		// host that took over meanwhile. A host that hears the holder does not contend.
+		AtomicLong lastHeld = new AtomicLong(this.clock.millis());
+		long length = settings.leaseMillis() * 2 / 3;
+		LeaseState.Terms terms = new LeaseState.Terms(length, length / RENEWALS_PER_LEASE,
+				length + TAKEOVER_MARGIN_MILLIS, length / RENEWALS_PER_LEASE);
+		// Two holders must not alternate, so a host that held the lease, maybe before a
+		// restart, waits before it contends again. A host that hears the holder does not
+		// contend.
 		this.lease = LeaseState
 			.of(DutyLoop.LEASE_KEY, settings.host() + "/" + this.incarnation, this.clock, () -> terms,
 					() -> ThreadLocalRandom.current().nextDouble())
-			.where(() -> this.clock.millis() - started > settings.leaseMillis() && this.mesh.dutyHolder() == null);
+			.where(() -> this.clock.millis() - lastHeld.get() > settings.leaseMillis()
+					&& this.mesh.dutyHolder() == null);
+		this.lastHeld = lastHeld;
 		EndpointCaller caller = EndpointCaller.of(this.table, endpoints, pool, this.clock, this.counters, this.log);
 		ItemRunner items = new ItemRunner(this.table, endpoints, pool, caller, this.routing::get, this.clock,
 				this.counters, this.log);
@@ -199,6 +204,10 @@
 		this.mesh.onStatus((host, status) -> {
 			this.table.peerLoad(host, status.running());
 			this.usage.merge(status.usage());
+			if (status.holdsDuties()) {
+				this.lease.heard(status.leaseVersion());
+				this.table.loading(Set.copyOf(status.loading()));
+			}
 		});
 		this.mesh.register(PeerMessage.ResultsRead.class, this.directory::answer);
 		this.mesh.open(this.settings.peerAddress());
@@ -398,6 +407,10 @@
 		long nextBeat = 0;
 		while (!this.stopped) {
 			long now = this.clock.millis();
+			if (this.lease.isHeld()) {
+				this.lastHeld.set(now);
+				this.table.loading(this.swaps.loading());
+			}
 			if (now >= nextBeat) {
 				nextBeat = now + BEAT_MILLIS;
 				this.mesh.beat(this::status);
@@ -417,8 +430,8 @@
 	private PeerMessage.HostStatus status() {
 		Map<Long, Map<String, Map<String, Long>>> figures = new HashMap<>(
 				this.usage.shared(System.currentTimeMillis()));
-		return new PeerMessage.HostStatus(this.leaving, this.lease.isHeld(), new HashMap<>(this.table.ownLoad()),
-				figures);
+		return new PeerMessage.HostStatus(this.leaving, this.lease.isHeld(), this.lease.heldVersion(),
+				List.copyOf(this.swaps.loading()), new HashMap<>(this.table.ownLoad()), figures);
 	}
 
 	private static void pause(long millis) {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ActiveSubmission.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ActiveSubmission.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Predicate;
 
 import org.bamboorelay.core.process.EndpointDemand;
 import org.bamboorelay.core.request.ResultLog;
@@ -26,7 +27,9 @@
 
 	private final long endMillis;
 
-	private final Map<String, Runnable> aborts = new ConcurrentHashMap<>();
+	private final Map<String, RunningItem> aborts = new ConcurrentHashMap<>();
+
+	private final Set<String> moved = ConcurrentHashMap.newKeySet();
 
 	private final AtomicBoolean writing = new AtomicBoolean();
 
@@ -71,8 +74,8 @@
 				affinity, true, Set.of());
 	}
 
-	void running(String item, Runnable abort) {
-		this.aborts.put(item, abort);
+	void running(String item, String endpoint, Runnable abort) {
+		this.aborts.put(item, new RunningItem(endpoint, abort));
 		if (this.dropped || this.plan.isEnded()) {
 			abort.run();
 		}
@@ -82,6 +85,21 @@
 		this.aborts.remove(item);
 	}
 
+	boolean isMoved(String item) {
+		return this.moved.contains(item);
+	}
+
+	// Breaks off runs on endpoints that fell behind; they resume elsewhere. A run moves
+	// once, so that it is not handed around.
+	void moveFrom(Predicate<String> slow) {
+		this.aborts.forEach((item, run) -> {
+			if (!this.moved.contains(item) && slow.test(run.endpoint())) {
+				this.moved.add(item);
+				run.abort().run();
+			}
+		});
+	}
+
 	int runs() {
 		return this.aborts.size();
 	}
@@ -90,7 +108,10 @@
 	void drop() {
 		this.dropped = true;
 		this.plan.end();
-		List.copyOf(this.aborts.values()).forEach(Runnable::run);
+		List.copyOf(this.aborts.values()).forEach((run) -> run.abort().run());
+	}
+
+	private record RunningItem(String endpoint, Runnable abort) {
 	}
 
 }
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ItemRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ItemRunner.java
@@ -53,8 +53,8 @@
 	/** Pause before a score call is made again, in milliseconds. */
 	private static final long SCORE_RETRY_MILLIS = 20;
 
-	/** Events after which the pace of an endpoint is known well enough. */
-	private static final int PACE_EVENTS = 3;
+	/** Events over which the pace of an endpoint is measured. */
+	private static final int PACE_EVENTS = 4;
 
 	private final EndpointTable table;
 
@@ -104,7 +104,8 @@
 	void run(ActiveSubmission active, SubmissionPlan.Run run, EndpointTable.Grant grant) {
 		SubmissionPlan plan = active.plan();
 		String id = run.item().id();
-		Ending ending = new Ending(EndpointTable.Outcome.FAILED, false, false, "internal");
+		long start = this.clock.millis();
+		Ending ending = new Ending(EndpointTable.Outcome.FAILED, false, false, "internal", 0);
 		try {
 			ending = generate(active, run, grant);
 		}
@@ -116,14 +117,20 @@
 			active.abandoned(id);
 		}
 		if (ending.whole()) {
-			if (plan.generated(id)) {
+			boolean scored = plan.generated(id);
+			this.log.info("item-generated", "request_id", id, "submission", plan.submission().id(), "endpoint",
+					grant.id(), "after", run.after(), "events", ending.events(), "expected", run.item().expectedUnits(),
+					"run_ms", this.clock.millis() - start, "age_ms", System.currentTimeMillis() - plan.acceptedMillis(),
+					"group", run.item().group(), "usable", scored);
+			if (scored) {
 				score(plan, run.item());
 			}
 		}
 		else {
 			this.counters.counter("item_runs_broken_total", "reason", ending.reason()).inc();
 			this.log.info("item-run-broken", "request_id", id, "submission", plan.submission().id(), "endpoint",
-					grant.id(), "reason", ending.reason());
+					grant.id(), "reason", ending.reason(), "events", ending.events(), "run_ms",
+					this.clock.millis() - start);
 			plan.broken(id, ending.counted(), System.currentTimeMillis());
 		}
 	}
@@ -138,37 +145,37 @@
 				submission.workspace().isEmpty() ? null : submission.workspace(), grant.id(), left, run.after(),
 				item.body());
 		Either<HttpFailure, HttpExchange> result = this.pool.execute(grant.address(), this.protocol.request(call), true,
-				MAX_PAUSE_MILLIS, (abort) -> active.running(item.id(), abort));
+				MAX_PAUSE_MILLIS, (abort) -> active.running(item.id(), grant.id(), abort));
 		if (result.isLeft()) {
-			return new Ending(EndpointTable.Outcome.FAILED, false, false, result.getLeft().code());
+			return new Ending(EndpointTable.Outcome.FAILED, false, false, result.getLeft().code(), 0);
 		}
 		try (HttpExchange exchange = result.get()) {
 			EndpointAnswer answer = this.protocol.head(exchange.response());
 			if (answer.id() != null && !answer.id().equals(item.id())) {
 				exchange.abort();
-				return new Ending(EndpointTable.Outcome.FAILED, false, false, "crossed-answer");
+				return new Ending(EndpointTable.Outcome.FAILED, false, false, "crossed-answer", 0);
 			}
 			if (answer.notRun()) {
 				exchange.readWhole(0xFFFF);
-				return new Ending(EndpointTable.Outcome.REFUSED, false, false, "refused-" + answer.status());
+				return new Ending(EndpointTable.Outcome.REFUSED, false, false, "refused-" + answer.status(), 0);
 			}
 			if (answer.isSuccess()) {
 				return read(active, item, grant, exchange, answer);
 			}
 			if (exchange.readWhole(0xFFFF).isLeft()) {
-				return new Ending(EndpointTable.Outcome.FAILED, false, false, "cut-failure");
+				return new Ending(EndpointTable.Outcome.FAILED, false, false, "cut-failure", 0);
 			}
 			if (answer.status() == STATUS_IMPOSSIBLE) {
 				active.plan().impossible(item.id());
 			}
 			return new Ending(EndpointTable.Outcome.SERVED, false, answer.status() == STATUS_FAILED,
-					"status-" + answer.status());
+					"status-" + answer.status(), 0);
 		}
 	}
 
 	private Ending read(ActiveSubmission active, SubmissionItem item, EndpointTable.Grant grant, HttpExchange exchange,
 			EndpointAnswer answer) {
-		long start = this.clock.millis();
+		long paceFrom = this.clock.millis();
 		int events = 0;
 		String model = active.plan().submission().model();
 		try {
@@ -178,27 +185,31 @@
 			for (EventStreamReader.Event event = reader.next(); event != null; event = reader.next()) {
 				if (!active.plan().event(item.id(), event.number(), event.data(), event.version())) {
 					exchange.abort();
-					return new Ending(EndpointTable.Outcome.ABANDONED, false, false, "not-next-event");
+					return new Ending(EndpointTable.Outcome.ABANDONED, false, false, "not-next-event", events);
 				}
 				events++;
+				if (events % PACE_EVENTS == 0) {
+					long now = this.clock.millis();
+					this.table.pace(grant.id(), (double) (now - paceFrom) / PACE_EVENTS);
+					paceFrom = now;
+				}
 				if (event.version() != version && model != null) {
 					version = event.version();
 					this.table.version(grant.id(), model, version);
 				}
 			}
 			exchange.markWhole();
-			return new Ending(EndpointTable.Outcome.SERVED, true, false, "whole");
+			return new Ending(EndpointTable.Outcome.SERVED, true, false, "whole", events);
 		}
 		catch (IOException ex) {
 			exchange.abort();
-			boolean wanted = active.plan().mayRun(item.id());
-			return new Ending(wanted ? EndpointTable.Outcome.FAILED : EndpointTable.Outcome.ABANDONED, false, false,
-					wanted ? "stream-broke" : "abandoned");
-		}
-		finally {
-			if (events >= PACE_EVENTS) {
-				this.table.pace(grant.id(), (double) (this.clock.millis() - start) / events);
+			if (!active.plan().mayRun(item.id())) {
+				return new Ending(EndpointTable.Outcome.ABANDONED, false, false, "abandoned", events);
+			}
+			if (active.isMoved(item.id())) {
+				return new Ending(EndpointTable.Outcome.ABANDONED, false, false, "moved", events);
 			}
+			return new Ending(EndpointTable.Outcome.FAILED, false, false, "stream-broke", events);
 		}
 	}
 
@@ -243,7 +254,7 @@
 		}
 	}
 
-	private record Ending(EndpointTable.Outcome outcome, boolean whole, boolean counted, String reason) {
+	private record Ending(EndpointTable.Outcome outcome, boolean whole, boolean counted, String reason, int events) {
 	}
 
 }
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionDirectory.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionDirectory.java
@@ -15,6 +15,7 @@
 import org.bamboorelay.core.process.RendezvousHash;
 import org.bamboorelay.core.request.ItemResult;
 import org.bamboorelay.core.request.ResultLog;
+import org.bamboorelay.core.request.Submission;
 import org.bamboorelay.core.store.StoreFailure;
 import org.bamboorelay.core.store.StoredObject;
 import org.bamboorelay.core.version.CoreJson;
@@ -201,6 +202,17 @@
 		return last;
 	}
 
+	/**
+	 * Chooses the host that runs a new submission. Submissions to one model go to one
+	 * host while it lives, which then keeps its connections to the engines.
+	 * @param submission the submission
+	 * @return the host
+	 */
+	public String ownerFor(Submission submission) {
+		String key = submission.workspace() + "/" + submission.model();
+		return RendezvousHash.owner(key, this.mesh.liveHosts().stream().map(HostId::of).toList()).value();
+	}
+
 	/**
 	 * Takes over the submissions whose host is gone.
 	 */
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRoutes.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRoutes.java
@@ -105,11 +105,11 @@
 		Submission submission = read.get();
 		long now = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
 		long end = now + Math.min(ACCEPT_MILLIS, head.timeLeftMillis() / 2);
-		SubmissionRecord record = new SubmissionRecord(workspace, this.host, System.currentTimeMillis(),
-				submission.items().size(), head.host(), head.path(), false);
+		SubmissionRecord record = new SubmissionRecord(workspace, this.directory.ownerFor(submission),
+				System.currentTimeMillis(), submission.items().size(), head.host(), head.path(), false);
 		Either<StoreFailure, SubmissionRecord> accepted = this.store.accept(submission, record, end);
 		if (accepted.isRight()) {
-			if (accepted.get().equals(record)) {
+			if (accepted.get().equals(record) && record.owner().equals(this.host)) {
 				this.runner.start(submission, record, route);
 			}
 			this.log.info("submission-accepted", "request_id", head.id(), "items", record.total(), "owner",
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
@@ -46,6 +46,9 @@
 	/** How often waiting items and results are looked at, in milliseconds. */
 	private static final long TICK_MILLIS = 20;
 
+	/** How often runs on slow endpoints are looked for, in milliseconds. */
+	private static final long MOVE_MILLIS = 200;
+
 	/** Pause after the store failed, in milliseconds. */
 	private static final long STORE_RETRY_MILLIS = 150;
 
@@ -197,6 +200,7 @@
 	 * Starts items and writes pages until the process ends.
 	 */
 	public void loop() {
+		long nextMove = 0;
 		while (!this.closed) {
 			long now = System.currentTimeMillis();
 			List<ActiveSubmission> all = new ArrayList<>(this.active.values());
@@ -207,9 +211,13 @@
 				if (!this.leaving) {
 					startItems(running, now);
 				}
+				if (now >= nextMove) {
+					running.moveFrom((endpoint) -> this.table.isWorthMoving(endpoint, running.demand(0)));
+				}
 				writePage(running, now);
 				busy |= running.plan().isWaiting(now) || !running.plan().unlisted().isEmpty();
 			}
+			nextMove = (now >= nextMove) ? now + MOVE_MILLIS : nextMove;
 			await(busy ? TICK_MILLIS : TICK_MILLIS * 5);
 		}
 	}
