--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerMessage.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerMessage.java
@@ -444,14 +444,16 @@
 	 * @param holdsDuties whether the sender is in charge of the duties
 	 * @param leaseVersion the version of the duties' lease that it wrote last; 0 where it
 	 * is not in charge
+	 * @param reachesStore whether the sender reaches the platform's store by itself
 	 * @param loading the endpoints that load weights on its order
 	 * @param running the requests that it runs at each endpoint
 	 * @param usage requests that began to run, by window, incarnation and workspace, of
 	 * the newest windows
 	 */
 	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
-	record HostStatus(boolean leaving, boolean holdsDuties, long leaseVersion, List<String> loading,
-			Map<String, Integer> running, Map<Long, Map<String, Map<String, Long>>> usage) implements PeerMessage {
+	record HostStatus(boolean leaving, boolean holdsDuties, long leaseVersion, boolean reachesStore,
+			List<String> loading, Map<String, Integer> running,
+			Map<Long, Map<String, Map<String, Long>>> usage) implements PeerMessage {
 	}
 
 	/**
@@ -466,6 +468,49 @@
 	record ResultsRead(String submission, int after, int maxCharacters) implements PeerMessage {
 	}
 
+	/**
+	 * Asks a host to make one call on the platform's store, because the sender does not
+	 * reach the store; answered by {@link StoreAnswer}. The answer takes as long as the
+	 * store does, so it is made on another thread than the one that reads the link.
+	 *
+	 * @param call what to do
+	 * @param key the object's key, or the kind
+	 * @param argument the name to continue after
+	 * @param number the version that is replaced, or the revision to watch from
+	 * @param waitMillis the longest wait of a watch, in milliseconds
+	 * @param body the value
+	 */
+	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+	record StoreAsk(String call, String key, String argument, long number, long waitMillis,
+			byte[] body) implements PeerMessage {
+	}
+
+	/**
+	 * The result of a call on the platform's store.
+	 *
+	 * @param failure code of the failure; empty where the call succeeded
+	 * @param detail a sentence for people
+	 * @param number the version or revision
+	 * @param more whether a list goes on
+	 * @param objects the objects
+	 */
+	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+	record StoreAnswer(String failure, String detail, long number, boolean more,
+			List<RelayedObject> objects) implements PeerMessage {
+	}
+
+	/**
+	 * An object of the platform's store.
+	 *
+	 * @param key the key
+	 * @param version the version
+	 * @param body the value
+	 * @param removed whether it is gone
+	 */
+	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+	record RelayedObject(String key, long version, byte[] body, boolean removed) {
+	}
+
 	/**
 	 * Listed results of a submission.
 	 *
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerProtocol.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerProtocol.java
@@ -35,7 +35,8 @@
 			PeerMessage.UsagePull.class, PeerMessage.UsageCounters.class, PeerMessage.Ack.class,
 			PeerMessage.Rejected.class, PeerMessage.BatchFetch.class, PeerMessage.BatchAnswer.class,
 			PeerMessage.WithdrawnDelta.class, PeerMessage.EndpointSetOffer.class, PeerMessage.HostStatus.class,
-			PeerMessage.ResultsRead.class, PeerMessage.ResultsAnswer.class);
+			PeerMessage.ResultsRead.class, PeerMessage.ResultsAnswer.class, PeerMessage.StoreAsk.class,
+			PeerMessage.StoreAnswer.class);
 
 	/**
 	 * The number of types in the first release. A process sends later types only to
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/request/ResultLog.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/request/ResultLog.java
@@ -23,6 +23,8 @@
 
 	private @Nullable ResultPage pending;
 
+	private boolean uncertain;
+
 	/**
 	 * Returns the listed results from a position on.
 	 * @param after the position
@@ -50,6 +52,21 @@
 		return this.ids.contains(id);
 	}
 
+	/**
+	 * Notes that the answer to a write of the pending page was lost.
+	 */
+	public synchronized void uncertain() {
+		this.uncertain = this.pending != null;
+	}
+
+	/**
+	 * Tells whether the store may hold a page that this list does not.
+	 * @return whether the outcome of a write is unknown
+	 */
+	public synchronized boolean isUncertain() {
+		return this.uncertain;
+	}
+
 	/**
 	 * Returns the page to write next.
 	 * @param results results that have no position yet
@@ -84,6 +101,7 @@
 			return false;
 		}
 		this.pending = null;
+		this.uncertain = false;
 		page.results().forEach((result) -> {
 			this.listed.add(result);
 			this.ids.add(result.id());
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/HostMesh.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/HostMesh.java
@@ -208,6 +208,19 @@
 			.orElse(null);
 	}
 
+	/**
+	 * Returns the other hosts that reach the platform's store.
+	 * @return the hosts that said so lately
+	 */
+	public Set<String> hostsWithStore() {
+		Set<String> hosts = new TreeSet<>();
+		this.peers.values()
+			.stream()
+			.filter((peer) -> isAlive(peer) && peer.reachesStore)
+			.forEach((peer) -> hosts.add(peer.host));
+		return hosts;
+	}
+
 	/**
 	 * Asks a host.
 	 * @param host the host
@@ -264,6 +277,7 @@
 				peer.heardAt = this.clock.millis();
 				peer.leaving = status.leaving();
 				peer.holdsDuties = status.holdsDuties();
+				peer.reachesStore = status.reachesStore();
 			}
 			this.onStatus.accept(host, status);
 			return null;
@@ -298,6 +312,8 @@
 
 		private volatile boolean holdsDuties;
 
+		private volatile boolean reachesStore;
+
 		private boolean reportedAlive = true;
 
 		private Peer(String host, String address) {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -47,6 +47,7 @@
 import org.bamboorelay.host.request.SubmissionRunner;
 import org.bamboorelay.host.version.DirectoryFormat;
 import org.bamboorelay.host.version.KindWatch;
+import org.bamboorelay.host.version.RelayedStore;
 import org.bamboorelay.host.version.SubmissionStore;
 import org.bamboorelay.runtime.connection.HttpConnectionPool;
 import org.bamboorelay.runtime.connection.HttpListener;
@@ -93,7 +94,7 @@
 
 	private final HostSettings settings;
 
-	private final WatchedStore store;
+	private final RelayedStore store;
 
 	private final DirectoryFormat format;
 
@@ -158,12 +159,12 @@
 	public HostProcess(HostSettings settings, WatchedStore store, HttpConnectionPool pool, DirectoryFormat format,
 			CallerProtocol callers, EndpointProtocol endpoints, PlatformCalls calls) {
 		this.settings = Objects.requireNonNull(settings, "settings");
-		this.store = Objects.requireNonNull(store, "store");
 		this.format = Objects.requireNonNull(format, "format");
 		this.incarnation = Long.toHexString(System.currentTimeMillis()) + "-"
 				+ Integer.toHexString(ThreadLocalRandom.current().nextInt());
 		this.mesh = HostMesh.of(settings.host(), settings.domain(), this.incarnation, this.clock, this.threads,
 				this.log);
+		this.store = new RelayedStore(Objects.requireNonNull(store, "store"), this.mesh, this.clock, this.log);
 		this.usage = new UsageMeter(this.incarnation, settings.usageWindowMillis());
 		AtomicLong lastHeld = new AtomicLong(this.clock.millis());
 		long length = settings.leaseMillis() * 2 / 3;
@@ -181,7 +182,7 @@
 		EndpointCaller caller = EndpointCaller.of(this.table, endpoints, pool, this.clock, this.counters, this.log);
 		ItemRunner items = new ItemRunner(this.table, endpoints, pool, caller, this.routing::get, this.clock,
 				this.counters, this.log);
-		SubmissionStore submissions = SubmissionStore.of(store);
+		SubmissionStore submissions = SubmissionStore.of(this.store);
 		this.runner = new SubmissionRunner(settings.host(), submissions, this.table, items, this.routing::get,
 				ItemOrder.LONGEST_WANTED_FIRST, this.threads, this.log);
 		this.directory = new SubmissionDirectory(settings.host(), submissions, this.runner, this.mesh, this.log);
@@ -190,8 +191,8 @@
 		StreamRelay streams = new StreamRelay(this.table, endpoints, pool, this.usage, this.clock, this.log);
 		this.front = new FrontHandler(this.routing::get, callers, caller, streams, routes, this.callerWatch, this.usage,
 				this.clock, this.counters, this.log);
-		this.duties = new DutyLoop(settings, this.lease, store, calls, this.table, this.swaps, this.usage, this.threads,
-				this.counters, this.log);
+		this.duties = new DutyLoop(settings, this.lease, this.store, calls, this.table, this.swaps, this.usage,
+				this.threads, this.counters, this.log);
 	}
 
 	/**
@@ -431,7 +432,8 @@
 		Map<Long, Map<String, Map<String, Long>>> figures = new HashMap<>(
 				this.usage.shared(System.currentTimeMillis()));
 		return new PeerMessage.HostStatus(this.leaving, this.lease.isHeld(), this.lease.heldVersion(),
-				List.copyOf(this.swaps.loading()), new HashMap<>(this.table.ownLoad()), figures);
+				this.store.isReached(), List.copyOf(this.swaps.loading()), new HashMap<>(this.table.ownLoad()),
+				figures);
 	}
 
 	private static void pause(long millis) {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionDirectory.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionDirectory.java
@@ -149,6 +149,9 @@
 			if (after < record.total()) {
 				own.await(after, waitMillis);
 			}
+			if (own.size() <= after && own.isUncertain()) {
+				return Either.left(new StoreFailure.Unavailable("a page of " + id + " may be listed"));
+			}
 			return Either.right(limited(own.from(after)));
 		}
 		ResultLog copy = this.copies.computeIfAbsent(id, (unused) -> new ResultLog());
@@ -237,7 +240,7 @@
 	 */
 	public PeerMessage answer(PeerMessage.ResultsRead message) {
 		ResultLog own = this.runner.results(message.submission());
-		if (own == null) {
+		if (own == null || (own.size() <= message.after() && own.isUncertain())) {
 			return new PeerMessage.ResultsAnswer(false, new byte[0]);
 		}
 		List<ItemResult> results = new ArrayList<>();
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
@@ -281,6 +281,9 @@
 			running.plan().listed(running.results().from(0));
 		}
 		else {
+			if (written.getLeft() instanceof StoreFailure.OutcomeUnknown) {
+				running.results().uncertain();
+			}
 			this.log.warn("page-not-written", "submission", id, "first", page.first(), "code", written.getLeft().code(),
 					"detail", written.getLeft().detail());
 			running.written(now + STORE_RETRY_MILLIS);
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/version/KindWatch.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/version/KindWatch.java
@@ -28,6 +28,15 @@
 	/** The longest wait while objects may lapse, in milliseconds. */
 	private static final long LAPSED_WAIT_MILLIS = 500;
 
+	/**
+	 * Time after a watch was cut in which others may be cut too, in milliseconds; a store
+	 * that drops its history does so several times.
+	 */
+	private static final long DOUBT_MILLIS = 8_000;
+
+	/** The longest wait of one watch in that time, in milliseconds. */
+	private static final long DOUBT_WAIT_MILLIS = 1_000;
+
 	/** First wait after a failed call, in milliseconds. */
 	private static final long BACKOFF_BASE_MILLIS = 50;
 
@@ -59,14 +68,14 @@
 
 	private final Map<String, Long> lapsed = new HashMap<>();
 
-	private boolean lost;
+	private volatile boolean lost;
+
+	private long doubtUntilMillis = Long.MIN_VALUE / 2;
 
 	private long regainedMillis = Long.MIN_VALUE / 2;
 
 	private volatile boolean closed;
 
-	private volatile long confirmedNanos = System.nanoTime();
-
 	private KindWatch(WatchedStore store, String kind, boolean keepsLapsed, Listener listener, EventLog log) {
 		this.store = Objects.requireNonNull(store, "store");
 		this.kind = Objects.requireNonNull(kind, "kind");
@@ -97,14 +106,6 @@
 		return this.listed;
 	}
 
-	/**
-	 * Returns the age of what the listener knows.
-	 * @return time since the store last answered, in milliseconds
-	 */
-	public long ageMillis() {
-		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.confirmedNanos);
-	}
-
 	/**
 	 * Ends the watch.
 	 */
@@ -129,15 +130,18 @@
 	private void follow(long start) {
 		long revision = start;
 		while (!this.closed) {
-			Either<StoreFailure, WatchedStore.Changes> changes = this.store.changes(this.kind, revision,
-					this.lapsed.isEmpty() ? WAIT_MILLIS : LAPSED_WAIT_MILLIS);
+			Either<StoreFailure, WatchedStore.Changes> changes = this.store.changes(this.kind, revision, waitMillis());
 			if (changes.isLeft()) {
+				// A watch that was cut may have missed changes before, so the objects are
+				// listed again.
+				this.doubtUntilMillis = nowMillis() + DOUBT_MILLIS;
 				if (changes.getLeft() instanceof StoreFailure.HistoryGone) {
 					this.log.info("watch-history-gone", "kind", this.kind, "revision", revision);
-					return;
 				}
-				failed(changes.getLeft());
-				continue;
+				else {
+					failed(changes.getLeft());
+				}
+				return;
 			}
 			answered();
 			for (WatchedStore.Change change : changes.get().changes()) {
@@ -191,6 +195,13 @@
 		}
 	}
 
+	private long waitMillis() {
+		if (!this.lapsed.isEmpty()) {
+			return LAPSED_WAIT_MILLIS;
+		}
+		return (nowMillis() < this.doubtUntilMillis) ? DOUBT_WAIT_MILLIS : WAIT_MILLIS;
+	}
+
 	private void remove(String key) {
 		if (this.keepsLapsed && nowMillis() < this.regainedMillis + RETURN_MILLIS) {
 			this.lapsed.putIfAbsent(key, this.regainedMillis + RETURN_MILLIS);
@@ -216,7 +227,6 @@
 	}
 
 	private void answered() {
-		this.confirmedNanos = System.nanoTime();
 		this.backoff.reset();
 		if (this.lost) {
 			this.lost = false;
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/PeerLink.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/PeerLink.java
@@ -52,6 +52,8 @@
 
 	private final Consumer<PeerFailure> onClose;
 
+	private final Executor threads;
+
 	private final Map<Long, CompletableFuture<PeerMessage>> waiting = new ConcurrentHashMap<>();
 
 	private final AtomicLong nextCorrelation = new AtomicLong();
@@ -59,7 +61,8 @@
 	private final AtomicLong bytesOut = new AtomicLong();
 
 	private PeerLink(Socket socket, DataInputStream in, OutputStream out, PeerMessage.Hello remote, Handler handler,
-			Consumer<PeerFailure> onClose) {
+			Consumer<PeerFailure> onClose, Executor threads) {
+		this.threads = threads;
 		this.socket = socket;
 		this.in = in;
 		this.out = out;
@@ -121,7 +124,7 @@
 				return Either.left(new PeerFailure.Malformed("the first frame is not a Hello of this deployment"));
 			}
 			socket.setSoTimeout(IDLE_TIMEOUT_MILLIS);
-			PeerLink link = new PeerLink(socket, in, out, remote, handler, onClose);
+			PeerLink link = new PeerLink(socket, in, out, remote, handler, onClose, threads);
 			threads.execute(link::readLoop);
 			return Either.right(link);
 		}
@@ -231,7 +234,17 @@
 			}
 			return;
 		}
-		PeerMessage answer = this.handler.handle(this, frame.message());
+		if (frame.message() instanceof PeerMessage.StoreAsk) {
+			// Takes as long as the store does, and must not hold up other messages.
+			this.threads.execute(() -> answer(correlation, frame.message()));
+		}
+		else {
+			answer(correlation, frame.message());
+		}
+	}
+
+	private void answer(long correlation, PeerMessage message) {
+		PeerMessage answer = this.handler.handle(this, message);
 		if (correlation > 0) {
 			write(-correlation,
 					(answer != null) ? answer : new PeerMessage.Rejected("no-answer", "the message has no answer"));
