--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/request/ResultLog.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/request/ResultLog.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.TreeSet;
 
 import org.jspecify.annotations.Nullable;
 
@@ -21,6 +22,8 @@
 
 	private final Set<String> ids = new HashSet<>();
 
+	private final TreeSet<Integer> pageEnds = new TreeSet<>();
+
 	private @Nullable ResultPage pending;
 
 	private boolean uncertain;
@@ -35,6 +38,28 @@
 				: List.copyOf(this.listed.subList(Math.max(0, after), this.listed.size()));
 	}
 
+	/**
+	 * Returns listed results up to the end of a page, so that a copy of the list can be
+	 * continued from the store, which finds pages by their first position.
+	 * @param after the position to begin at
+	 * @param maxCharacters the most characters of text, unless one page has more
+	 * @return the results
+	 */
+	public synchronized List<ItemResult> wholePages(int after, int maxCharacters) {
+		int end = after;
+		long size = 0;
+		for (int pageEnd : this.pageEnds.tailSet(after, false)) {
+			for (ItemResult result : this.listed.subList(end, pageEnd)) {
+				size += result.output().length();
+			}
+			if (end > after && size > maxCharacters) {
+				break;
+			}
+			end = pageEnd;
+		}
+		return List.copyOf(this.listed.subList(Math.min(after, end), end));
+	}
+
 	/**
 	 * Returns the number of listed results.
 	 * @return the number
@@ -92,20 +117,23 @@
 	}
 
 	/**
-	 * Takes a page that the store holds, be it this host's or another one's.
-	 * @param page the page
-	 * @return whether the page was new and continues the list
+	 * Takes results that the store holds, be they this host's or another one's. Positions
+	 * are fixed, so results that overlap the list add what goes beyond it.
+	 * @param page the results
+	 * @return whether the list grew
 	 */
 	public synchronized boolean add(ResultPage page) {
-		if (page.first() != this.listed.size()) {
+		int known = this.listed.size() - page.first();
+		if (known < 0 || known >= page.results().size()) {
 			return false;
 		}
 		this.pending = null;
 		this.uncertain = false;
-		page.results().forEach((result) -> {
+		page.results().subList(known, page.results().size()).forEach((result) -> {
 			this.listed.add(result);
 			this.ids.add(result.id());
 		});
+		this.pageEnds.add(this.listed.size());
 		notifyAll();
 		return true;
 	}
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionDirectory.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionDirectory.java
@@ -159,17 +159,20 @@
 			return Either.right(limited(copy.from(after)));
 		}
 		long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(waitMillis);
-		do {
+		while (copy.size() <= after) {
+			int before = copy.size();
 			Either<StoreFailure, Boolean> refreshed = refresh(id, copy);
 			if (refreshed.isLeft()) {
 				return Either.left(refreshed.getLeft());
 			}
-			if (copy.size() > after || !refreshed.get()) {
-				break;
+			// One answer may hold only a part of what is listed.
+			if (copy.size() == before) {
+				if (!refreshed.get() || System.nanoTime() >= end) {
+					break;
+				}
+				TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
 			}
-			TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
 		}
-		while (System.nanoTime() < end);
 		return Either.right(limited(copy.from(after)));
 	}
 
@@ -243,15 +246,7 @@
 		if (own == null || (own.size() <= message.after() && own.isUncertain())) {
 			return new PeerMessage.ResultsAnswer(false, new byte[0]);
 		}
-		List<ItemResult> results = new ArrayList<>();
-		long size = 0;
-		for (ItemResult result : own.from(message.after())) {
-			size += result.output().length();
-			if (!results.isEmpty() && size > message.maxCharacters()) {
-				break;
-			}
-			results.add(result);
-		}
+		List<ItemResult> results = own.wholePages(message.after(), message.maxCharacters());
 		return new PeerMessage.ResultsAnswer(true, CoreJson.bytes(results));
 	}
 
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRoutes.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRoutes.java
@@ -171,6 +171,8 @@
 				unavailable(head, call, read.getLeft(), responder);
 				return;
 			}
+			this.log.info("results-read", "request_id", head.id(), "submission", call.submission(), "after",
+					call.after(), "count", read.get().size(), "total", record.total(), "ended", record.ended());
 			byte[] body = this.protocol.results(record.total(), call.after() + read.get().size(), read.get());
 			send(responder, body, ContentType.APPLICATION_JSON);
 		}
