--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionDirectory.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionDirectory.java
@@ -78,6 +78,7 @@
 		this.runner = Objects.requireNonNull(runner, "runner");
 		this.mesh = Objects.requireNonNull(mesh, "mesh");
 		this.log = Objects.requireNonNull(log, "log");
+		runner.wanted(this::isOwn);
 	}
 
 	@Override
@@ -250,6 +251,12 @@
 		return new PeerMessage.ResultsAnswer(true, CoreJson.bytes(results));
 	}
 
+	// A submission that was accepted just now has no record here yet.
+	private boolean isOwn(String id) {
+		SubmissionStore.VersionedRecord known = this.records.get(id);
+		return known == null || (!known.record().ended() && known.record().owner().equals(this.host));
+	}
+
 	private Either<StoreFailure, Option<SubmissionStore.VersionedRecord>> knownOrRead(String id, int attempt) {
 		SubmissionStore.VersionedRecord known = this.records.get(id);
 		return (attempt == 0 && known != null) ? Either.right(Option.some(known)) : this.store.record(id);
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 import io.vavr.control.Either;
@@ -79,6 +80,8 @@
 
 	private final Object signal = new Object();
 
+	private volatile Predicate<String> wanted = (id) -> true;
+
 	private volatile boolean closed;
 
 	private volatile boolean leaving;
@@ -106,6 +109,14 @@
 		this.log = Objects.requireNonNull(log, "log");
 	}
 
+	/**
+	 * Sets what tells whether this host is to run a submission, as far as it knows.
+	 * @param test tells it for a submission
+	 */
+	public void wanted(Predicate<String> test) {
+		this.wanted = Objects.requireNonNull(test, "test");
+	}
+
 	/**
 	 * Begins to run a submission that was accepted just now.
 	 * @param submission the submission
@@ -320,7 +331,12 @@
 		long end = (route.maxAgeMillis() > Long.MAX_VALUE / 2) ? record.acceptedMillis() + 60_000
 				: record.acceptedMillis() + route.maxAgeMillis();
 		ActiveSubmission running = new ActiveSubmission(plan, results, route.service(Math.random()), end);
-		if (this.active.putIfAbsent(submission.id(), running) == null) {
+		boolean begun = this.active.putIfAbsent(submission.id(), running) == null;
+		if (begun && !this.wanted.test(submission.id())) {
+			// It was ended, or went to another host, while its items were read.
+			stop(submission.id(), "not-wanted");
+		}
+		else if (begun) {
 			this.log.info("submission-started", "submission", submission.id(), "items", submission.items().size(),
 					"model", submission.model(), "step", submission.step(), "min_version", submission.minVersion(),
 					"wanted_groups", submission.wantedGroups(), "carried", carried.size(), "host", this.host);
