--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerMessage.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerMessage.java
@@ -445,6 +445,7 @@
 	 * @param leaseVersion the version of the duties' lease that it wrote last; 0 where it
 	 * is not in charge
 	 * @param reachesStore whether the sender reaches the platform's store by itself
+	 * @param demand items that run or wait at the sender, by service
 	 * @param loading the endpoints that load weights on its order
 	 * @param running the requests that it runs at each endpoint
 	 * @param usage requests that began to run, by window, incarnation and workspace, of
@@ -452,7 +453,7 @@
 	 */
 	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
 	record HostStatus(boolean leaving, boolean holdsDuties, long leaseVersion, boolean reachesStore,
-			List<String> loading, Map<String, Integer> running,
+			Map<String, Integer> demand, List<String> loading, Map<String, Integer> running,
 			Map<Long, Map<String, Map<String, Long>>> usage) implements PeerMessage {
 	}
 
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
@@ -43,9 +43,6 @@
 	/** How far affinity outweighs load, in slots. */
 	private static final double AFFINITY_SLOTS = 2.0;
 
-	/** A run moves to an endpoint that is faster by this factor. */
-	private static final double MOVE_PACE_RATIO = 1.7;
-
 	/** Peers' figures older than this are left out, in milliseconds. */
 	private static final long PEER_LOAD_MILLIS = 2_500;
 
@@ -268,6 +265,36 @@
 		}
 	}
 
+	/**
+	 * Returns the services.
+	 * @return the rules of all services
+	 */
+	public synchronized List<ServiceRule> serviceRules() {
+		return List.copyOf(this.services.values());
+	}
+
+	/**
+	 * Returns the failure domains that get no work.
+	 * @return the domains that are taken out
+	 */
+	public synchronized Set<String> closedDomains() {
+		return Set.copyOf(this.closedDomains);
+	}
+
+	/**
+	 * Returns the slots of an endpoint of a service.
+	 * @param service the service
+	 * @return the fewest slots that one of its endpoints has; 0 where there is none
+	 */
+	public synchronized int slots(String service) {
+		return this.endpoints.values()
+			.stream()
+			.filter((endpoint) -> endpoint.entry.service().equals(service))
+			.mapToInt((endpoint) -> endpoint.entry.slots())
+			.min()
+			.orElse(0);
+	}
+
 	/**
 	 * Returns the models that endpoints hold.
 	 * @return the models
@@ -292,9 +319,10 @@
 	 * one of those has a free slot.
 	 * @param id the endpoint of the run
 	 * @param demand what the run needs
+	 * @param ratio the factor by which the other endpoint must be faster
 	 * @return whether to break the run off and resume it elsewhere
 	 */
-	public synchronized boolean isWorthMoving(String id, EndpointDemand demand) {
+	public synchronized boolean isWorthMoving(String id, EndpointDemand demand, double ratio) {
 		Endpoint present = this.endpoints.get(id);
 		if (present == null || present.pace == 0) {
 			return false;
@@ -302,9 +330,8 @@
 		long now = this.clock.millis();
 		return this.endpoints.values()
 			.stream()
-			.anyMatch((endpoint) -> endpoint != present && endpoint.pace > 0
-					&& endpoint.pace * MOVE_PACE_RATIO < present.pace && isOpen(endpoint, demand, now)
-					&& now >= endpoint.coldUntil);
+			.anyMatch((endpoint) -> endpoint != present && endpoint.pace > 0 && endpoint.pace * ratio < present.pace
+					&& isOpen(endpoint, demand, now) && now >= endpoint.coldUntil);
 	}
 
 	/**
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/LeaseState.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/LeaseState.java
@@ -46,6 +46,8 @@
 
 	private final BooleanSupplier contends;
 
+	private final @Nullable String predecessors;
+
 	private final Backoff backoff;
 
 	private final Deque<Attempt> attempts = new ArrayDeque<>();
@@ -73,7 +75,8 @@
 	private boolean standingBy;
 
 	private LeaseState(String key, String holder, Clock clock, Supplier<Terms> terms, DoubleSupplier random,
-			BooleanSupplier contends) {
+			BooleanSupplier contends, @Nullable String predecessors) {
+		this.predecessors = predecessors;
 		this.contends = Objects.requireNonNull(contends, "contends");
 		this.key = Objects.requireNonNull(key, "key");
 		this.holder = Objects.requireNonNull(holder, "holder");
@@ -93,7 +96,7 @@
 	 * @return the contender
 	 */
 	public static LeaseState of(String key, String holder, Clock clock, Supplier<Terms> terms, DoubleSupplier random) {
-		return new LeaseState(key, holder, clock, terms, random, () -> true);
+		return new LeaseState(key, holder, clock, terms, random, () -> true, null);
 	}
 
 	/**
@@ -106,7 +109,17 @@
 	 * @return the contender, which shares no state with this one
 	 */
 	public LeaseState where(BooleanSupplier condition) {
-		return new LeaseState(this.key, this.holder, this.clock, this.terms, this.random, condition);
+		return new LeaseState(this.key, this.holder, this.clock, this.terms, this.random, condition, this.predecessors);
+	}
+
+	/**
+	 * Returns a process that takes the lease over at once where its holder is an earlier
+	 * start of the same process, which has ended.
+	 * @param holderPrefix the prefix of the names of all starts of the process
+	 * @return the contender, which shares no state with this one
+	 */
+	public LeaseState succeeding(String holderPrefix) {
+		return new LeaseState(this.key, this.holder, this.clock, this.terms, this.random, this.contends, holderPrefix);
 	}
 
 	/**
@@ -184,7 +197,7 @@
 	@Override
 	public synchronized @Nullable StoreStep next() {
 		long now = this.clock.millis();
-		boolean contender = this.contends.getAsBoolean();
+		boolean contender = isSuccessor() || this.contends.getAsBoolean();
 		if (this.standingBy && contender) {
 			this.standingBy = false;
 			this.mustRead = true;
@@ -211,7 +224,7 @@
 		if (present == null) {
 			return write(1, false, now);
 		}
-		if (present.released() || now - this.seenSince >= this.terms.get().takeoverMillis()) {
+		if (present.released() || isSuccessor() || now - this.seenSince >= this.terms.get().takeoverMillis()) {
 			return write(present.fencing() + 1, false, now);
 		}
 		return new StoreStep.Read(this.key);
@@ -268,6 +281,9 @@
 		if (isOwn() || this.releasing) {
 			return;
 		}
+		if (isSuccessor()) {
+			return;
+		}
 		if (!this.contends.getAsBoolean()) {
 			this.standingBy = true;
 			waitUntil(this.seenSince + this.terms.get().standbyMillis(), Terms.STANDBY_POLL_MILLIS, now);
@@ -282,6 +298,11 @@
 		this.nextAt = (due <= now) ? now : Math.min(due, now + wait);
 	}
 
+	private boolean isSuccessor() {
+		return this.predecessors != null && this.seen != null && this.seen.holder().startsWith(this.predecessors)
+				&& !this.seen.holder().equals(this.holder);
+	}
+
 	private boolean isOwn() {
 		return this.seen != null && !this.seen.released() && this.seen.holder().equals(this.holder) && this.fencing > 0;
 	}
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/request/SubmissionPlan.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/request/SubmissionPlan.java
@@ -272,6 +272,26 @@
 			.allMatch((item) -> item.state == State.FINISHED || item.state == State.LISTED);
 	}
 
+	/**
+	 * Returns how much of an item's text there is.
+	 * @param id the item
+	 * @return the number of the last event
+	 */
+	public synchronized long progress(String id) {
+		return item(id).text.lastEvent();
+	}
+
+	/**
+	 * Returns the items that run or wait.
+	 * @return the number of items without a result
+	 */
+	public synchronized int unfinished() {
+		return (int) this.items.values()
+			.stream()
+			.filter((item) -> item.state == State.WAITING || item.state == State.RUNNING)
+			.count();
+	}
+
 	/**
 	 * Tells whether an item is still to run or running.
 	 * @param id the item
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/HostMesh.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/HostMesh.java
@@ -37,6 +37,9 @@
 	/** A host without a status for this long counts as gone, in milliseconds. */
 	private static final long GONE_MILLIS = 2_500;
 
+	/** Silence of all other domains that counts as a cut, in milliseconds. */
+	private static final long ALONE_MILLIS = 1_000;
+
 	/** Pause after a failed try to connect, in milliseconds. */
 	private static final long RECONNECT_MILLIS = 500;
 
@@ -119,8 +122,9 @@
 	 * Takes the address of a host.
 	 * @param host the host
 	 * @param address {@code ip:port}
+	 * @param domain its failure domain
 	 */
-	public void put(String host, String address) {
+	public void put(String host, String address, String domain) {
 		if (host.equals(this.hello.host().value())) {
 			return;
 		}
@@ -128,7 +132,7 @@
 			if (known != null && known.address.equals(address)) {
 				return known;
 			}
-			Peer peer = new Peer(host, address);
+			Peer peer = new Peer(host, address, domain);
 			peer.heardAt = this.clock.millis();
 			return peer;
 		});
@@ -170,14 +174,15 @@
 
 	/**
 	 * Returns the hosts that serve.
-	 * @return this host and the others that were heard lately and do not leave
+	 * @return this host and the others that were heard lately and do not leave; not those
+	 * that the store names and that never were heard
 	 */
 	public Set<String> liveHosts() {
 		Set<String> live = new TreeSet<>();
 		live.add(this.hello.host().value());
 		this.peers.values()
 			.stream()
-			.filter((peer) -> isAlive(peer) && !peer.leaving)
+			.filter((peer) -> peer.heard && isAlive(peer) && !peer.leaving)
 			.forEach((peer) -> live.add(peer.host));
 		return live;
 	}
@@ -195,6 +200,24 @@
 		return peer != null && isAlive(peer) && !peer.leaving;
 	}
 
+	/**
+	 * Tells whether no host of another failure domain is heard, though some were before.
+	 * @return whether this domain seems cut off from all others
+	 */
+	public boolean isDomainAlone() {
+		long now = this.clock.millis();
+		boolean known = false;
+		for (Peer peer : this.peers.values()) {
+			if (peer.heard && !peer.domain.equals(this.hello.domain().value())) {
+				known = true;
+				if (now - peer.heardAt < ALONE_MILLIS) {
+					return false;
+				}
+			}
+		}
+		return known;
+	}
+
 	/**
 	 * Returns the host that is in charge of the duties as it says.
 	 * @return the host, or null where none was heard lately
@@ -275,6 +298,7 @@
 			Peer peer = this.peers.get(host);
 			if (peer != null) {
 				peer.heardAt = this.clock.millis();
+				peer.heard = true;
 				peer.leaving = status.leaving();
 				peer.holdsDuties = status.holdsDuties();
 				peer.reachesStore = status.reachesStore();
@@ -300,6 +324,8 @@
 
 		private final String address;
 
+		private final String domain;
+
 		private final AtomicBoolean connecting = new AtomicBoolean();
 
 		private volatile @Nullable PeerLink link;
@@ -308,6 +334,8 @@
 
 		private volatile long nextConnectAt;
 
+		private volatile boolean heard;
+
 		private volatile boolean leaving;
 
 		private volatile boolean holdsDuties;
@@ -316,7 +344,8 @@
 
 		private boolean reportedAlive = true;
 
-		private Peer(String host, String address) {
+		private Peer(String host, String address, String domain) {
+			this.domain = domain;
 			this.host = host;
 			this.address = address;
 		}
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/DutyLoop.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/DutyLoop.java
@@ -5,11 +5,14 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 import io.vavr.control.Either;
 import io.vavr.control.Option;
+import org.bamboorelay.core.process.EndpointOrders;
 import org.bamboorelay.core.process.EndpointTable;
 import org.bamboorelay.core.process.LeaseState;
 import org.bamboorelay.core.process.StoreStep;
@@ -17,7 +20,9 @@
 import org.bamboorelay.core.store.ObjectStore;
 import org.bamboorelay.core.store.StoreFailure;
 import org.bamboorelay.core.store.StoredObject;
+import org.bamboorelay.core.time.Clock;
 import org.bamboorelay.core.version.CoreJson;
+import org.bamboorelay.core.version.ServiceRule;
 import org.bamboorelay.host.connection.PlatformCalls;
 import org.bamboorelay.runtime.connection.HttpFailure;
 import org.bamboorelay.runtime.process.Counters;
@@ -47,6 +52,9 @@
 	/** Pause between two tries of a report, in milliseconds. */
 	private static final long REPORT_RETRY_MILLIS = 400;
 
+	/** How often the number of endpoints is looked at, in milliseconds. */
+	private static final long SCALING_MILLIS = 500;
+
 	/** How often an engine that loads weights is asked whether it is done. */
 	private static final long SWAP_POLL_MILLIS = 150;
 
@@ -77,6 +85,14 @@
 
 	private final EventLog log;
 
+	private final EndpointOrders orders = EndpointOrders.of(Clock.monotonic());
+
+	private final Map<String, Map<String, Integer>> demands = new ConcurrentHashMap<>();
+
+	private final Supplier<Map<String, Integer>> ownDemand;
+
+	private long nextScaling;
+
 	private final Set<Long> reported = new HashSet<>();
 
 	private final Map<Long, Long> retryAt = new TreeMap<>();
@@ -94,13 +110,15 @@
 	 * @param table the endpoints
 	 * @param swaps decides on weights
 	 * @param usage the usage figures
+	 * @param ownDemand items that run or wait at this host, by service
 	 * @param threads runs weight orders
 	 * @param counters the metrics of the process
 	 * @param log the log of the process
 	 */
 	public DutyLoop(HostSettings settings, LeaseState lease, ObjectStore store, PlatformCalls calls,
-			EndpointTable table, WeightSwaps swaps, UsageMeter usage, ExecutorService threads, Counters counters,
-			EventLog log) {
+			EndpointTable table, WeightSwaps swaps, UsageMeter usage, Supplier<Map<String, Integer>> ownDemand,
+			ExecutorService threads, Counters counters, EventLog log) {
+		this.ownDemand = Objects.requireNonNull(ownDemand, "ownDemand");
 		this.settings = Objects.requireNonNull(settings, "settings");
 		this.lease = Objects.requireNonNull(lease, "lease");
 		this.store = Objects.requireNonNull(store, "store");
@@ -113,6 +131,15 @@
 		this.log = Objects.requireNonNull(log, "log");
 	}
 
+	/**
+	 * Takes the demand that another host tells of.
+	 * @param host the host
+	 * @param demand items that run or wait there, by service
+	 */
+	public void demand(String host, Map<String, Integer> demand) {
+		this.demands.put(host, Map.copyOf(demand));
+	}
+
 	@Override
 	public void run() {
 		while (!this.closed) {
@@ -125,6 +152,7 @@
 			if (now) {
 				orderWeights();
 				reportUsage(System.currentTimeMillis());
+				orderEndpoints();
 			}
 			pause(TICK_MILLIS);
 		}
@@ -194,6 +222,32 @@
 		return false;
 	}
 
+	private void orderEndpoints() {
+		long now = System.nanoTime() / 1_000_000L;
+		if (now < this.nextScaling) {
+			return;
+		}
+		this.nextScaling = now + SCALING_MILLIS;
+		this.demands.put(this.settings.host(), this.ownDemand.get());
+		for (ServiceRule rule : this.table.serviceRules()) {
+			int demand = this.demands.values().stream().mapToInt((map) -> map.getOrDefault(rule.name(), 0)).sum();
+			Set<String> domains = new HashSet<>(this.settings.domains());
+			domains.removeAll(this.table.closedDomains());
+			for (EndpointOrders.Order order : this.orders.next(rule, demand, this.table.slots(rule.name()),
+					this.table.countByDomain(rule.name()), domains)) {
+				long fencing = this.lease.fencing();
+				if (fencing == 0) {
+					return;
+				}
+				Either<HttpFailure, Integer> answer = this.calls.orderEndpoints(
+						new PlatformCalls.DutySender(this.settings.host(), fencing), order.service(), order.domain(),
+						order.count());
+				this.log.info("endpoints-ordered", "service", order.service(), "domain", order.domain(), "count",
+						order.count(), "demand", demand, "outcome", answer.fold(HttpFailure::code, String::valueOf));
+			}
+		}
+	}
+
 	private void reportUsage(long now) {
 		long length = this.settings.usageWindowMillis();
 		long newest = (now - SETTLE_MILLIS) / length - 1;
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -72,7 +72,7 @@
 	private static final long BEAT_MILLIS = 300;
 
 	/** How often hosts that are gone are looked for, in milliseconds. */
-	private static final long TAKEOVER_MILLIS = 500;
+	private static final long TAKEOVER_MILLIS = 300;
 
 	/** Engines that load weights at once, as more make each other slow. */
 	private static final int SWAPS_AT_ONCE = 2;
@@ -144,6 +144,8 @@
 
 	private volatile boolean leaving;
 
+	private volatile boolean cutOff;
+
 	private volatile boolean stopped;
 
 	/**
@@ -176,6 +178,7 @@
 		this.lease = LeaseState
 			.of(DutyLoop.LEASE_KEY, settings.host() + "/" + this.incarnation, this.clock, () -> terms,
 					() -> ThreadLocalRandom.current().nextDouble())
+			.succeeding(settings.host() + "/")
 			.where(() -> this.clock.millis() - lastHeld.get() > settings.leaseMillis()
 					&& this.mesh.dutyHolder() == null);
 		this.lastHeld = lastHeld;
@@ -192,7 +195,7 @@
 		this.front = new FrontHandler(this.routing::get, callers, caller, streams, routes, this.callerWatch, this.usage,
 				this.clock, this.counters, this.log);
 		this.duties = new DutyLoop(settings, this.lease, this.store, calls, this.table, this.swaps, this.usage,
-				this.threads, this.counters, this.log);
+				this.runner::demand, this.threads, this.counters, this.log);
 	}
 
 	/**
@@ -205,6 +208,7 @@
 		this.mesh.onStatus((host, status) -> {
 			this.table.peerLoad(host, status.running());
 			this.usage.merge(status.usage());
+			this.duties.demand(host, status.demand());
 			if (status.holdsDuties()) {
 				this.lease.heard(status.leaseVersion());
 				this.table.loading(Set.copyOf(status.loading()));
@@ -244,11 +248,12 @@
 
 	/**
 	 * Tells whether callers may be sent here.
-	 * @return whether all that serving needs was read once, and the process does not
-	 * leave
+	 * @return whether all that serving needs was read once, the process does not leave,
+	 * and its failure domain is not cut off from the store and all others, which serve
+	 * callers better then
 	 */
 	public boolean isReady() {
-		return !this.leaving && this.routing.get() != null
+		return !this.leaving && !this.cutOff && this.routing.get() != null
 				&& this.required.stream().allMatch((watch) -> watch.listed().getCount() == 0);
 	}
 
@@ -379,7 +384,7 @@
 
 	private void host(String name, StoredObject object) {
 		Option<HostRecord> read = CoreJson.read(object.body(), HostRecord.class);
-		read.forEach((record) -> this.mesh.put(name, record.address()));
+		read.forEach((record) -> this.mesh.put(name, record.address(), record.domain()));
 	}
 
 	// Makes this host known to the others; a host that comes back has its old name, and
@@ -419,7 +424,8 @@
 			}
 			if (now >= nextTakeover) {
 				nextTakeover = now + TAKEOVER_MILLIS;
-				if (isReady()) {
+				checkCut();
+				if (isReady() && this.store.isReached()) {
 					this.directory.takeOver();
 				}
 			}
@@ -428,12 +434,25 @@
 		}
 	}
 
+	private void checkCut() {
+		boolean alone = this.mesh.isDomainAlone();
+		if (alone && this.store.isReached()) {
+			// Watches may be silent for a while, so the store is asked.
+			this.threads.execute(() -> this.store.read(DutyLoop.LEASE_KEY));
+		}
+		boolean cut = alone && !this.store.isReached();
+		if (cut != this.cutOff) {
+			this.cutOff = cut;
+			this.log.warn(cut ? "domain-cut-off" : "domain-rejoined", "domain", this.settings.domain());
+		}
+	}
+
 	private PeerMessage.HostStatus status() {
 		Map<Long, Map<String, Map<String, Long>>> figures = new HashMap<>(
 				this.usage.shared(System.currentTimeMillis()));
 		return new PeerMessage.HostStatus(this.leaving, this.lease.isHeld(), this.lease.heldVersion(),
-				this.store.isReached(), List.copyOf(this.swaps.loading()), new HashMap<>(this.table.ownLoad()),
-				figures);
+				this.store.isReached(), this.runner.demand(), List.copyOf(this.swaps.loading()),
+				new HashMap<>(this.table.ownLoad()), figures);
 	}
 
 	private static void pause(long millis) {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ActiveSubmission.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ActiveSubmission.java
@@ -6,9 +6,9 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.function.Predicate;
 
 import org.bamboorelay.core.process.EndpointDemand;
+import org.bamboorelay.core.process.EndpointTable;
 import org.bamboorelay.core.request.ResultLog;
 import org.bamboorelay.core.request.SubmissionPlan;
 
@@ -19,6 +19,17 @@
  */
 final class ActiveSubmission {
 
+	/** A run leaves an endpoint that is slower than a free one by this factor. */
+	private static final double SLOW_PACE_RATIO = 1.7;
+
+	/** The same for long runs while no item waits. */
+	private static final double LONG_RUN_PACE_RATIO = 1.2;
+
+	/** Events after which a run counts as long; most texts have fewer. */
+	private static final int LONG_RUN_EVENTS = 30;
+
+	private static final int MAX_MOVES = 2;
+
 	private final SubmissionPlan plan;
 
 	private final ResultLog results;
@@ -29,7 +40,9 @@
 
 	private final Map<String, RunningItem> aborts = new ConcurrentHashMap<>();
 
-	private final Set<String> moved = ConcurrentHashMap.newKeySet();
+	private final Map<String, Integer> moves = new ConcurrentHashMap<>();
+
+	private final Set<String> moving = ConcurrentHashMap.newKeySet();
 
 	private final AtomicBoolean writing = new AtomicBoolean();
 
@@ -86,20 +99,30 @@
 	}
 
 	boolean isMoved(String item) {
-		return this.moved.contains(item);
+		return this.moving.remove(item);
 	}
 
-	// Breaks off runs on endpoints that fell behind; they resume elsewhere. A run moves
-	// once, so that it is not handed around.
-	void moveFrom(Predicate<String> slow) {
+	// Breaks off runs on endpoints that fell behind; they resume elsewhere, where reading
+	// the text so far costs little. While items wait for slots, only a much slower
+	// endpoint is left; afterwards long runs, which decide when the step ends, go to the
+	// fastest endpoint. A run moves a few times at most, so that it is not handed around.
+	void moveFrom(EndpointTable table, boolean itemsWait) {
 		this.aborts.forEach((item, run) -> {
-			if (!this.moved.contains(item) && slow.test(run.endpoint())) {
-				this.moved.add(item);
+			int moves = this.moves.getOrDefault(item, 0);
+			boolean isLong = this.plan.progress(item) >= LONG_RUN_EVENTS;
+			double ratio = (itemsWait || !isLong) ? SLOW_PACE_RATIO : LONG_RUN_PACE_RATIO;
+			if (moves < MAX_MOVES && table.isWorthMoving(run.endpoint(), demand(0), ratio)) {
+				this.moves.put(item, moves + 1);
+				this.moving.add(item);
 				run.abort().run();
 			}
 		});
 	}
 
+	String service() {
+		return this.service;
+	}
+
 	int runs() {
 		return this.aborts.size();
 	}
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -191,6 +192,17 @@
 		return Set.copyOf(this.active.keySet());
 	}
 
+	/**
+	 * Returns the items that run or wait here.
+	 * @return the number of items by service
+	 */
+	public Map<String, Integer> demand() {
+		Map<String, Integer> demand = new HashMap<>();
+		this.active.values()
+			.forEach((running) -> demand.merge(running.service(), running.plan().unfinished(), Integer::sum));
+		return demand;
+	}
+
 	/**
 	 * Starts no further item and waits until the running ones ended or the time is up.
 	 * @param millis the longest wait, in milliseconds
@@ -223,7 +235,7 @@
 					startItems(running, now);
 				}
 				if (now >= nextMove) {
-					running.moveFrom((endpoint) -> this.table.isWorthMoving(endpoint, running.demand(0)));
+					running.moveFrom(this.table, running.plan().isWaiting(now));
 				}
 				writePage(running, now);
 				busy |= running.plan().isWaiting(now) || !running.plan().unlisted().isEmpty();
