--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerMessage.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerMessage.java
@@ -512,6 +512,26 @@
 	record RelayedObject(String key, long version, byte[] body, boolean removed) {
 	}
 
+	/**
+	 * Copies texts to the host that would go on with a submission; answered by
+	 * {@link Ack}.
+	 *
+	 * @param submission the submission
+	 * @param body JSON of the parts of its texts
+	 */
+	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+	record TextCopy(String submission, byte[] body) implements PeerMessage {
+	}
+
+	/**
+	 * Asks for the copied texts of a submission; answered by a {@link TextCopy}.
+	 *
+	 * @param submission the submission
+	 */
+	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+	record TextFetch(String submission) implements PeerMessage {
+	}
+
 	/**
 	 * Listed results of a submission.
 	 *
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointOrders.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointOrders.java
@@ -64,7 +64,7 @@
 			return List.of();
 		}
 		long now = this.clock.millis();
-		Service service = this.services.computeIfAbsent(rule.name(), (unused) -> new Service());
+		Service service = this.services.computeIfAbsent(rule.name(), (unused) -> new Service(now));
 		service.demands.put(now, demand);
 		service.demands.headMap(now - MEMORY_MILLIS).clear();
 		int peak = service.demands.values().stream().mapToInt(Integer::intValue).max().orElse(0);
@@ -111,6 +111,11 @@
 
 		private long enoughSince;
 
+		// A process that takes the duty over knows nothing of the demand before.
+		private Service(long now) {
+			this.enoughSince = now;
+		}
+
 	}
 
 }
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/request/ItemText.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/request/ItemText.java
@@ -56,6 +56,31 @@
 		return true;
 	}
 
+	/**
+	 * Returns the events after a number.
+	 * @param item the item that the text belongs to
+	 * @param after the number
+	 * @return the events, from the beginning where the text is shorter than that
+	 */
+	public TextPart from(String item, long after) {
+		int start = (after > this.events.size()) ? 0 : (int) after;
+		return new TextPart(item, start, this.events.subList(start, this.events.size()),
+				this.versions.subList(start, this.versions.size()));
+	}
+
+	/**
+	 * Appends what a part has beyond this text.
+	 * @param part the part; one that begins anew replaces the text
+	 */
+	public void merge(TextPart part) {
+		if (part.after() == 0) {
+			clear();
+		}
+		for (int index = 0; index < part.events().size(); index++) {
+			append(part.after() + index + 1, part.events().get(index), part.versions().get(index));
+		}
+	}
+
 	/**
 	 * Forgets the text.
 	 */
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/request/SubmissionPlan.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/request/SubmissionPlan.java
@@ -272,6 +272,40 @@
 			.allMatch((item) -> item.state == State.FINISHED || item.state == State.LISTED);
 	}
 
+	/**
+	 * Returns what a copy of the texts lacks.
+	 * @param copied the last event of each item that the copy has; updated to what it has
+	 * with the result
+	 * @return the events that it lacks, of items without a listed result
+	 */
+	public synchronized List<TextPart> partsBeyond(Map<String, Long> copied) {
+		List<TextPart> parts = new ArrayList<>();
+		this.items.forEach((id, item) -> {
+			long last = item.text.lastEvent();
+			if (item.state != State.LISTED && last != copied.getOrDefault(id, 0L)) {
+				parts.add(item.text.from(id, copied.getOrDefault(id, 0L)));
+				copied.put(id, last);
+			}
+		});
+		return parts;
+	}
+
+	/**
+	 * Takes texts that another host generated, for items that have not begun here.
+	 * @param parts whole texts as far as they go, one an item
+	 */
+	public synchronized void preload(List<TextPart> parts) {
+		for (TextPart part : parts) {
+			Item item = this.items.get(part.item());
+			if (item != null && item.state == State.WAITING && item.text.lastEvent() == 0 && part.after() == 0) {
+				item.text.merge(part);
+				if (!item.text.isWithin(this.submission.minVersion(), this.singleVersion)) {
+					item.text.clear();
+				}
+			}
+		}
+	}
+
 	/**
 	 * Returns how much of an item's text there is.
 	 * @param id the item
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/HostMesh.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/HostMesh.java
@@ -218,6 +218,19 @@
 		return known;
 	}
 
+	/**
+	 * Returns the failure domain of a host.
+	 * @param host the host
+	 * @return the domain; empty where the host is not known
+	 */
+	public String domainOf(String host) {
+		if (host.equals(this.hello.host().value())) {
+			return this.hello.domain().value();
+		}
+		Peer peer = this.peers.get(host);
+		return (peer != null) ? peer.domain : "";
+	}
+
 	/**
 	 * Returns the host that is in charge of the duties as it says.
 	 * @return the host, or null where none was heard lately
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -83,8 +83,10 @@
 	/** Wait beyond the lease before another host takes over, in milliseconds. */
 	private static final long TAKEOVER_MARGIN_MILLIS = 700;
 
-	/** Time from the stop signal to the refusal of new connections, in milliseconds. */
-	private static final long LEAVE_MILLIS = 2_500;
+	/**
+	 * The longest wait for results to be listed before a host leaves, in milliseconds.
+	 */
+	private static final long LEAVE_MILLIS = 1_000;
 
 	/** Share of the time until the kill signal that running requests may use. */
 	private static final double DRAIN_SHARE = 0.8;
@@ -187,7 +189,7 @@
 				this.counters, this.log);
 		SubmissionStore submissions = SubmissionStore.of(this.store);
 		this.runner = new SubmissionRunner(settings.host(), submissions, this.table, items, this.routing::get,
-				ItemOrder.LONGEST_WANTED_FIRST, this.threads, this.log);
+				ItemOrder.LONGEST_WANTED_FIRST, this.mesh, this.threads, this.log);
 		this.directory = new SubmissionDirectory(settings.host(), submissions, this.runner, this.mesh, this.log);
 		SubmissionRoutes routes = new SubmissionRoutes(settings.host(), callers, submissions, this.directory,
 				this.runner, this.log);
@@ -215,6 +217,8 @@
 			}
 		});
 		this.mesh.register(PeerMessage.ResultsRead.class, this.directory::answer);
+		this.mesh.register(PeerMessage.TextCopy.class, this.runner::onCopy);
+		this.mesh.register(PeerMessage.TextFetch.class, this.runner::onFetch);
 		this.mesh.open(this.settings.peerAddress());
 		watch(this.format.routingKind(), false, true, this::routing, (name) -> {
 		});
@@ -282,6 +286,8 @@
 			}
 			this.duties.leave(this.settings.graceMillis() / 8);
 			this.runner.leave(LEAVE_MILLIS);
+			this.directory.handOver();
+			this.runner.close();
 			if (listener != null) {
 				long limit = (long) (this.settings.graceMillis() * DRAIN_SHARE) - LEAVE_MILLIS;
 				listener.drain(QUIET_MILLIS, Math.max(QUIET_MILLIS, limit));
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ActiveSubmission.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ActiveSubmission.java
@@ -1,5 +1,6 @@
 package org.bamboorelay.host.request;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -11,6 +12,7 @@
 import org.bamboorelay.core.process.EndpointTable;
 import org.bamboorelay.core.request.ResultLog;
 import org.bamboorelay.core.request.SubmissionPlan;
+import org.bamboorelay.core.request.TextPart;
 
 /**
  * A submission that this host runs.
@@ -44,6 +46,12 @@
 
 	private final Set<String> moving = ConcurrentHashMap.newKeySet();
 
+	private final Map<String, Long> copied = new HashMap<>();
+
+	private String copiedTo = "";
+
+	private volatile long lastCopyMillis;
+
 	private final AtomicBoolean writing = new AtomicBoolean();
 
 	private volatile long lastWriteMillis;
@@ -119,6 +127,36 @@
 		});
 	}
 
+	long lastCopyMillis() {
+		return this.lastCopyMillis;
+	}
+
+	void copying(long now) {
+		this.lastCopyMillis = now;
+	}
+
+	// Returns what the host lacks that would go on with this submission. Another host
+	// than
+	// the last time has nothing.
+	synchronized List<TextPart> partsFor(String host) {
+		if (!host.equals(this.copiedTo)) {
+			this.copiedTo = host;
+			this.copied.clear();
+		}
+		return this.plan.partsBeyond(this.copied);
+	}
+
+	// Makes the next copy begin anew, as the last one may not have come through.
+	synchronized void copyLost() {
+		this.copied.clear();
+	}
+
+	// Breaks off all runs and keeps their texts for another host.
+	void pause() {
+		this.dropped = true;
+		List.copyOf(this.aborts.values()).forEach((run) -> run.abort().run());
+	}
+
 	String service() {
 		return this.service;
 	}
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionDirectory.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionDirectory.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
@@ -79,6 +80,7 @@
 		this.mesh = Objects.requireNonNull(mesh, "mesh");
 		this.log = Objects.requireNonNull(log, "log");
 		runner.wanted(this::isOwn);
+		runner.successors(this::successorOf);
 	}
 
 	@Override
@@ -108,6 +110,7 @@
 				(known, next) -> (next.version() >= known.version()) ? next : known);
 		SubmissionRecord record = present.record();
 		if (record.ended()) {
+			this.runner.forget(id);
 			this.runner.stop(id, "ended");
 		}
 		else if (!record.owner().equals(this.host)) {
@@ -216,8 +219,8 @@
 	 * @return the host
 	 */
 	public String ownerFor(Submission submission) {
-		String key = submission.workspace() + "/" + submission.model();
-		return RendezvousHash.owner(key, this.mesh.liveHosts().stream().map(HostId::of).toList()).value();
+		String model = (submission.model() != null) ? submission.model() : "";
+		return ranked(submission.workspace(), model, this.mesh.liveHosts()).get(0);
 	}
 
 	/**
@@ -225,18 +228,66 @@
 	 */
 	public void takeOver() {
 		Set<String> live = this.mesh.liveHosts();
-		List<HostId> hosts = live.stream().map(HostId::of).toList();
 		for (Map.Entry<String, SubmissionStore.VersionedRecord> entry : new HashMap<>(this.records).entrySet()) {
 			SubmissionRecord record = entry.getValue().record();
 			if (record.ended() || record.owner().equals(this.host) || this.mesh.isLive(record.owner())) {
 				continue;
 			}
-			if (RendezvousHash.owner(entry.getKey(), hosts).value().equals(this.host)) {
+			if (successor(record, live).equals(this.host)) {
 				takeOver(entry.getKey(), entry.getValue());
 			}
 		}
 	}
 
+	/**
+	 * Returns the host that would go on with a submission. It gets copies of the texts.
+	 * @param id the submission
+	 * @return the host, or nothing where there is no other one
+	 */
+	public Option<String> successorOf(String id) {
+		SubmissionStore.VersionedRecord known = this.records.get(id);
+		Set<String> others = new TreeSet<>(this.mesh.liveHosts());
+		others.remove(this.host);
+		return (known == null || others.isEmpty()) ? Option.none() : Option.some(successor(known.record(), others));
+	}
+
+	/**
+	 * Hands the submissions of this host over to others, which go on with the texts as
+	 * far as they are.
+	 */
+	public void handOver() {
+		for (String id : this.runner.running()) {
+			SubmissionStore.VersionedRecord known = this.records.get(id);
+			Option<String> next = successorOf(id);
+			if (known == null || next.isEmpty()) {
+				continue;
+			}
+			SubmissionRecord given = known.record().withOwner(next.get());
+			Either<StoreFailure, Long> written = this.store.replace(id, given, known.version());
+			this.log.info("submission-handed-over", "submission", id, "to", next.get(), "outcome",
+					written.isRight() ? "ok" : written.getLeft().code());
+			written.forEach((version) -> learn(id, new SubmissionStore.VersionedRecord(given, version)));
+		}
+	}
+
+	// The first host by rank in another domain than the owner's, so that both are seldom
+	// lost together.
+	private String successor(SubmissionRecord record, Set<String> hosts) {
+		List<String> ranked = ranked(record.workspace(), record.model(), hosts);
+		String domain = this.mesh.domainOf(record.owner());
+		return ranked.stream()
+			.filter((candidate) -> !candidate.equals(record.owner()) && !this.mesh.domainOf(candidate).equals(domain))
+			.findFirst()
+			.orElse(ranked.get(0));
+	}
+
+	private static List<String> ranked(String workspace, String model, Set<String> hosts) {
+		return RendezvousHash.ranked(workspace + "/" + model, hosts.stream().map(HostId::of).toList())
+			.stream()
+			.map(HostId::value)
+			.toList();
+	}
+
 	/**
 	 * Answers a host that asks for results.
 	 * @param message the question
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRoutes.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRoutes.java
@@ -106,7 +106,8 @@
 		long now = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
 		long end = now + Math.min(ACCEPT_MILLIS, head.timeLeftMillis() / 2);
 		SubmissionRecord record = new SubmissionRecord(workspace, this.directory.ownerFor(submission),
-				System.currentTimeMillis(), submission.items().size(), head.host(), head.path(), false);
+				System.currentTimeMillis(), submission.items().size(), head.host(), head.path(),
+				(submission.model() != null) ? submission.model() : "", false);
 		Either<StoreFailure, SubmissionRecord> accepted = this.store.accept(submission, record, end);
 		if (accepted.isRight()) {
 			if (accepted.get().equals(record) && record.owner().equals(this.host)) {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
@@ -11,11 +11,13 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 import io.vavr.control.Either;
 import io.vavr.control.Option;
+import org.bamboorelay.core.connection.PeerMessage;
 import org.bamboorelay.core.process.EndpointTable;
 import org.bamboorelay.core.request.ItemOrder;
 import org.bamboorelay.core.request.ItemResult;
@@ -23,12 +25,17 @@
 import org.bamboorelay.core.request.Submission;
 import org.bamboorelay.core.request.SubmissionItem;
 import org.bamboorelay.core.request.SubmissionPlan;
+import org.bamboorelay.core.request.TextCopies;
+import org.bamboorelay.core.request.TextPart;
 import org.bamboorelay.core.store.StoreFailure;
+import org.bamboorelay.core.version.CoreJson;
 import org.bamboorelay.core.version.RouteRule;
 import org.bamboorelay.core.version.RoutingTable;
+import org.bamboorelay.host.connection.HostMesh;
 import org.bamboorelay.host.process.EventLog;
 import org.bamboorelay.host.version.SubmissionRecord;
 import org.bamboorelay.host.version.SubmissionStore;
+import org.bamboorelay.runtime.connection.PeerFailure;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -51,6 +58,12 @@
 	/** How often runs on slow endpoints are looked for, in milliseconds. */
 	private static final long MOVE_MILLIS = 200;
 
+	/** How often texts are copied to the host that would go on, in milliseconds. */
+	private static final long COPY_MILLIS = 700;
+
+	/** The longest wait for a copy, in milliseconds. */
+	private static final long COPY_LIMIT_MILLIS = 500;
+
 	/** Pause after the store failed, in milliseconds. */
 	private static final long STORE_RETRY_MILLIS = 150;
 
@@ -81,6 +94,12 @@
 
 	private final Object signal = new Object();
 
+	private final HostMesh mesh;
+
+	private final TextCopies copies = new TextCopies();
+
+	private volatile Function<String, Option<String>> successors = (id) -> Option.none();
+
 	private volatile Predicate<String> wanted = (id) -> true;
 
 	private volatile boolean closed;
@@ -95,11 +114,14 @@
 	 * @param items runs items
 	 * @param routing the routes in force
 	 * @param order the order in which items start
+	 * @param mesh the other hosts, which keep copies of texts
 	 * @param threads runs items and writes pages
 	 * @param log the log of the process
 	 */
 	public SubmissionRunner(String host, SubmissionStore store, EndpointTable table, ItemRunner items,
-			Supplier<@Nullable RoutingTable> routing, ItemOrder order, ExecutorService threads, EventLog log) {
+			Supplier<@Nullable RoutingTable> routing, ItemOrder order, HostMesh mesh, ExecutorService threads,
+			EventLog log) {
+		this.mesh = Objects.requireNonNull(mesh, "mesh");
 		this.host = Objects.requireNonNull(host, "host");
 		this.store = Objects.requireNonNull(store, "store");
 		this.table = Objects.requireNonNull(table, "table");
@@ -118,6 +140,14 @@
 		this.wanted = Objects.requireNonNull(test, "test");
 	}
 
+	/**
+	 * Sets what names the host that would go on with a submission.
+	 * @param finder finds the host
+	 */
+	public void successors(Function<String, Option<String>> finder) {
+		this.successors = Objects.requireNonNull(finder, "finder");
+	}
+
 	/**
 	 * Begins to run a submission that was accepted just now.
 	 * @param submission the submission
@@ -125,7 +155,7 @@
 	 * @param route its route
 	 */
 	public void start(Submission submission, SubmissionRecord record, RouteRule route) {
-		begin(submission, record, route, new ResultLog());
+		begin(submission, record, route, new ResultLog(), List.of());
 	}
 
 	/**
@@ -204,18 +234,27 @@
 	}
 
 	/**
-	 * Starts no further item and waits until the running ones ended or the time is up.
-	 * @param millis the longest wait, in milliseconds
+	 * Breaks all runs off, lists the results that there are, and copies the texts to the
+	 * hosts that go on.
+	 * @param millis the longest wait for results to be listed, in milliseconds
 	 * @throws InterruptedException where the waiting thread is interrupted
 	 */
 	public void leave(long millis) throws InterruptedException {
 		this.leaving = true;
+		this.active.values().forEach(ActiveSubmission::pause);
 		long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
 		while (System.nanoTime() < end && this.active.values()
 			.stream()
 			.anyMatch((running) -> running.runs() > 0 || !running.plan().unlisted().isEmpty())) {
 			TimeUnit.MILLISECONDS.sleep(TICK_MILLIS);
 		}
+		this.active.values().forEach(this::copyTexts);
+	}
+
+	/**
+	 * Ends the loop.
+	 */
+	public void close() {
 		this.closed = true;
 	}
 
@@ -238,6 +277,10 @@
 					running.moveFrom(this.table, running.plan().isWaiting(now));
 				}
 				writePage(running, now);
+				if (now >= running.lastCopyMillis() + COPY_MILLIS && !this.leaving) {
+					running.copying(now);
+					this.threads.execute(() -> copyTexts(running));
+				}
 				busy |= running.plan().isWaiting(now) || !running.plan().unlisted().isEmpty();
 			}
 			nextMove = (now >= nextMove) ? now + MOVE_MILLIS : nextMove;
@@ -313,6 +356,64 @@
 		}
 	}
 
+	private void copyTexts(ActiveSubmission running) {
+		String id = running.plan().submission().id();
+		Option<String> host = this.successors.apply(id);
+		if (host.isEmpty()) {
+			return;
+		}
+		List<TextPart> parts = running.partsFor(host.get());
+		if (parts.isEmpty()) {
+			return;
+		}
+		if (this.mesh.call(host.get(), new PeerMessage.TextCopy(id, CoreJson.bytes(parts)), COPY_LIMIT_MILLIS)
+			.isLeft()) {
+			running.copyLost();
+		}
+	}
+
+	/**
+	 * Takes texts that another host copies here.
+	 * @param message the texts
+	 * @return the answer
+	 */
+	public PeerMessage onCopy(PeerMessage.TextCopy message) {
+		CoreJson.read(message.body(), TextPart[].class)
+			.forEach((parts) -> this.copies.add(message.submission(), List.of(parts)));
+		return new PeerMessage.Ack(true);
+	}
+
+	/**
+	 * Answers a host that asks for copied texts.
+	 * @param message the question
+	 * @return the answer
+	 */
+	public PeerMessage onFetch(PeerMessage.TextFetch message) {
+		return new PeerMessage.TextCopy(message.submission(), CoreJson.bytes(this.copies.of(message.submission())));
+	}
+
+	/**
+	 * Drops the copied texts of a submission.
+	 * @param id the submission
+	 */
+	public void forget(String id) {
+		this.copies.remove(id);
+	}
+
+	private List<TextPart> knownTexts(String id) {
+		List<TextPart> own = this.copies.of(id);
+		Option<String> host = this.successors.apply(id);
+		if (!own.isEmpty() || host.isEmpty()) {
+			return own;
+		}
+		Either<PeerFailure, PeerMessage> answer = this.mesh.call(host.get(), new PeerMessage.TextFetch(id),
+				COPY_LIMIT_MILLIS);
+		if (answer.isRight() && answer.get() instanceof PeerMessage.TextCopy copy) {
+			return CoreJson.read(copy.body(), TextPart[].class).map(List::of).getOrElse(List.of());
+		}
+		return List.of();
+	}
+
 	private void load(String id, SubmissionRecord record) {
 		ResultLog results = new ResultLog();
 		while (!this.closed && !this.leaving) {
@@ -326,20 +427,23 @@
 							submission.get().isDefined(), "route_found", route.isDefined());
 					return;
 				}
-				this.log.info("submission-resumed", "submission", id, "listed", results.size(), "total",
-						record.total());
-				begin(submission.get().get(), record, route.get(), results);
+				List<TextPart> texts = knownTexts(id);
+				this.log.info("submission-resumed", "submission", id, "listed", results.size(), "total", record.total(),
+						"texts", texts.size());
+				begin(submission.get().get(), record, route.get(), results, texts);
 				return;
 			}
 			await(STORE_RETRY_MILLIS);
 		}
 	}
 
-	private void begin(Submission submission, SubmissionRecord record, RouteRule route, ResultLog results) {
+	private void begin(Submission submission, SubmissionRecord record, RouteRule route, ResultLog results,
+			List<TextPart> texts) {
 		Set<String> carried = remember(submission);
 		SubmissionPlan plan = SubmissionPlan.of(submission, route.maxAttempts(), route.singleVersion(),
 				record.acceptedMillis(), route.maxAgeMillis(), this.order, carried);
 		plan.listed(results.from(0));
+		plan.preload(texts);
 		long end = (route.maxAgeMillis() > Long.MAX_VALUE / 2) ? record.acceptedMillis() + 60_000
 				: record.acceptedMillis() + route.maxAgeMillis();
 		ActiveSubmission running = new ActiveSubmission(plan, results, route.service(Math.random()), end);
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/version/SubmissionRecord.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/version/SubmissionRecord.java
@@ -14,10 +14,11 @@
  * @param total the number of its items
  * @param host the host name that selects its route
  * @param path the path that it was submitted at
+ * @param model the model that runs it; empty for none
  * @param ended whether a caller ended it
  */
 public record SubmissionRecord(String workspace, String owner, long acceptedMillis, int total, String host, String path,
-		boolean ended) {
+		String model, boolean ended) {
 
 	public SubmissionRecord {
 		Objects.requireNonNull(workspace, "workspace");
@@ -33,7 +34,7 @@
 	 */
 	public SubmissionRecord withOwner(String newOwner) {
 		return new SubmissionRecord(this.workspace, newOwner, this.acceptedMillis, this.total, this.host, this.path,
-				this.ended);
+				this.model, this.ended);
 	}
 
 	/**
@@ -42,7 +43,7 @@
 	 */
 	public SubmissionRecord asEnded() {
 		return new SubmissionRecord(this.workspace, this.owner, this.acceptedMillis, this.total, this.host, this.path,
-				true);
+				this.model, true);
 	}
 
 }
