--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerMessage.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerMessage.java
@@ -447,14 +447,15 @@
 	 * @param reachesStore whether the sender reaches the platform's store by itself
 	 * @param demand items that run or wait at the sender, by service
 	 * @param loading the endpoints that load weights on its order
+	 * @param assigned the model that each endpoint loads the versions of, on its order
 	 * @param running the requests that it runs at each endpoint
 	 * @param usage requests that began to run, by window, incarnation and workspace, of
 	 * the newest windows
 	 */
 	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
 	record HostStatus(boolean leaving, boolean holdsDuties, long leaseVersion, boolean reachesStore,
-			Map<String, Integer> demand, List<String> loading, Map<String, Integer> running,
-			Map<Long, Map<String, Map<String, Long>>> usage) implements PeerMessage {
+			Map<String, Integer> demand, List<String> loading, Map<String, String> assigned,
+			Map<String, Integer> running, Map<Long, Map<String, Map<String, Long>>> usage) implements PeerMessage {
 	}
 
 	/**
@@ -532,6 +533,18 @@
 	record TextFetch(String submission) implements PeerMessage {
 	}
 
+	/**
+	 * Passes on what a host that watches the platform's store saw; answered by none.
+	 *
+	 * @param kind the kind of objects
+	 * @param from the revision that the watch continued from
+	 * @param to the revision up to which the changes are complete
+	 * @param changes the changes, oldest first; none where nothing happened
+	 */
+	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+	record ObjectChanges(String kind, long from, long to, List<RelayedObject> changes) implements PeerMessage {
+	}
+
 	/**
 	 * Listed results of a submission.
 	 *
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerProtocol.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerProtocol.java
@@ -36,7 +36,8 @@
 			PeerMessage.Rejected.class, PeerMessage.BatchFetch.class, PeerMessage.BatchAnswer.class,
 			PeerMessage.WithdrawnDelta.class, PeerMessage.EndpointSetOffer.class, PeerMessage.HostStatus.class,
 			PeerMessage.ResultsRead.class, PeerMessage.ResultsAnswer.class, PeerMessage.StoreAsk.class,
-			PeerMessage.StoreAnswer.class, PeerMessage.TextCopy.class, PeerMessage.TextFetch.class);
+			PeerMessage.StoreAnswer.class, PeerMessage.TextCopy.class, PeerMessage.TextFetch.class,
+			PeerMessage.ObjectChanges.class);
 
 	/**
 	 * The number of types in the first release. A process sends later types only to
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
@@ -43,6 +43,9 @@
 	/** How far affinity outweighs load, in slots. */
 	private static final double AFFINITY_SLOTS = 2.0;
 
+	/** Load that an endpoint of another model counts for beyond its own, of its slots. */
+	private static final double OTHER_MODEL_LOAD = 0.7;
+
 	/** Peers' figures older than this are left out, in milliseconds. */
 	private static final long PEER_LOAD_MILLIS = 2_500;
 
@@ -56,6 +59,8 @@
 
 	private final Set<String> closedDomains = new HashSet<>();
 
+	private final Map<String, String> assigned = new HashMap<>();
+
 	private final Set<String> loading = new HashSet<>();
 
 	private int hosts = 1;
@@ -314,6 +319,16 @@
 		this.loading.addAll(ids);
 	}
 
+	/**
+	 * Takes the model that each endpoint loads the versions of. Requests for other models
+	 * go there only where their own endpoints are busier by far.
+	 * @param models the model by endpoint
+	 */
+	public synchronized void assigned(Map<String, String> models) {
+		this.assigned.clear();
+		this.assigned.putAll(models);
+	}
+
 	/**
 	 * Tells whether a run should move: its endpoint works much slower than others do, and
 	 * one of those has a free slot.
@@ -396,6 +411,10 @@
 		if (endpoint.pace > 0 && typical > 0) {
 			score *= Math.max(1.0, endpoint.pace / typical);
 		}
+		String model = this.assigned.get(endpoint.entry.id());
+		if (model != null && demand.model() != null && !model.equals(demand.model())) {
+			score += OTHER_MODEL_LOAD;
+		}
 		if (demand.affinity() != 0) {
 			long mixed = demand.affinity() * 31 + endpoint.entry.id().hashCode();
 			mixed ^= mixed >>> 29;
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/WeightSwaps.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/WeightSwaps.java
@@ -102,6 +102,14 @@
 		this.running.remove(id);
 	}
 
+	/**
+	 * Returns the model that each endpoint loads the versions of.
+	 * @return the model by endpoint
+	 */
+	public synchronized Map<String, String> assigned() {
+		return Map.copyOf(this.assigned);
+	}
+
 	/**
 	 * Returns the endpoints that load at present.
 	 * @return the endpoints
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/HostMesh.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/HostMesh.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -9,13 +10,16 @@
 import java.util.TreeSet;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Supplier;
 
 import io.vavr.control.Either;
 import org.bamboorelay.core.connection.PeerMessage;
+import org.bamboorelay.core.process.StoreReaders;
 import org.bamboorelay.core.time.Clock;
 import org.bamboorelay.core.version.FailureDomain;
 import org.bamboorelay.core.version.HostId;
@@ -37,6 +41,12 @@
 	/** A host without a status for this long counts as gone, in milliseconds. */
 	private static final long GONE_MILLIS = 2_500;
 
+	/** A reader of the store that is silent for this long is not relied on. */
+	private static final long READER_MILLIS = 1_200;
+
+	/** Readers of the store that a host must hear to do without watches of its own. */
+	private static final int MIN_HEARD_READERS = 2;
+
 	/** Silence of all other domains that counts as a cut, in milliseconds. */
 	private static final long ALONE_MILLIS = 1_000;
 
@@ -55,6 +65,12 @@
 
 	private final EventLog log;
 
+	private final ExecutorService publisher = Executors.newSingleThreadExecutor((task) -> {
+		Thread thread = new Thread(task, "publisher");
+		thread.setDaemon(true);
+		return thread;
+	});
+
 	private final Map<String, Peer> peers = new ConcurrentHashMap<>();
 
 	private final Map<Class<?>, Function<PeerMessage, PeerMessage>> handlers = new ConcurrentHashMap<>();
@@ -62,6 +78,9 @@
 	private volatile BiConsumer<String, PeerMessage.HostStatus> onStatus = (host, status) -> {
 	};
 
+	private volatile Consumer<PeerMessage.ObjectChanges> onChanges = (changes) -> {
+	};
+
 	private @Nullable PeerListener listener;
 
 	private HostMesh(PeerMessage.Hello hello, Clock clock, ExecutorService threads, EventLog log) {
@@ -96,6 +115,14 @@
 		this.onStatus = Objects.requireNonNull(listener, "listener");
 	}
 
+	/**
+	 * Sets what happens with changes that another host passes on.
+	 * @param listener told of them; must not block
+	 */
+	public void onChanges(Consumer<PeerMessage.ObjectChanges> listener) {
+		this.onChanges = Objects.requireNonNull(listener, "listener");
+	}
+
 	/**
 	 * Sets what answers a type of message.
 	 * @param <T> the type
@@ -218,6 +245,38 @@
 		return known;
 	}
 
+	/**
+	 * Tells whether this host watches the platform's store by itself. A host that hears
+	 * too few of those that do watches too.
+	 * @return whether it does
+	 */
+	public boolean isStoreReader() {
+		Map<String, String> domains = new HashMap<>();
+		for (String host : liveHosts()) {
+			domains.put(host, domainOf(host));
+		}
+		Set<String> readers = StoreReaders.of(domains);
+		long now = this.clock.millis();
+		long heard = this.peers.values()
+			.stream()
+			.filter((peer) -> readers.contains(peer.host) && now - peer.heardAt < READER_MILLIS)
+			.count();
+		return readers.contains(this.hello.host().value()) || heard < MIN_HEARD_READERS;
+	}
+
+	/**
+	 * Sends a message to all hosts that were heard lately, one after the other.
+	 * @param message the message
+	 */
+	public void publish(PeerMessage message) {
+		this.publisher.execute(() -> this.peers.values().forEach((peer) -> {
+			PeerLink link = peer.link;
+			if (link != null && link.isOpen() && this.clock.millis() - peer.heardAt < READER_MILLIS) {
+				link.send(message);
+			}
+		}));
+	}
+
 	/**
 	 * Returns the failure domain of a host.
 	 * @param host the host
@@ -319,6 +378,10 @@
 			this.onStatus.accept(host, status);
 			return null;
 		}
+		if (message instanceof PeerMessage.ObjectChanges changes) {
+			this.onChanges.accept(changes);
+			return null;
+		}
 		Function<PeerMessage, PeerMessage> handler = this.handlers.get(message.getClass());
 		return (handler != null) ? handler.apply(message)
 				: new PeerMessage.Rejected("no-handler", "this host does not answer " + message.getClass());
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -120,6 +120,8 @@
 
 	private final Set<String> closedDomains = ConcurrentHashMap.newKeySet();
 
+	private final Map<String, KindWatch> watches = new ConcurrentHashMap<>();
+
 	private final List<KindWatch> required = new ArrayList<>();
 
 	private final HostMesh mesh;
@@ -214,11 +216,18 @@
 			if (status.holdsDuties()) {
 				this.lease.heard(status.leaseVersion());
 				this.table.loading(Set.copyOf(status.loading()));
+				this.table.assigned(status.assigned());
 			}
 		});
 		this.mesh.register(PeerMessage.ResultsRead.class, this.directory::answer);
 		this.mesh.register(PeerMessage.TextCopy.class, this.runner::onCopy);
 		this.mesh.register(PeerMessage.TextFetch.class, this.runner::onFetch);
+		this.mesh.onChanges((message) -> {
+			KindWatch watch = this.watches.get(message.kind());
+			if (watch != null) {
+				watch.onChanges(message);
+			}
+		});
 		this.mesh.open(this.settings.peerAddress());
 		watch(this.format.routingKind(), false, true, this::routing, (name) -> {
 		});
@@ -237,7 +246,9 @@
 		watch(this.format.retirementKind(), false, false, this::retire, (name) -> {
 		});
 		watch(HOSTS, false, false, this::host, this.mesh::remove);
-		KindWatch submissions = KindWatch.of(this.store, SubmissionStore.RECORDS, false, this.directory, this.log);
+		KindWatch submissions = KindWatch.of(this.store, SubmissionStore.RECORDS, false, this.directory,
+				this.mesh::isStoreReader, this.mesh::publish, this.log);
+		this.watches.put(SubmissionStore.RECORDS, submissions);
 		this.required.add(submissions);
 		this.threads.execute(submissions);
 		this.threads.execute(this::register);
@@ -330,7 +341,8 @@
 				removed.removed(name);
 			}
 
-		}, this.log);
+		}, this.mesh::isStoreReader, this.mesh::publish, this.log);
+		this.watches.put(kind, watch);
 		if (isRequired) {
 			this.required.add(watch);
 		}
@@ -422,6 +434,7 @@
 			if (this.lease.isHeld()) {
 				this.lastHeld.set(now);
 				this.table.loading(this.swaps.loading());
+				this.table.assigned(this.swaps.assigned());
 			}
 			if (now >= nextBeat) {
 				nextBeat = now + BEAT_MILLIS;
@@ -458,7 +471,7 @@
 				this.usage.shared(System.currentTimeMillis()));
 		return new PeerMessage.HostStatus(this.leaving, this.lease.isHeld(), this.lease.heldVersion(),
 				this.store.isReached(), this.runner.demand(), List.copyOf(this.swaps.loading()),
-				new HashMap<>(this.table.ownLoad()), figures);
+				this.lease.isHeld() ? this.swaps.assigned() : Map.of(), new HashMap<>(this.table.ownLoad()), figures);
 	}
 
 	private static void pause(long millis) {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/version/KindWatch.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/version/KindWatch.java
@@ -1,13 +1,21 @@
 package org.bamboorelay.host.version;
 
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 
 import io.vavr.control.Either;
+import org.bamboorelay.core.connection.PeerMessage;
 import org.bamboorelay.core.process.Backoff;
 import org.bamboorelay.core.store.StoreFailure;
 import org.bamboorelay.core.store.StoredObject;
@@ -37,6 +45,9 @@
 	/** The longest wait of one watch in that time, in milliseconds. */
 	private static final long DOUBT_WAIT_MILLIS = 1_000;
 
+	/** How long a host that does not read waits for changes before it looks around. */
+	private static final long LISTEN_MILLIS = 150;
+
 	/** First wait after a failed call, in milliseconds. */
 	private static final long BACKOFF_BASE_MILLIS = 50;
 
@@ -49,6 +60,8 @@
 	 */
 	private static final long RETURN_MILLIS = 2_200;
 
+	private static final byte[] NO_BODY = "{}".getBytes(StandardCharsets.UTF_8);
+
 	private final WatchedStore store;
 
 	private final String kind;
@@ -57,8 +70,16 @@
 
 	private final Listener listener;
 
+	private final BooleanSupplier reads;
+
+	private final Consumer<PeerMessage.ObjectChanges> publisher;
+
+	private final BlockingQueue<PeerMessage.ObjectChanges> passedOn = new LinkedBlockingQueue<>();
+
 	private final EventLog log;
 
+	private long revision;
+
 	private final Backoff backoff = Backoff.of(BACKOFF_BASE_MILLIS, BACKOFF_CAP_MILLIS,
 			() -> ThreadLocalRandom.current().nextDouble());
 
@@ -76,7 +97,10 @@
 
 	private volatile boolean closed;
 
-	private KindWatch(WatchedStore store, String kind, boolean keepsLapsed, Listener listener, EventLog log) {
+	private KindWatch(WatchedStore store, String kind, boolean keepsLapsed, Listener listener, BooleanSupplier reads,
+			Consumer<PeerMessage.ObjectChanges> publisher, EventLog log) {
+		this.reads = Objects.requireNonNull(reads, "reads");
+		this.publisher = Objects.requireNonNull(publisher, "publisher");
 		this.store = Objects.requireNonNull(store, "store");
 		this.kind = Objects.requireNonNull(kind, "kind");
 		this.keepsLapsed = keepsLapsed;
@@ -91,11 +115,14 @@
 	 * @param keepsLapsed whether objects lapse while the store is away and come back
 	 * after its return, so that a missing one is kept for a moment
 	 * @param listener told of the objects
+	 * @param reads whether this host watches the store, or listens to hosts that do
+	 * @param publisher passes on to the other hosts what this one saw
 	 * @param log the log of the process
 	 * @return the watch
 	 */
-	public static KindWatch of(WatchedStore store, String kind, boolean keepsLapsed, Listener listener, EventLog log) {
-		return new KindWatch(store, kind, keepsLapsed, listener, log);
+	public static KindWatch of(WatchedStore store, String kind, boolean keepsLapsed, Listener listener,
+			BooleanSupplier reads, Consumer<PeerMessage.ObjectChanges> publisher, EventLog log) {
+		return new KindWatch(store, kind, keepsLapsed, listener, reads, publisher, log);
 	}
 
 	/**
@@ -113,13 +140,22 @@
 		this.closed = true;
 	}
 
+	/**
+	 * Takes what another host saw.
+	 * @param message the changes
+	 */
+	public void onChanges(PeerMessage.ObjectChanges message) {
+		this.passedOn.add(message);
+	}
+
 	@Override
 	public void run() {
 		while (!this.closed) {
 			Either<StoreFailure, Long> revision = list();
 			if (revision.isRight()) {
 				this.listed.countDown();
-				follow(revision.get());
+				this.revision = Math.max(this.revision, revision.get());
+				follow();
 			}
 			else {
 				failed(revision.getLeft());
@@ -127,31 +163,72 @@
 		}
 	}
 
-	private void follow(long start) {
-		long revision = start;
-		while (!this.closed) {
-			Either<StoreFailure, WatchedStore.Changes> changes = this.store.changes(this.kind, revision, waitMillis());
-			if (changes.isLeft()) {
-				// A watch that was cut may have missed changes before, so the objects are
-				// listed again.
-				this.doubtUntilMillis = nowMillis() + DOUBT_MILLIS;
-				if (changes.getLeft() instanceof StoreFailure.HistoryGone) {
-					this.log.info("watch-history-gone", "kind", this.kind, "revision", revision);
-				}
-				else {
-					failed(changes.getLeft());
-				}
-				return;
+	// Returns where the objects have to be listed again.
+	private void follow() {
+		boolean complete = true;
+		while (!this.closed && complete) {
+			complete = this.reads.getAsBoolean() ? watchOnce() : listenOnce();
+			dropLapsed();
+		}
+	}
+
+	// Takes the changes that readers of the store pass on. Each of them passes on all, so
+	// most come more than once.
+	private boolean listenOnce() {
+		try {
+			PeerMessage.ObjectChanges message = this.passedOn.poll(LISTEN_MILLIS, TimeUnit.MILLISECONDS);
+			if (message == null) {
+				return true;
 			}
-			answered();
-			for (WatchedStore.Change change : changes.get().changes()) {
-				apply(change.object(), change.removed());
+			if (message.from() > this.revision) {
+				this.log.info("watch-gap", "kind", this.kind, "revision", this.revision, "from", message.from());
+				this.passedOn.clear();
+				return false;
 			}
-			revision = Math.max(revision, changes.get().revision());
-			dropLapsed();
+			for (PeerMessage.RelayedObject object : message.changes()) {
+				apply(new StoredObject(object.key(), object.version(), object.body()), object.removed());
+			}
+			this.revision = Math.max(this.revision, message.to());
+			return true;
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			this.closed = true;
+			return true;
 		}
 	}
 
+	private boolean watchOnce() {
+		long from = this.revision;
+		Either<StoreFailure, WatchedStore.Changes> changes = this.store.changes(this.kind, from, waitMillis());
+		if (changes.isLeft()) {
+			// A watch that was cut may have missed changes before, so the objects are
+			// listed again.
+			this.doubtUntilMillis = nowMillis() + DOUBT_MILLIS;
+			if (changes.getLeft() instanceof StoreFailure.HistoryGone) {
+				this.log.info("watch-history-gone", "kind", this.kind, "revision", from);
+			}
+			else {
+				failed(changes.getLeft());
+			}
+			return false;
+		}
+		answered();
+		for (WatchedStore.Change change : changes.get().changes()) {
+			apply(change.object(), change.removed());
+		}
+		this.revision = Math.max(from, changes.get().revision());
+		this.publisher.accept(new PeerMessage.ObjectChanges(this.kind, from, this.revision,
+				changes.get()
+					.changes()
+					.stream()
+					.map((change) -> new PeerMessage.RelayedObject(change.object().key(), change.object().version(),
+							change.object().body(), change.removed()))
+					.toList()));
+		this.passedOn.clear();
+		return true;
+	}
+
 	private Either<StoreFailure, Long> list() {
 		Map<String, StoredObject> found = new HashMap<>();
 		String after = "";
@@ -166,17 +243,34 @@
 				after = object.key().substring(object.key().indexOf('/') + 1);
 			}
 			if (!page.get().more() || page.get().objects().isEmpty()) {
-				Map.copyOf(this.versions).forEach((key, version) -> {
-					if (!found.containsKey(key)) {
-						remove(key);
-					}
-				});
-				found.values().forEach((object) -> apply(object, false));
+				adopt(found, page.get().revision());
 				return Either.right(page.get().revision());
 			}
 		}
 	}
 
+	// What a watch missed before it was cut is passed on too, as the hosts that listen
+	// relied on that watch.
+	private void adopt(Map<String, StoredObject> found, long at) {
+		List<PeerMessage.RelayedObject> missed = new ArrayList<>();
+		Map.copyOf(this.versions).forEach((key, version) -> {
+			if (!found.containsKey(key)) {
+				missed.add(new PeerMessage.RelayedObject(key, version, NO_BODY, true));
+				remove(key);
+			}
+		});
+		for (StoredObject object : found.values()) {
+			Long known = this.versions.get(object.key());
+			if (known == null || known < object.version()) {
+				missed.add(new PeerMessage.RelayedObject(object.key(), object.version(), object.body(), false));
+				apply(object, false);
+			}
+		}
+		if (this.revision > 0 && !missed.isEmpty()) {
+			this.publisher.accept(new PeerMessage.ObjectChanges(this.kind, 0, at, missed));
+		}
+	}
+
 	private void apply(StoredObject object, boolean removed) {
 		String key = object.key();
 		String name = key.substring(key.indexOf('/') + 1);
