--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/HostMesh.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/HostMesh.java
@@ -6,11 +6,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Queue;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -41,6 +42,9 @@
 	/** A host without a status for this long counts as gone, in milliseconds. */
 	private static final long GONE_MILLIS = 2_500;
 
+	/** Messages that wait for one link; a link that falls further behind is closed. */
+	private static final int MAX_OUTBOUND = 200;
+
 	/** A reader of the store that is silent for this long is not relied on. */
 	private static final long READER_MILLIS = 1_200;
 
@@ -65,12 +69,6 @@
 
 	private final EventLog log;
 
-	private final ExecutorService publisher = Executors.newSingleThreadExecutor((task) -> {
-		Thread thread = new Thread(task, "publisher");
-		thread.setDaemon(true);
-		return thread;
-	});
-
 	private final Map<String, Peer> peers = new ConcurrentHashMap<>();
 
 	private final Map<Class<?>, Function<PeerMessage, PeerMessage>> handlers = new ConcurrentHashMap<>();
@@ -185,7 +183,7 @@
 		for (Peer peer : this.peers.values()) {
 			PeerLink link = peer.link;
 			if (link != null && link.isOpen()) {
-				link.send(message);
+				send(peer, message);
 			}
 			else {
 				connect(peer);
@@ -265,16 +263,14 @@
 	}
 
 	/**
-	 * Sends a message to all hosts that were heard lately, one after the other.
+	 * Sends a message to all hosts that were heard lately.
 	 * @param message the message
 	 */
 	public void publish(PeerMessage message) {
-		this.publisher.execute(() -> this.peers.values().forEach((peer) -> {
-			PeerLink link = peer.link;
-			if (link != null && link.isOpen() && this.clock.millis() - peer.heardAt < READER_MILLIS) {
-				link.send(message);
-			}
-		}));
+		this.peers.values()
+			.stream()
+			.filter((peer) -> this.clock.millis() - peer.heardAt < READER_MILLIS)
+			.forEach((peer) -> send(peer, message));
 	}
 
 	/**
@@ -340,6 +336,36 @@
 		List.copyOf(new ArrayList<>(this.peers.values())).forEach(HostMesh::closeLink);
 	}
 
+	// A link whose other end does not read blocks its writer, which must be neither the
+	// thread that watches the store nor the one that keeps hosts alive.
+	private void send(Peer peer, PeerMessage message) {
+		if (peer.outbound.size() >= MAX_OUTBOUND) {
+			closeLink(peer);
+			peer.outbound.clear();
+			return;
+		}
+		peer.outbound.add(message);
+		if (peer.sending.compareAndSet(false, true)) {
+			this.threads.execute(() -> drain(peer));
+		}
+	}
+
+	private static void drain(Peer peer) {
+		while (true) {
+			PeerMessage next = peer.outbound.poll();
+			PeerLink link = peer.link;
+			if (next != null && link != null) {
+				link.send(next);
+			}
+			if (next == null) {
+				peer.sending.set(false);
+				if (peer.outbound.isEmpty() || !peer.sending.compareAndSet(false, true)) {
+					return;
+				}
+			}
+		}
+	}
+
 	private boolean isAlive(Peer peer) {
 		return this.clock.millis() - peer.heardAt < GONE_MILLIS;
 	}
@@ -402,6 +428,10 @@
 
 		private final String domain;
 
+		private final Queue<PeerMessage> outbound = new ConcurrentLinkedQueue<>();
+
+		private final AtomicBoolean sending = new AtomicBoolean();
+
 		private final AtomicBoolean connecting = new AtomicBoolean();
 
 		private volatile @Nullable PeerLink link;
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -150,6 +150,8 @@
 
 	private volatile boolean cutOff;
 
+	private volatile boolean doubtful;
+
 	private volatile boolean stopped;
 
 	/**
@@ -459,6 +461,19 @@
 			// Watches may be silent for a while, so the store is asked.
 			this.threads.execute(() -> this.store.read(DutyLoop.LEASE_KEY));
 		}
+		if (alone) {
+			this.doubtful = true;
+			this.runner.suspend(true);
+		}
+		else if (this.doubtful) {
+			// Submissions may have been ended while this domain was alone.
+			this.threads.execute(() -> {
+				if (this.directory.confirmRunning()) {
+					this.doubtful = false;
+					this.runner.suspend(false);
+				}
+			});
+		}
 		boolean cut = alone && !this.store.isReached();
 		if (cut != this.cutOff) {
 			this.cutOff = cut;
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionDirectory.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionDirectory.java
@@ -223,6 +223,21 @@
 		return ranked(submission.workspace(), model, this.mesh.liveHosts()).get(0);
 	}
 
+	/**
+	 * Reads the records of the submissions that this host runs.
+	 * @return whether all of them could be read
+	 */
+	public boolean confirmRunning() {
+		for (String id : this.runner.running()) {
+			Either<StoreFailure, Option<SubmissionStore.VersionedRecord>> read = this.store.record(id);
+			if (read.isLeft()) {
+				return false;
+			}
+			read.get().forEach((found) -> learn(id, found));
+		}
+		return true;
+	}
+
 	/**
 	 * Takes over the submissions whose host is gone.
 	 */
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
@@ -106,6 +106,8 @@
 
 	private volatile boolean leaving;
 
+	private volatile boolean suspended;
+
 	/**
 	 * Creates a runner.
 	 * @param host this host
@@ -214,6 +216,15 @@
 			.findFirst());
 	}
 
+	/**
+	 * Sets whether items start. They do not while this host cannot know which submissions
+	 * were ended.
+	 * @param suspended whether to start none
+	 */
+	public void suspend(boolean suspended) {
+		this.suspended = suspended;
+	}
+
 	/**
 	 * Returns the submissions that this host runs.
 	 * @return their ids
@@ -270,7 +281,7 @@
 			boolean busy = false;
 			for (ActiveSubmission running : all) {
 				running.plan().expire(now);
-				if (!this.leaving) {
+				if (!this.leaving && !this.suspended) {
 					startItems(running, now);
 				}
 				if (now >= nextMove) {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/version/RelayedStore.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/version/RelayedStore.java
@@ -27,7 +27,7 @@
 public final class RelayedStore implements WatchedStore {
 
 	/** Time after a failure in which calls go through another host, in milliseconds. */
-	private static final long DETOUR_MILLIS = 1_500;
+	private static final long DETOUR_MILLIS = 1_000;
 
 	/** The longest wait for another host beyond the call's own, in milliseconds. */
 	private static final long PEER_MILLIS = 1_500;
