--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/WeightSwaps.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/WeightSwaps.java
@@ -24,9 +24,16 @@
 	/** An order without an effect is given again after this time, in milliseconds. */
 	private static final long RETRY_MILLIS = 2_500;
 
-	private final Clock clock;
+	/**
+	 * The most endpoints that load at once, as a share of all: the others serve
+	 * meanwhile, and the weight store makes more of them slow.
+	 */
+	private static final double SHARE_AT_ONCE = 0.3;
 
-	private final int atOnce;
+	/** Endpoints that may load at once however few there are. */
+	private static final int MIN_AT_ONCE = 2;
+
+	private final Clock clock;
 
 	private final Map<String, Long> targets = new HashMap<>();
 
@@ -34,22 +41,17 @@
 
 	private final Map<String, String> assigned = new HashMap<>();
 
-	private WeightSwaps(Clock clock, int atOnce) {
+	private WeightSwaps(Clock clock) {
 		this.clock = Objects.requireNonNull(clock, "clock");
-		this.atOnce = atOnce;
 	}
 
 	/**
 	 * Creates the decision.
 	 * @param clock the monotonic clock of the process
-	 * @param atOnce the most endpoints that load at once
 	 * @return the decision
 	 */
-	public static WeightSwaps of(Clock clock, int atOnce) {
-		if (atOnce < 1) {
-			throw new IllegalArgumentException("atOnce must be positive: " + atOnce);
-		}
-		return new WeightSwaps(clock, atOnce);
+	public static WeightSwaps of(Clock clock) {
+		return new WeightSwaps(clock);
 	}
 
 	/**
@@ -85,7 +87,7 @@
 			.thenComparing((swap) -> swap.holder().id()));
 		List<Swap> orders = new ArrayList<>();
 		for (Swap swap : candidates) {
-			if (this.running.size() >= this.atOnce) {
+			if (this.running.size() >= Math.max(MIN_AT_ONCE, (int) (SHARE_AT_ONCE * this.assigned.size()))) {
 				break;
 			}
 			this.running.put(swap.holder().id(), new Running(swap.model(), swap.version(), now));
--- /dev/null
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/process/EndpointOrdersTests.java
@@ -0,0 +1,67 @@
+package org.bamboorelay.core.process;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.bamboorelay.core.time.ManualClock;
+import org.bamboorelay.core.version.ServiceRule;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of {@link EndpointOrders}. Load: submissions that come in bursts each few
+ * seconds.
+ */
+class EndpointOrdersTests {
+
+	private static final ServiceRule RULE = new ServiceRule("s", "/health", 100, 0, List.of("m"), 1, 4);
+
+	private static final Set<String> DOMAINS = Set.of("a", "b", "c");
+
+	private final ManualClock clock = ManualClock.of(100_000);
+
+	private final EndpointOrders orders = EndpointOrders.of(this.clock);
+
+	@Test
+	void processThatTakesOverLowersNothingAtFirst() {
+		// Each new holder of the duty ordered the minimum, as it had seen no demand yet.
+		for (int tick = 0; tick < 20; tick++) {
+			assertThat(next(0, Map.of("a", 2, "b", 2, "c", 2))).isEmpty();
+			this.clock.advance(1_000);
+		}
+	}
+
+	@Test
+	void burstRaisesTheNumberAtOnceWithinTheBounds() {
+		assertThat(next(100, Map.of("a", 1, "b", 1, "c", 1)))
+			.allSatisfy((order) -> assertThat(order.count()).isLessThanOrEqualTo(4))
+			.extracting(EndpointOrders.Order::domain)
+			.containsExactly("a", "b", "c");
+	}
+
+	@Test
+	void numberFallsOnlyAfterALongLull() {
+		next(100, Map.of("a", 4, "b", 4, "c", 4));
+		long start = this.clock.millis();
+		List<EndpointOrders.Order> fall = List.of();
+		while (fall.isEmpty()) {
+			this.clock.advance(500);
+			fall = next(0, Map.of("a", 4, "b", 4, "c", 4));
+		}
+		assertThat(this.clock.millis() - start).isGreaterThanOrEqualTo(30_000);
+		assertThat(fall).allSatisfy((order) -> assertThat(order.count()).isGreaterThanOrEqualTo(1));
+	}
+
+	@Test
+	void domainThatIsTakenOutGetsNoOrder() {
+		assertThat(this.orders.next(RULE, 100, 8, Map.of(), Set.of("a"))).extracting(EndpointOrders.Order::domain)
+			.containsExactly("a");
+	}
+
+	private List<EndpointOrders.Order> next(int demand, Map<String, Integer> present) {
+		return this.orders.next(RULE, demand, 8, present, DOMAINS);
+	}
+
+}
--- /dev/null
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/process/EndpointTableTests.java
@@ -0,0 +1,137 @@
+package org.bamboorelay.core.process;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.bamboorelay.core.time.ManualClock;
+import org.bamboorelay.core.version.ServiceRule;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of {@link EndpointTable}.
+ */
+class EndpointTableTests {
+
+	private final ManualClock clock = ManualClock.of(10_000);
+
+	private final EndpointTable table = EndpointTable.create(this.clock);
+
+	@BeforeEach
+	void setUp() {
+		this.table.services(List.of(new ServiceRule("s", "/health", 100, 10, List.of("m"), 1, 6)));
+	}
+
+	@Test
+	void leavingEndpointAndClosedDomainGetNothing() {
+		this.table.put(entry("a", "zone-a", true, 0, 1));
+		this.table.put(entry("b", "zone-b", false, 0, 1));
+		this.table.closedDomains(Set.of("zone-b"));
+		assertThat(this.table.acquire(demand(0))).isNull();
+		this.table.closedDomains(Set.of());
+		assertThat(this.table.acquire(demand(0)).id()).isEqualTo("b");
+	}
+
+	@Test
+	void hostsTogetherKeepTheRateOfAColdEndpoint() {
+		// Ten hosts that each sent the whole rate made a cold endpoint fall over.
+		this.table.hosts(10);
+		this.table.put(entry("a", "zone-a", false, 5_000, 1));
+		int granted = 0;
+		for (int tick = 0; tick < 500; tick++) {
+			EndpointTable.Grant grant = this.table.acquire(demand(0));
+			if (grant != null) {
+				granted++;
+				this.table.release(grant, EndpointTable.Outcome.SERVED);
+			}
+			this.clock.advance(10);
+		}
+		// A tenth of 10 requests a second in 5 s.
+		assertThat(granted).isBetween(1, 5);
+	}
+
+	@Test
+	void endpointWithOlderWeightsServesNoNewerStep() {
+		this.table.put(entry("a", "zone-a", false, 0, 3));
+		assertThat(this.table.acquire(demand(4))).isNull();
+		this.table.version("a", "m", 4);
+		assertThat(this.table.acquire(demand(4))).isNotNull();
+	}
+
+	@Test
+	void loadOfPeersFillsSlots() {
+		this.table.put(entry("a", "zone-a", false, 0, 1));
+		this.table.peerLoad("other", Map.of("a", 4));
+		assertThat(this.table.acquire(demand(0))).isNull();
+		this.clock.advance(5_000);
+		assertThat(this.table.acquire(demand(0))).as("figures of a host that is silent").isNotNull();
+	}
+
+	@Test
+	void failingEndpointIsPausedLongerEachTime() {
+		this.table.put(entry("a", "zone-a", false, 0, 1));
+		List<Long> pauses = new ArrayList<>();
+		for (int attempt = 0; attempt < 3; attempt++) {
+			this.table.release(this.table.acquire(demand(0)), EndpointTable.Outcome.FAILED);
+			long start = this.clock.millis();
+			EndpointTable.Grant next = null;
+			while (next == null) {
+				this.clock.advance(10);
+				next = this.table.acquire(demand(0));
+			}
+			this.table.release(next, EndpointTable.Outcome.ABANDONED);
+			pauses.add(this.clock.millis() - start);
+		}
+		assertThat(pauses).isSorted().doesNotHaveDuplicates();
+	}
+
+	@Test
+	void endpointThatLoadsWeightsStartsNothing() {
+		this.table.put(entry("a", "zone-a", false, 0, 1));
+		this.table.loading(Set.of("a"));
+		assertThat(this.table.acquire(demand(0))).isNull();
+	}
+
+	@Test
+	void longRunMovesToAFasterEndpointOnly() {
+		// Load: a step whose last long text runs on an engine that turned slow.
+		this.table.put(entry("slow", "zone-a", false, 0, 1));
+		this.table.put(entry("fast", "zone-a", false, 0, 1));
+		this.table.pace("slow", 52);
+		this.table.pace("fast", 40);
+		assertThat(this.table.isWorthMoving("slow", demand(0), 1.2)).isTrue();
+		assertThat(this.table.isWorthMoving("slow", demand(0), 1.7)).isFalse();
+		assertThat(this.table.isWorthMoving("fast", demand(0), 1.2)).isFalse();
+		this.table.peerLoad("other", Map.of("fast", 4));
+		assertThat(this.table.isWorthMoving("slow", demand(0), 1.2)).as("no free slot").isFalse();
+	}
+
+	@Test
+	void laterStartUnderTheSameNameBeginsAnew() {
+		this.table.put(entry("a", "zone-a", false, 0, 7));
+		this.table.put(new EndpointEntry("a", "s", "10.0.0.1:80", "zone-a", 4, false, 0, 99, Map.of("m", 1L)));
+		assertThat(this.table.acquire(demand(5))).isNull();
+	}
+
+	@Test
+	void enginesOfAnotherModelAreTheLastChoice() {
+		this.table.put(entry("mine", "zone-a", false, 0, 1));
+		this.table.put(entry("other", "zone-a", false, 0, 1));
+		this.table.assigned(Map.of("mine", "m", "other", "n"));
+		assertThat(List.of(this.table.acquire(demand(0)).id(), this.table.acquire(demand(0)).id()))
+			.containsExactly("mine", "mine");
+	}
+
+	private static EndpointDemand demand(long minVersion) {
+		return new EndpointDemand("s", "m", minVersion, 0, true, Set.of());
+	}
+
+	private static EndpointEntry entry(String id, String domain, boolean leaving, long coldMillis, long version) {
+		return new EndpointEntry(id, "s", "10.0.0.1:80", domain, 4, leaving, coldMillis, 1, Map.of("m", version));
+	}
+
+}
--- /dev/null
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/process/StoreReadersTests.java
@@ -0,0 +1,48 @@
+package org.bamboorelay.core.process;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of {@link StoreReaders}.
+ */
+class StoreReadersTests {
+
+	@Test
+	void numberOfReadersDoesNotGrowWithTheHosts() {
+		// Watches of each host cost most of a calm day's worth at 57 hosts.
+		for (int hosts : new int[] { 6, 57, 360 }) {
+			assertThat(StoreReaders.of(hosts(hosts, 3))).hasSize(3);
+		}
+	}
+
+	@Test
+	void eachDomainHasAReaderAndFewDomainsHaveSpareOnes() {
+		Map<String, String> hosts = hosts(40, 8);
+		assertThat(StoreReaders.of(hosts).stream().map(hosts::get)).containsExactlyInAnyOrder("d0", "d1", "d2", "d3",
+				"d4", "d5", "d6", "d7");
+		assertThat(StoreReaders.of(hosts(10, 1))).hasSize(3);
+	}
+
+	@Test
+	void anotherHostFollowsAReaderThatIsGone() {
+		Map<String, String> hosts = hosts(12, 3);
+		Set<String> before = StoreReaders.of(hosts);
+		hosts.remove(before.iterator().next());
+		assertThat(StoreReaders.of(hosts)).hasSize(3);
+	}
+
+	private static Map<String, String> hosts(int count, int domains) {
+		Map<String, String> hosts = new HashMap<>();
+		for (int index = 0; index < count; index++) {
+			hosts.put("host-" + index, "d" + index % domains);
+		}
+		return hosts;
+	}
+
+}
--- /dev/null
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/process/WeightSwapsTests.java
@@ -0,0 +1,87 @@
+package org.bamboorelay.core.process;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+
+import org.bamboorelay.core.time.ManualClock;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of {@link WeightSwaps}.
+ */
+class WeightSwapsTests {
+
+	private final ManualClock clock = ManualClock.of(1_000);
+
+	private final EndpointTable table = EndpointTable.create(this.clock);
+
+	private final WeightSwaps swaps = WeightSwaps.of(this.clock);
+
+	@Test
+	void enginesAreDividedBeforeTheSecondModelHasAVersion() {
+		// With only one model named, all engines went to it, and the other trainer waited
+		// for 12 s.
+		fill(6);
+		this.swaps.target("m0", 2);
+		this.swaps.next(this.table)
+			.forEach((swap) -> this.table.version(swap.holder().id(), swap.model(), swap.version()));
+		assertThat(this.swaps.assigned().values()).filteredOn("m0"::equals).hasSize(3);
+		this.swaps.target("m1", 2);
+		Set<String> ordered = new TreeSet<>();
+		for (int wave = 0; wave < 6; wave++) {
+			for (WeightSwaps.Swap swap : this.swaps.next(this.table)) {
+				ordered.add(swap.model());
+				this.table.version(swap.holder().id(), swap.model(), swap.version());
+			}
+		}
+		assertThat(ordered).containsExactly("m0", "m1");
+	}
+
+	@Test
+	void fewEnginesLoadAtOnce() {
+		fill(6);
+		this.swaps.target("m0", 2);
+		assertThat(this.swaps.next(this.table)).hasSize(2);
+		assertThat(this.swaps.next(this.table)).isEmpty();
+		this.swaps.loading().forEach((id) -> this.table.version(id, "m0", 2));
+		assertThat(this.swaps.next(this.table)).hasSize(1);
+	}
+
+	@Test
+	void orderWithoutEffectIsGivenAgain() {
+		fill(2);
+		this.swaps.target("m0", 2);
+		List<WeightSwaps.Swap> first = this.swaps.next(this.table);
+		assertThat(first).hasSize(1);
+		this.clock.advance(3_000);
+		assertThat(this.swaps.next(this.table)).isEqualTo(first);
+	}
+
+	@Test
+	void engineThatIsGoneHoldsUpNoOther() {
+		fill(6);
+		this.swaps.target("m0", 2);
+		this.swaps.next(this.table).forEach((swap) -> this.table.remove(swap.holder().id()));
+		assertThat(this.swaps.next(this.table)).isNotEmpty();
+	}
+
+	@Test
+	void shareOfManyEnginesLoadsAtOnce() {
+		// Two at once of 34 engines would take longer than the time between two versions.
+		fill(34);
+		this.swaps.target("m0", 2);
+		assertThat(this.swaps.next(this.table)).hasSize(10);
+	}
+
+	private void fill(int count) {
+		for (int index = 0; index < count; index++) {
+			this.table.put(new EndpointEntry("e" + index, "s", "10.0.0.1:80", "zone-a", 4, false, 0, 1,
+					Map.of("m0", 1L, "m1", 1L)));
+		}
+	}
+
+}
--- /dev/null
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/process/WindowCountsTests.java
@@ -0,0 +1,42 @@
+package org.bamboorelay.core.process;
+
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of {@link WindowCounts}.
+ */
+class WindowCountsTests {
+
+	@Test
+	void figuresThatArePassedOnSeveralTimesCountOnce() {
+		WindowCounts counts = new WindowCounts();
+		counts.count(5, "own", "w");
+		counts.merge(5, "other", Map.of("w", 2L));
+		counts.merge(5, "other", Map.of("w", 3L));
+		counts.merge(5, "other", Map.of("w", 2L));
+		assertThat(counts.total(5)).containsExactly(Map.entry("w", 4L));
+	}
+
+	@Test
+	void figuresOfAHostThatRestartedAreKeptBesideItsNewOnes() {
+		WindowCounts counts = new WindowCounts();
+		counts.merge(5, "host/1", Map.of("w", 3L));
+		counts.merge(5, "host/2", Map.of("w", 1L));
+		assertThat(counts.total(5)).containsExactly(Map.entry("w", 4L));
+	}
+
+	@Test
+	void oldWindowsAreDropped() {
+		WindowCounts counts = new WindowCounts();
+		for (long window = 0; window < 100; window++) {
+			counts.count(window, "own", "w");
+		}
+		assertThat(counts.total(0)).isEmpty();
+		assertThat(counts.total(99)).isNotEmpty();
+	}
+
+}
--- /dev/null
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/request/SubmissionPlanTests.java
@@ -0,0 +1,173 @@
+package org.bamboorelay.core.request;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of {@link SubmissionPlan} and of the order in which items start.
+ */
+class SubmissionPlanTests {
+
+	@Test
+	void brokenRunGoesOnAfterTheLastEvent() {
+		// Beginning anew would cost the seconds that a long text had taken so far.
+		SubmissionPlan plan = plan(1, items(1), 3);
+		plan.start(0);
+		plan.event("i0", 1, "a", 1);
+		plan.event("i0", 2, "b", 1);
+		plan.broken("i0", false, 0);
+		assertThat(plan.start(1_000).after()).isEqualTo(2);
+		assertThat(plan.event("i0", 3, "c", 2)).isTrue();
+		plan.generated("i0");
+		plan.scored("i0", "seal");
+		assertThat(plan.unlisted()).containsExactly(new ItemResult("i0", true, "a\nb\nc", List.of(1L, 2L), "seal"));
+	}
+
+	@Test
+	void eventThatIsNotTheNextOneEndsTheRun() {
+		// A missing or doubled event would make a sample that no engine generated.
+		SubmissionPlan plan = plan(1, items(1), 3);
+		plan.start(0);
+		assertThat(plan.event("i0", 2, "b", 1)).isFalse();
+		assertThat(plan.event("i0", 1, "a", 1)).isTrue();
+		assertThat(plan.event("i0", 1, "a", 1)).isFalse();
+	}
+
+	@Test
+	void textOfWeightsThatAreTooOldIsNotListed() {
+		SubmissionPlan plan = plan(4, items(1), 3);
+		plan.start(0);
+		plan.event("i0", 1, "a", 3);
+		assertThat(plan.generated("i0")).isFalse();
+		assertThat(plan.unlisted()).isEmpty();
+		assertThat(plan.start(0).after()).isZero();
+	}
+
+	@Test
+	void onlyFailedRunsCountTowardsGivingUp() {
+		// An item may be given up only after the endpoints failed it as often as its
+		// route
+		// says; broken connections do not count.
+		SubmissionPlan plan = plan(1, items(1), 2);
+		for (int attempt = 0; attempt < 10; attempt++) {
+			plan.start(attempt * 1_000L);
+			plan.broken("i0", false, attempt * 1_000L);
+		}
+		assertThat(plan.unlisted()).isEmpty();
+		for (int attempt = 10; attempt < 12; attempt++) {
+			plan.start(attempt * 1_000L);
+			plan.broken("i0", true, attempt * 1_000L);
+		}
+		assertThat(plan.unlisted()).containsExactly(ItemResult.givenUp("i0"));
+	}
+
+	@Test
+	void endedSubmissionStartsNothing() {
+		SubmissionPlan plan = plan(1, items(3), 3);
+		plan.end();
+		assertThat(plan.start(0)).isNull();
+		assertThat(plan.isWaiting(0)).isFalse();
+	}
+
+	@Test
+	void listedItemsDoNotRunAgain() {
+		SubmissionPlan plan = plan(1, items(2), 3);
+		plan.listed(List.of(ItemResult.givenUp("i0")));
+		assertThat(plan.start(0).item().id()).isEqualTo("i1");
+		assertThat(plan.start(0)).isNull();
+	}
+
+	@Test
+	void copiedTextsGoOnAtAnotherHost() {
+		// Texts of seconds were lost with each host that left.
+		SubmissionPlan first = plan(1, items(2), 3);
+		first.start(0);
+		first.event("i0", 1, "a", 1);
+		Map<String, Long> copied = new HashMap<>();
+		TextCopies copies = new TextCopies();
+		copies.add("s", first.partsBeyond(copied));
+		first.event("i0", 2, "b", 1);
+		copies.add("s", first.partsBeyond(copied));
+		assertThat(first.partsBeyond(copied)).isEmpty();
+		SubmissionPlan second = plan(1, items(2), 3);
+		second.preload(copies.of("s"));
+		assertThat(second.start(0)).isEqualTo(new SubmissionPlan.Run(items(2).get(0), 2));
+	}
+
+	@Test
+	void itemsThatAreTooOldAreGivenUp() {
+		SubmissionPlan plan = SubmissionPlan.of(submission(1, items(1)), 3, false, 1_000, 500, ItemOrder.AS_SUBMITTED,
+				Set.of());
+		plan.expire(1_499);
+		assertThat(plan.unlisted()).isEmpty();
+		plan.expire(1_500);
+		assertThat(plan.unlisted()).containsExactly(ItemResult.givenUp("i0"));
+	}
+
+	@Test
+	void groupsOfTheLongestItemsThatNobodyWaitsForStartLast() {
+		// Load: more items than slots. The trainer waits for two of three groups.
+		List<SubmissionItem> items = List.of(item("a1", "a", 10), item("b1", "b", 90), item("c1", "c", 20),
+				item("a2", "a", 5), item("b2", "b", 1), item("c2", "c", 30));
+		Submission submission = new Submission("s", "w", "h", "/p/1", "m", 0, 1, 2, items);
+		assertThat(names(submission, ItemOrder.LONGEST_WANTED_FIRST, Set.of())).containsExactly("c2", "c1", "a1", "a2",
+				"b1", "b2");
+		assertThat(names(submission, ItemOrder.LONGEST_WANTED_FIRST, Set.of("b1")).subList(0, 2)).containsExactly("b1",
+				"b2");
+		assertThat(names(submission, ItemOrder.AS_SUBMITTED, Set.of())).containsExactly("a1", "b1", "c1", "a2", "b2",
+				"c2");
+	}
+
+	@Property(tries = 200)
+	void eachOrderHoldsEachItemOnce(@ForAll @IntRange(min = 1, max = 40) int count,
+			@ForAll @IntRange(min = 0, max = 10) int wanted) {
+		List<SubmissionItem> items = new ArrayList<>();
+		for (int index = 0; index < count; index++) {
+			items.add(item("i" + index, "g" + index % 5, index * 37 % 11));
+		}
+		Submission submission = new Submission("s", "w", "h", "/p/1", "m", 0, 1, wanted, items);
+		assertThat(new HashSet<>(ItemOrder.LONGEST_WANTED_FIRST.of(submission, Set.of()))).hasSize(count);
+	}
+
+	private static List<String> names(Submission submission, ItemOrder order, Set<String> carried) {
+		return order.of(submission, carried).stream().map((index) -> submission.items().get(index).id()).toList();
+	}
+
+	private static SubmissionPlan plan(long minVersion, List<SubmissionItem> items, int maxAttempts) {
+		return SubmissionPlan.of(submission(minVersion, items), maxAttempts, false, 0, Long.MAX_VALUE,
+				ItemOrder.AS_SUBMITTED, Set.of());
+	}
+
+	private static Submission submission(long minVersion, List<SubmissionItem> items) {
+		return new Submission("s", "w", "h", "/p/1", "m", 0, minVersion, 0, items);
+	}
+
+	private static final Map<Integer, List<SubmissionItem>> ITEMS = new HashMap<>();
+
+	private static List<SubmissionItem> items(int count) {
+		return ITEMS.computeIfAbsent(count, (size) -> {
+			List<SubmissionItem> items = new ArrayList<>();
+			for (int index = 0; index < size; index++) {
+				items.add(item("i" + index, "g", 1));
+			}
+			return items;
+		});
+	}
+
+	private static SubmissionItem item(String id, String group, long units) {
+		return new SubmissionItem(id, "/p", Map.of(), new byte[0], 10, group, units,
+				new SubmissionItem.ScoreCall(id + "-score", "h", "/score", new byte[0]));
+	}
+
+}
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -74,9 +74,6 @@
 	/** How often hosts that are gone are looked for, in milliseconds. */
 	private static final long TAKEOVER_MILLIS = 300;
 
-	/** Engines that load weights at once, as more make each other slow. */
-	private static final int SWAPS_AT_ONCE = 2;
-
 	/** How often a holder renews its lease, as a share of the lease. */
 	private static final int RENEWALS_PER_LEASE = 3;
 
@@ -116,7 +113,7 @@
 
 	private final EndpointTable table = EndpointTable.create(this.clock);
 
-	private final WeightSwaps swaps = WeightSwaps.of(this.clock, SWAPS_AT_ONCE);
+	private final WeightSwaps swaps = WeightSwaps.of(this.clock);
 
 	private final Set<String> closedDomains = ConcurrentHashMap.newKeySet();
 
