--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
@@ -217,6 +217,16 @@
 		return (int) this.endpoints.values().stream().filter((endpoint) -> isUsable(endpoint, demand)).count();
 	}
 
+	/**
+	 * Counts the endpoints that could take a request now.
+	 * @param demand what the request needs
+	 * @return the number of endpoints
+	 */
+	public synchronized int open(EndpointDemand demand) {
+		long now = this.clock.millis();
+		return (int) this.endpoints.values().stream().filter((endpoint) -> isOpen(endpoint, demand, now)).count();
+	}
+
 	/**
 	 * Returns the free slots for a demand.
 	 * @param demand what the requests need
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -9,6 +9,7 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadLocalRandom;
@@ -21,6 +22,7 @@
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.HttpException;
 import org.bamboorelay.core.connection.PeerMessage;
+import org.bamboorelay.core.process.EndpointDemand;
 import org.bamboorelay.core.process.EndpointEntry;
 import org.bamboorelay.core.process.EndpointTable;
 import org.bamboorelay.core.process.LeaseState;
@@ -63,9 +65,6 @@
  */
 public final class HostProcess {
 
-	/** Where metrics are served, on the host's address. */
-	public static final int METRICS_PORT = 9_464;
-
 	private static final String HOSTS = "hosts";
 
 	/** Interval of statuses between hosts, in milliseconds. */
@@ -117,6 +116,8 @@
 
 	private final Set<String> closedDomains = ConcurrentHashMap.newKeySet();
 
+	private final List<HttpListener> listeners = new CopyOnWriteArrayList<>();
+
 	private final Map<String, KindWatch> watches = new ConcurrentHashMap<>();
 
 	private final List<KindWatch> required = new ArrayList<>();
@@ -256,7 +257,7 @@
 		this.threads.execute(this.duties);
 		this.frontListener = listen(this.settings.frontAddress(), this.front);
 		listen(this.settings.readyAddress(), this::answerReady);
-		listen(this.settings.ip() + ":" + METRICS_PORT,
+		listen(this.settings.metricsAddress(),
 				(request, responder) -> responder.send(200, "text/plain", this.counters.text()));
 	}
 
@@ -310,6 +311,29 @@
 		this.log.info("process-stopped", "running", runningRequests());
 	}
 
+	/**
+	 * Closes all listeners at once.
+	 */
+	public void close() {
+		this.stopped = true;
+		this.leaving = true;
+		this.duties.leave(0);
+		this.runner.close();
+		this.mesh.close();
+		this.listeners.forEach(HttpListener::close);
+		this.watches.values().forEach(KindWatch::close);
+		this.threads.shutdownNow();
+	}
+
+	/**
+	 * Counts the endpoints of a service that may get requests now.
+	 * @param service the service
+	 * @return the number of endpoints
+	 */
+	public int endpoints(String service) {
+		return this.table.open(EndpointDemand.plain(service, Set.of()));
+	}
+
 	private int runningRequests() {
 		HttpListener listener = this.frontListener;
 		return (listener != null) ? listener.running() : 0;
@@ -317,8 +341,11 @@
 
 	private HttpListener listen(String address, HttpListener.HttpHandler handler) throws IOException {
 		int colon = address.lastIndexOf(':');
-		return HttpListener.open(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)), handler,
+		HttpListener listener = HttpListener.open(address.substring(0, colon),
+				Integer.parseInt(address.substring(colon + 1)), handler,
 				(error) -> this.counters.counter("broken_connections_total").inc());
+		this.listeners.add(listener);
+		return listener;
 	}
 
 	private void answerReady(ClassicHttpRequest request, HttpListener.Responder responder)
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostSettings.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostSettings.java
@@ -14,7 +14,7 @@
  * @param frontAddress where callers connect, {@code ip:port}
  * @param readyAddress where readiness is asked for, {@code ip:port}
  * @param peerAddress where peers connect, {@code ip:port}
- * @param ip the host's address
+ * @param metricsAddress where metrics are served, {@code ip:port}
  * @param storeAddress the platform's store, {@code ip:port}
  * @param dutyAddress where duties report to, {@code ip:port}
  * @param leaseMillis the time in which two holders of the duties must not alternate
@@ -24,7 +24,7 @@
  * @param statusMillis how long results stay readable after their submission
  */
 public record HostSettings(String host, String domain, Set<String> domains, String frontAddress, String readyAddress,
-		String peerAddress, String ip, String storeAddress, String dutyAddress, long leaseMillis,
+		String peerAddress, String metricsAddress, String storeAddress, String dutyAddress, long leaseMillis,
 		long usageWindowMillis, long usageLateMillis, long graceMillis, long statusMillis) {
 
 	public HostSettings {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/version/RelayedStore.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/version/RelayedStore.java
@@ -128,7 +128,7 @@
 
 	private <T> Either<StoreFailure, T> call(Supplier<Either<StoreFailure, T>> own, PeerMessage.StoreAsk ask,
 			Function<PeerMessage.StoreAnswer, T> decoder) {
-		if (this.clock.millis() >= this.detourUntil) {
+		if (this.clock.millis() >= this.detourUntil || this.mesh.hostsWithStore().isEmpty()) {
 			Either<StoreFailure, T> result = own.get();
 			boolean answered = result.isRight() || !isLoss(result.getLeft());
 			if (answered != this.reached) {
