--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -246,7 +246,7 @@
 		watch(this.format.retirementKind(), false, false, this::retire, (name) -> {
 		});
 		watch(HOSTS, false, false, this::host, this.mesh::remove);
-		KindWatch submissions = KindWatch.of(this.store, SubmissionStore.RECORDS, false, this.directory,
+		KindWatch submissions = KindWatch.of(this.store, SubmissionStore.RECORDS, false, true, this.directory,
 				this.mesh::isStoreReader, this.mesh::publish, this.log);
 		this.watches.put(SubmissionStore.RECORDS, submissions);
 		this.required.add(submissions);
@@ -355,7 +355,7 @@
 	}
 
 	private void watch(String kind, boolean keepsLapsed, boolean isRequired, Changed changed, Removed removed) {
-		KindWatch watch = KindWatch.of(this.store, kind, keepsLapsed, new KindWatch.Listener() {
+		KindWatch watch = KindWatch.of(this.store, kind, keepsLapsed, isRequired, new KindWatch.Listener() {
 
 			@Override
 			public void changed(String name, StoredObject object) {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/version/KindWatch.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/version/KindWatch.java
@@ -30,7 +30,14 @@
  */
 public final class KindWatch implements Runnable {
 
-	/** The longest wait of one watch, in milliseconds; each watch is a paid call. */
+	/**
+	 * The longest wait of one watch of a kind that must be current, in milliseconds. A
+	 * watch that waits through an outage of the store may miss what happened meanwhile,
+	 * and hosts must know it some 3 s after the outage.
+	 */
+	private static final long CURRENT_WAIT_MILLIS = 2_500;
+
+	/** The longest wait of one watch of other kinds; each watch is a paid call. */
 	private static final long WAIT_MILLIS = 10_000;
 
 	/** The longest wait while objects may lapse, in milliseconds. */
@@ -68,6 +75,8 @@
 
 	private final boolean keepsLapsed;
 
+	private final long waitMillis;
+
 	private final Listener listener;
 
 	private final BooleanSupplier reads;
@@ -97,13 +106,14 @@
 
 	private volatile boolean closed;
 
-	private KindWatch(WatchedStore store, String kind, boolean keepsLapsed, Listener listener, BooleanSupplier reads,
-			Consumer<PeerMessage.ObjectChanges> publisher, EventLog log) {
+	private KindWatch(WatchedStore store, String kind, boolean keepsLapsed, boolean mustBeCurrent, Listener listener,
+			BooleanSupplier reads, Consumer<PeerMessage.ObjectChanges> publisher, EventLog log) {
 		this.reads = Objects.requireNonNull(reads, "reads");
 		this.publisher = Objects.requireNonNull(publisher, "publisher");
 		this.store = Objects.requireNonNull(store, "store");
 		this.kind = Objects.requireNonNull(kind, "kind");
 		this.keepsLapsed = keepsLapsed;
+		this.waitMillis = mustBeCurrent ? CURRENT_WAIT_MILLIS : WAIT_MILLIS;
 		this.listener = Objects.requireNonNull(listener, "listener");
 		this.log = Objects.requireNonNull(log, "log");
 	}
@@ -114,15 +124,16 @@
 	 * @param kind the kind
 	 * @param keepsLapsed whether objects lapse while the store is away and come back
 	 * after its return, so that a missing one is kept for a moment
+	 * @param mustBeCurrent whether changes must be known within seconds in any case
 	 * @param listener told of the objects
 	 * @param reads whether this host watches the store, or listens to hosts that do
 	 * @param publisher passes on to the other hosts what this one saw
 	 * @param log the log of the process
 	 * @return the watch
 	 */
-	public static KindWatch of(WatchedStore store, String kind, boolean keepsLapsed, Listener listener,
-			BooleanSupplier reads, Consumer<PeerMessage.ObjectChanges> publisher, EventLog log) {
-		return new KindWatch(store, kind, keepsLapsed, listener, reads, publisher, log);
+	public static KindWatch of(WatchedStore store, String kind, boolean keepsLapsed, boolean mustBeCurrent,
+			Listener listener, BooleanSupplier reads, Consumer<PeerMessage.ObjectChanges> publisher, EventLog log) {
+		return new KindWatch(store, kind, keepsLapsed, mustBeCurrent, listener, reads, publisher, log);
 	}
 
 	/**
@@ -293,7 +304,7 @@
 		if (!this.lapsed.isEmpty()) {
 			return LAPSED_WAIT_MILLIS;
 		}
-		return (nowMillis() < this.doubtUntilMillis) ? DOUBT_WAIT_MILLIS : WAIT_MILLIS;
+		return (nowMillis() < this.doubtUntilMillis) ? DOUBT_WAIT_MILLIS : this.waitMillis;
 	}
 
 	private void remove(String key) {
--- a/bamboorelay-host/src/test/java/org/bamboorelay/host/version/KindWatchTests.java
+++ b/bamboorelay-host/src/test/java/org/bamboorelay/host/version/KindWatchTests.java
@@ -39,7 +39,7 @@
 
 	private volatile boolean reads = true;
 
-	private final KindWatch watch = KindWatch.of(this.store, "k", true, new KindWatch.Listener() {
+	private final KindWatch watch = KindWatch.of(this.store, "k", true, true, new KindWatch.Listener() {
 
 		@Override
 		public void changed(String name, StoredObject object) {
