--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
@@ -227,6 +227,15 @@
 		return (int) this.endpoints.values().stream().filter((endpoint) -> isOpen(endpoint, demand, now)).count();
 	}
 
+	/**
+	 * Tells whether an endpoint is known at an address.
+	 * @param address {@code ip:port}
+	 * @return whether the table has it
+	 */
+	public synchronized boolean isAt(String address) {
+		return this.endpoints.values().stream().anyMatch((endpoint) -> endpoint.entry.address().equals(address));
+	}
+
 	/**
 	 * Returns the free slots for a demand.
 	 * @param demand what the requests need
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -334,6 +334,15 @@
 		return this.table.open(EndpointDemand.plain(service, Set.of()));
 	}
 
+	/**
+	 * Tells whether an endpoint is known at an address.
+	 * @param address {@code ip:port}
+	 * @return whether a request could go there
+	 */
+	public boolean isEndpointAt(String address) {
+		return this.table.isAt(address);
+	}
+
 	private int runningRequests() {
 		HttpListener listener = this.frontListener;
 		return (listener != null) ? listener.running() : 0;
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointCaller.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointCaller.java
@@ -153,7 +153,7 @@
 			}
 			try (HttpExchange exchange = result.get()) {
 				EndpointAnswer answer = this.protocol.head(exchange.response());
-				if (answer.id() != null && !answer.id().equals(order.id())) {
+				if (isCrossed(answer, order.id())) {
 					exchange.abort();
 					return failed(order, grant, new HttpFailure.Broken("answer to another request"), start);
 				}
@@ -179,6 +179,11 @@
 		}
 	}
 
+	// Some failures bear no id, but each success does.
+	private static boolean isCrossed(EndpointAnswer answer, String id) {
+		return (answer.id() != null) ? !answer.id().equals(id) : answer.isSuccess();
+	}
+
 	private CallResult failed(CallOrder order, EndpointTable.Grant grant, HttpFailure failure, long start) {
 		this.log.info("endpoint-failed", "request_id", order.id(), "endpoint", grant.id(), "address", grant.address(),
 				"after_ms", this.clock.millis() - start, "code", failure.code(), "detail", failure.detail());
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ItemRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ItemRunner.java
@@ -151,7 +151,7 @@
 		}
 		try (HttpExchange exchange = result.get()) {
 			EndpointAnswer answer = this.protocol.head(exchange.response());
-			if (answer.id() != null && !answer.id().equals(item.id())) {
+			if (answer.isSuccess() && !item.id().equals(answer.id())) {
 				exchange.abort();
 				return new Ending(EndpointTable.Outcome.FAILED, false, false, "crossed-answer", 0);
 			}
@@ -199,6 +199,12 @@
 				}
 			}
 			exchange.markWhole();
+			// A stream without framing ends alike whether it is whole or cut. Asked to go
+			// on
+			// after its last event, an engine that has no more answers with nothing.
+			if (!exchange.isFramed() && events > 0) {
+				return new Ending(EndpointTable.Outcome.SERVED, false, false, "unframed-end", events);
+			}
 			return new Ending(EndpointTable.Outcome.SERVED, true, false, "whole", events);
 		}
 		catch (IOException ex) {
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpExchange.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpExchange.java
@@ -61,6 +61,15 @@
 		return (entity != null) ? entity.getContent() : InputStream.nullInputStream();
 	}
 
+	/**
+	 * Tells whether the end of the body can be told from a cut connection.
+	 * @return whether the body has a length or comes in chunks
+	 */
+	public boolean isFramed() {
+		HttpEntity entity = this.response.getEntity();
+		return entity == null || entity.isChunked() || entity.getContentLength() >= 0;
+	}
+
 	/**
 	 * Reads the whole body.
 	 * @param maxBytes the largest body that is taken, in bytes
