--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionDirectory.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionDirectory.java
@@ -81,6 +81,7 @@
 		this.log = Objects.requireNonNull(log, "log");
 		runner.wanted(this::isOwn);
 		runner.successors(this::successorOf);
+		runner.confirmation(this::confirm);
 	}
 
 	@Override
@@ -317,6 +318,13 @@
 		return new PeerMessage.ResultsAnswer(true, CoreJson.bytes(results));
 	}
 
+	private Either<StoreFailure, Boolean> confirm(String id) {
+		Either<StoreFailure, Option<SubmissionStore.VersionedRecord>> read = this.store.record(id);
+		read.forEach((found) -> found.forEach((record) -> this.records.merge(id, record,
+				(known, next) -> (next.version() >= known.version()) ? next : known)));
+		return read.map((found) -> found.isDefined() && isOwn(id));
+	}
+
 	// A submission that was accepted just now has no record here yet.
 	private boolean isOwn(String id) {
 		SubmissionStore.VersionedRecord known = this.records.get(id);
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
@@ -100,6 +100,8 @@
 
 	private volatile Function<String, Option<String>> successors = (id) -> Option.none();
 
+	private volatile Function<String, Either<StoreFailure, Boolean>> confirmation = (id) -> Either.right(true);
+
 	private volatile Predicate<String> wanted = (id) -> true;
 
 	private volatile boolean closed;
@@ -142,6 +144,14 @@
 		this.wanted = Objects.requireNonNull(test, "test");
 	}
 
+	/**
+	 * Sets what reads from the store whether this host is to run a submission.
+	 * @param reader reads it
+	 */
+	public void confirmation(Function<String, Either<StoreFailure, Boolean>> reader) {
+		this.confirmation = Objects.requireNonNull(reader, "reader");
+	}
+
 	/**
 	 * Sets what names the host that would go on with a submission.
 	 * @param finder finds the host
@@ -430,8 +440,14 @@
 		while (!this.closed && !this.leaving) {
 			Either<StoreFailure, Option<Submission>> submission = this.store.submission(id);
 			Either<StoreFailure, Integer> pages = submission.flatMap((unused) -> this.store.readPages(id, results));
+			// The record that led here may have come late, from before a cut.
+			Either<StoreFailure, Boolean> confirmed = pages.flatMap((unused) -> this.confirmation.apply(id));
 			RoutingTable present = this.routing.get();
-			if (pages.isRight() && present != null) {
+			if (confirmed.isRight() && !confirmed.get()) {
+				this.log.info("submission-not-resumed", "submission", id, "reason", "record-is-old");
+				return;
+			}
+			if (confirmed.isRight() && present != null) {
 				Option<RouteRule> route = present.route(record.host(), record.path());
 				if (submission.get().isEmpty() || route.isEmpty()) {
 					this.log.warn("submission-not-resumed", "submission", id, "items_found",
--- /dev/null
+++ b/bamboorelay-host/src/test/java/org/bamboorelay/host/request/SubmissionDirectoryTests.java
@@ -0,0 +1,207 @@
+package org.bamboorelay.host.request;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.bamboorelay.core.process.EndpointTable;
+import org.bamboorelay.core.request.ItemOrder;
+import org.bamboorelay.core.request.Submission;
+import org.bamboorelay.core.request.SubmissionItem;
+import org.bamboorelay.core.store.StoreFailure;
+import org.bamboorelay.core.store.StoredObject;
+import org.bamboorelay.core.store.WatchedStore;
+import org.bamboorelay.core.time.Clock;
+import org.bamboorelay.core.version.CallerLimits;
+import org.bamboorelay.core.version.CoreJson;
+import org.bamboorelay.core.version.RouteKind;
+import org.bamboorelay.core.version.RouteRule;
+import org.bamboorelay.core.version.RoutingTable;
+import org.bamboorelay.host.connection.EndpointAnswer;
+import org.bamboorelay.host.connection.EndpointCall;
+import org.bamboorelay.host.connection.EndpointProtocol;
+import org.bamboorelay.host.connection.HostMesh;
+import org.bamboorelay.host.process.EventLog;
+import org.bamboorelay.host.version.SubmissionRecord;
+import org.bamboorelay.host.version.SubmissionStore;
+import org.bamboorelay.runtime.connection.HttpConnectionPool;
+import org.bamboorelay.runtime.process.Counters;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of {@link SubmissionDirectory} with a store in memory.
+ */
+class SubmissionDirectoryTests {
+
+	private static final SubmissionRecord RECORD = new SubmissionRecord("w", "host-a", 0, 1, "example", "/in/s1", "m",
+			false);
+
+	private final ExecutorService threads = Executors.newCachedThreadPool();
+
+	private final EventLog log = new EventLog();
+
+	private final MemoryStore memory = new MemoryStore();
+
+	private final RoutingTable routes = RoutingTable.of(1, List
+		.of(RouteRule.builder("in", "example", "/in/").kind(RouteKind.SUBMISSION, false).share("engines", 1).build()),
+			List.of(), Map.of(), true, new CallerLimits(1_000, 1_000, 1_000, 1_000));
+
+	private final SubmissionRunner runner = runner();
+
+	private final SubmissionDirectory directory = new SubmissionDirectory("host-a", SubmissionStore.of(this.memory),
+			this.runner, mesh(), this.log);
+
+	@AfterEach
+	void stop() throws InterruptedException {
+		this.threads.shutdown();
+		assertThat(this.threads.awaitTermination(10, TimeUnit.SECONDS)).isTrue();
+		this.runner.close();
+	}
+
+	@Test
+	void recordThatComesLateStartsNothing() throws InterruptedException {
+		// After a cut, a record from before it made a host run a submission that had been
+		// ended meanwhile.
+		this.memory.put("submissions/s1", RECORD.asEnded(), 9);
+		this.memory.put("submission-bodies/s1", submission(), 1);
+		this.directory.learn("s1", new SubmissionStore.VersionedRecord(RECORD, 3));
+		stop();
+		assertThat(this.runner.running()).isEmpty();
+	}
+
+	@Test
+	void recordOfThisHostStartsTheSubmission() throws InterruptedException {
+		this.memory.put("submissions/s1", RECORD, 3);
+		this.memory.put("submission-bodies/s1", submission(), 1);
+		this.directory.learn("s1", new SubmissionStore.VersionedRecord(RECORD, 3));
+		stop();
+		assertThat(this.runner.running()).containsExactly("s1");
+		this.directory.learn("s1", new SubmissionStore.VersionedRecord(RECORD.withOwner("host-b"), 4));
+		assertThat(this.runner.running()).as("after another host took it over").isEmpty();
+		this.directory.learn("s1", new SubmissionStore.VersionedRecord(RECORD, 3));
+		assertThat(this.runner.running()).as("after an older record").isEmpty();
+	}
+
+	@Test
+	void endIsConfirmedOnceTheStoreHasIt() {
+		this.memory.put("submissions/s1", RECORD, 3);
+		this.directory.learn("s1", new SubmissionStore.VersionedRecord(RECORD.withOwner("host-b"), 2));
+		assertThat(this.directory.end("s1").get().ended()).as("after a conflict with a newer record").isTrue();
+		assertThat(CoreJson.read(this.memory.read("submissions/s1").get().get().body(), SubmissionRecord.class)
+			.get()
+			.ended()).isTrue();
+		assertThat(this.directory.end("s1").isRight()).as("repeated").isTrue();
+	}
+
+	private SubmissionRunner runner() {
+		EndpointTable table = EndpointTable.create(Clock.monotonic());
+		Counters counters = Counters.create();
+		HttpConnectionPool pool = new HttpConnectionPool();
+		NoEndpoint protocol = new NoEndpoint();
+		EndpointCaller caller = EndpointCaller.of(table, protocol, pool, Clock.monotonic(), counters, this.log);
+		ItemRunner items = new ItemRunner(table, protocol, pool, caller, () -> this.routes, Clock.monotonic(), counters,
+				this.log);
+		return new SubmissionRunner("host-a", SubmissionStore.of(this.memory), table, items, () -> this.routes,
+				ItemOrder.AS_SUBMITTED, mesh(), this.threads, this.log);
+	}
+
+	private HostMesh mesh() {
+		return HostMesh.of("host-a", "domain-a", "1", Clock.monotonic(), this.threads, this.log);
+	}
+
+	private static Submission submission() {
+		return new Submission("s1", "w", "example", "/in/s1", "m", 0, 1, 1,
+				List.of(new SubmissionItem("i0", "/i", Map.of(), new byte[0], 1, "g", 1, null)));
+	}
+
+	/**
+	 * Protocol that is never used, as there is no endpoint.
+	 */
+	private static final class NoEndpoint implements EndpointProtocol {
+
+		@Override
+		public ClassicHttpRequest request(EndpointCall call) {
+			throw new UnsupportedOperationException(call.id());
+		}
+
+		@Override
+		public EndpointAnswer head(ClassicHttpResponse response) {
+			throw new UnsupportedOperationException(response.toString());
+		}
+
+		@Override
+		public long versionLine(String line) {
+			return 0;
+		}
+
+	}
+
+	/**
+	 * Store in memory with conditions and without watches.
+	 */
+	private static final class MemoryStore implements WatchedStore {
+
+		private final Map<String, StoredObject> objects = new HashMap<>();
+
+		synchronized void put(String key, Object value, long version) {
+			this.objects.put(key, new StoredObject(key, version, CoreJson.bytes(value)));
+		}
+
+		@Override
+		public synchronized Either<StoreFailure, Option<StoredObject>> read(String key) {
+			return Either.right(Option.of(this.objects.get(key)));
+		}
+
+		@Override
+		public synchronized Either<StoreFailure, Long> replace(String key, byte[] body, long expectedVersion) {
+			StoredObject present = this.objects.get(key);
+			if (present == null || present.version() != expectedVersion) {
+				return Either.left(new StoreFailure.ConditionFailed(key));
+			}
+			this.objects.put(key, new StoredObject(key, expectedVersion + 1, body));
+			return Either.right(expectedVersion + 1);
+		}
+
+		@Override
+		public Either<StoreFailure, Page> page(String kind, String after) {
+			return Either.right(new Page(List.of(), false, 1));
+		}
+
+		@Override
+		public Either<StoreFailure, Long> create(String key, byte[] body) {
+			throw new UnsupportedOperationException(key);
+		}
+
+		@Override
+		public Either<StoreFailure, Long> delete(String key, long expectedVersion) {
+			throw new UnsupportedOperationException(key);
+		}
+
+		@Override
+		public Either<StoreFailure, List<Entry>> list(String prefix) {
+			throw new UnsupportedOperationException(prefix);
+		}
+
+		@Override
+		public Either<StoreFailure, Changes> changes(String kind, long since, long waitMillis) {
+			throw new UnsupportedOperationException(kind);
+		}
+
+		@Override
+		public Either<StoreFailure, Long> writeStatus(String key, byte[] status) {
+			throw new UnsupportedOperationException(key);
+		}
+
+	}
+
+}
