--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/EntryMain.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/EntryMain.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 
 import io.vavr.control.Either;
@@ -32,6 +33,10 @@
 	 * @throws InterruptedException where the main thread is interrupted
 	 */
 	public static void main(String[] args) throws InterruptedException {
+		if (List.of(args).contains("--help")) {
+			System.out.println("usage: bamboorelay-entry --settings <file>");
+			return;
+		}
 		Either<String, EntrySettings> settings = settings(args);
 		if (settings.isLeft()) {
 			System.err.println("bamboorelay-entry: " + settings.getLeft().lines().findFirst().orElse("bad settings"));
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/DutyLoop.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/DutyLoop.java
@@ -17,9 +17,9 @@
 import org.bamboorelay.core.process.LeaseState;
 import org.bamboorelay.core.process.StoreStep;
 import org.bamboorelay.core.process.WeightSwaps;
-import org.bamboorelay.core.store.ObjectStore;
 import org.bamboorelay.core.store.StoreFailure;
 import org.bamboorelay.core.store.StoredObject;
+import org.bamboorelay.core.store.WatchedStore;
 import org.bamboorelay.core.time.Clock;
 import org.bamboorelay.core.version.CoreJson;
 import org.bamboorelay.core.version.ServiceRule;
@@ -38,7 +38,8 @@
 	/** The key of the lease. */
 	public static final String LEASE_KEY = "leases/duties";
 
-	private static final String WINDOWS = "usage-windows/";
+	/** The kind of the frozen figures of usage windows. */
+	static final String WINDOWS_KIND = "usage-windows";
 
 	/** How often duties are looked at, in milliseconds. */
 	private static final long TICK_MILLIS = 40;
@@ -55,6 +56,9 @@
 	/** How often the number of endpoints is looked at, in milliseconds. */
 	private static final long SCALING_MILLIS = 500;
 
+	/** How often the store is cleaned, in milliseconds. */
+	private static final long CLEANUP_MILLIS = 120_000;
+
 	/** How often an engine that loads weights is asked whether it is done. */
 	private static final long SWAP_POLL_MILLIS = 150;
 
@@ -69,7 +73,7 @@
 
 	private final LeaseState lease;
 
-	private final ObjectStore store;
+	private final WatchedStore store;
 
 	private final PlatformCalls calls;
 
@@ -91,6 +95,10 @@
 
 	private final Supplier<Map<String, Integer>> ownDemand;
 
+	private final StoreCleanup cleanup;
+
+	private long nextCleanup;
+
 	private long nextScaling;
 
 	private final Set<Long> reported = new HashSet<>();
@@ -115,13 +123,14 @@
 	 * @param counters the metrics of the process
 	 * @param log the log of the process
 	 */
-	public DutyLoop(HostSettings settings, LeaseState lease, ObjectStore store, PlatformCalls calls,
+	public DutyLoop(HostSettings settings, LeaseState lease, WatchedStore store, PlatformCalls calls,
 			EndpointTable table, WeightSwaps swaps, UsageMeter usage, Supplier<Map<String, Integer>> ownDemand,
 			ExecutorService threads, Counters counters, EventLog log) {
 		this.ownDemand = Objects.requireNonNull(ownDemand, "ownDemand");
 		this.settings = Objects.requireNonNull(settings, "settings");
 		this.lease = Objects.requireNonNull(lease, "lease");
 		this.store = Objects.requireNonNull(store, "store");
+		this.cleanup = new StoreCleanup(store, settings.statusMillis(), settings.usageWindowMillis(), log);
 		this.calls = Objects.requireNonNull(calls, "calls");
 		this.table = Objects.requireNonNull(table, "table");
 		this.swaps = Objects.requireNonNull(swaps, "swaps");
@@ -153,6 +162,7 @@
 				orderWeights();
 				reportUsage(System.currentTimeMillis());
 				orderEndpoints();
+				cleanUp(System.currentTimeMillis());
 			}
 			pause(TICK_MILLIS);
 		}
@@ -222,6 +232,16 @@
 		return false;
 	}
 
+	private void cleanUp(long now) {
+		if (this.nextCleanup == 0) {
+			this.nextCleanup = now + CLEANUP_MILLIS;
+		}
+		if (now >= this.nextCleanup) {
+			this.nextCleanup = now + CLEANUP_MILLIS;
+			this.threads.execute(() -> this.cleanup.run(now));
+		}
+	}
+
 	private void orderEndpoints() {
 		long now = System.nanoTime() / 1_000_000L;
 		if (now < this.nextScaling) {
@@ -266,7 +286,7 @@
 	private void report(long window) {
 		long fencing = this.lease.fencing();
 		WindowFigures figures = new WindowFigures(new TreeMap<>(this.usage.total(window)));
-		String key = WINDOWS + window;
+		String key = WINDOWS_KIND + "/" + window;
 		Either<StoreFailure, Long> frozen = this.store.create(key, CoreJson.bytes(figures));
 		if (frozen.isLeft()) {
 			// Also after a lost answer: what the store holds is what is sent.
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/version/KindWatch.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/version/KindWatch.java
@@ -87,6 +87,8 @@
 
 	private final EventLog log;
 
+	private boolean reading = true;
+
 	private long revision;
 
 	private final Backoff backoff = Backoff.of(BACKOFF_BASE_MILLIS, BACKOFF_CAP_MILLIS,
@@ -178,7 +180,13 @@
 	private void follow() {
 		boolean complete = true;
 		while (!this.closed && complete) {
-			complete = this.reads.getAsBoolean() ? watchOnce() : listenOnce();
+			boolean reading = this.reads.getAsBoolean();
+			if (reading != this.reading) {
+				this.reading = reading;
+				this.log.info(reading ? "watch-direct" : "watch-through-peers", "kind", this.kind, "revision",
+						this.revision);
+			}
+			complete = reading ? watchOnce() : listenOnce();
 			dropLapsed();
 		}
 	}
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/version/SubmissionStore.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/version/SubmissionStore.java
@@ -26,9 +26,11 @@
 	/** The kind of the small records. */
 	public static final String RECORDS = "submissions";
 
-	private static final String BODIES = "submission-bodies";
+	/** The kind of the items. */
+	public static final String BODIES = "submission-bodies";
 
-	private static final String RESULTS = "submission-results-";
+	/** Prefix of the kind that holds the results of one submission. */
+	public static final String RESULTS = "submission-results-";
 
 	/** Digits of a page's name, so that names sort by position. */
 	private static final int NAME_DIGITS = 8;
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/version/SettingsReader.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/version/SettingsReader.java
@@ -74,7 +74,9 @@
 		}
 		catch (JsonProcessingException ex) {
 			int line = (ex.getLocation() != null) ? ex.getLocation().getLineNr() : 0;
-			return Either.left(List.of(new SettingsFailure(name, line, "", ex.getOriginalMessage(), "valid TOML")));
+			String fault = text.lines().skip(Math.max(0, line - 1)).findFirst().map(String::strip).orElse("");
+			return Either.left(List.of(new SettingsFailure(name, line, "",
+					ex.getOriginalMessage() + " in the line \"" + fault + "\"", "valid TOML")));
 		}
 		TomlLines lines = TomlLines.of(text);
 		TomlRecordChecker checker = new TomlRecordChecker(Json.MAPPER, name, lines);
