--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/CreditShard.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/CreditShard.java
@@ -329,8 +329,7 @@
 			}
 			if (this.queue.size() > 0) {
 				dispatch(now);
-				refuse(this.queue.removeIf((ticket) -> ticket.deadlineMillis() <= now), RefusalReason.DEADLINE,
-						"no endpoint had room in time", this.queue::retryAfterMillis);
+				refuseExpired(now);
 			}
 			return lapsed;
 		});
@@ -611,10 +610,17 @@
 				putBack(waiter);
 			}
 			dispatch(now);
+			// The time may have ended while the owner was asked.
+			refuseExpired(now);
 			return null;
 		});
 	}
 
+	private void refuseExpired(long now) {
+		refuse(this.queue.removeIf((ticket) -> ticket.deadlineMillis() <= now), RefusalReason.DEADLINE,
+				"no endpoint had room in time", this.queue::retryAfterMillis);
+	}
+
 	private void putBack(CreditWaiter waiter) {
 		if (servable(waiter.request)) {
 			this.queue.putBack(waiter.ticket);
