--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
@@ -126,14 +126,6 @@
 		this.endpoints.remove(id);
 	}
 
-	/**
-	 * Keeps only the endpoints of a whole reading of the directory.
-	 * @param ids the endpoints that the directory holds
-	 */
-	public synchronized void retain(Set<String> ids) {
-		this.endpoints.keySet().retainAll(ids);
-	}
-
 	/**
 	 * Takes the failure domains that get no work.
 	 * @param domains the domains that are taken out
@@ -236,20 +228,6 @@
 		return this.endpoints.values().stream().anyMatch((endpoint) -> endpoint.entry.address().equals(address));
 	}
 
-	/**
-	 * Returns the free slots for a demand.
-	 * @param demand what the requests need
-	 * @return the number of slots that no known request takes
-	 */
-	public synchronized int freeSlots(EndpointDemand demand) {
-		long now = this.clock.millis();
-		return this.endpoints.values()
-			.stream()
-			.filter((endpoint) -> isUsable(endpoint, demand) && now >= endpoint.pausedUntil)
-			.mapToInt((endpoint) -> (int) Math.max(0, endpoint.entry.slots() - load(endpoint, now)))
-			.sum();
-	}
-
 	/**
 	 * Ends the count of a request.
 	 * @param grant the grant of the request
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/request/ResultLog.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/request/ResultLog.java
@@ -68,15 +68,6 @@
 		return this.listed.size();
 	}
 
-	/**
-	 * Tells whether an item is listed.
-	 * @param id the item
-	 * @return whether it has a position
-	 */
-	public synchronized boolean contains(String id) {
-		return this.ids.contains(id);
-	}
-
 	/**
 	 * Notes that the answer to a write of the pending page was lost.
 	 */
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/request/SubmissionPlan.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/request/SubmissionPlan.java
@@ -262,16 +262,6 @@
 		return List.copyOf(this.results);
 	}
 
-	/**
-	 * Tells whether each item has a result.
-	 * @return whether nothing is left to run
-	 */
-	public synchronized boolean isWhole() {
-		return this.items.values()
-			.stream()
-			.allMatch((item) -> item.state == State.FINISHED || item.state == State.LISTED);
-	}
-
 	/**
 	 * Returns what a copy of the texts lacks.
 	 * @param copied the last event of each item that the copy has; updated to what it has
