--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/WeightSwaps.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/WeightSwaps.java
@@ -28,7 +28,7 @@
 	 * The most endpoints that load at once, as a share of all: the others serve
 	 * meanwhile, and the weight store makes more of them slow.
 	 */
-	private static final double SHARE_AT_ONCE = 0.3;
+	private static final double SHARE_AT_ONCE = 0.2;
 
 	/** Endpoints that may load at once however few there are. */
 	private static final int MIN_AT_ONCE = 2;
