Read the records of running submissions each second

The hole found by reading: a host learns of ends through watches only; a change that its readers missed is found at the next message, up to 2.5 s later, and a watch may be blind for a second before that. Ruled out: connects that outlast the end (runs are aborted once connected, resets drop what a cut holds up).

Each host now reads the records of the submissions that it runs once a second, about 2 to 4 reads a second in all, and a score call is broken off where its submission ended while it connected. The test with a record that changes unseen failed before: six requests reached the engine later than 3 s.

--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 
@@ -73,6 +74,12 @@
 	/** How often hosts that are gone are looked for, in milliseconds. */
 	private static final long TAKEOVER_MILLIS = 300;
 
+	/**
+	 * How often the records of running submissions are read, in milliseconds: changes
+	 * that no watch told of are found well within the 3 s in which an end must be obeyed.
+	 */
+	private static final long CONFIRM_MILLIS = 1_000;
+
 	/** How often a holder renews its lease, as a share of the lease. */
 	private static final int RENEWALS_PER_LEASE = 3;
 
@@ -152,6 +159,8 @@
 
 	private volatile boolean stopped;
 
+	private final AtomicBoolean confirming = new AtomicBoolean();
+
 	/**
 	 * Creates a process that does nothing yet.
 	 * @param settings the settings
@@ -464,6 +473,7 @@
 	private void beatLoop() {
 		long nextTakeover = 0;
 		long nextBeat = 0;
+		long nextConfirm = 0;
 		while (!this.stopped) {
 			long now = this.clock.millis();
 			if (this.lease.isHeld()) {
@@ -483,6 +493,10 @@
 					this.directory.takeOver();
 				}
 			}
+			if (now >= nextConfirm) {
+				nextConfirm = now + CONFIRM_MILLIS;
+				confirmRunning();
+			}
 			this.callerWatch.tick();
 			pause(CallerWatch.TICK_MILLIS);
 		}
@@ -500,12 +514,7 @@
 		}
 		else if (this.doubtful) {
 			// Submissions may have been ended while this domain was alone.
-			this.threads.execute(() -> {
-				if (this.directory.confirmRunning()) {
-					this.doubtful = false;
-					this.runner.suspend(false);
-				}
-			});
+			confirmRunning();
 		}
 		boolean cut = alone && !this.store.isReached();
 		if (cut != this.cutOff) {
@@ -514,6 +523,24 @@
 		}
 	}
 
+	private void confirmRunning() {
+		if (!this.confirming.compareAndSet(false, true)) {
+			return;
+		}
+		this.threads.execute(() -> {
+			try {
+				boolean wasAlone = this.mesh.isDomainAlone();
+				if (this.directory.confirmRunning() && !wasAlone && this.doubtful) {
+					this.doubtful = false;
+					this.runner.suspend(false);
+				}
+			}
+			finally {
+				this.confirming.set(false);
+			}
+		});
+	}
+
 	private PeerMessage.HostStatus status() {
 		Map<Long, Map<String, Map<String, Long>>> figures = new HashMap<>(
 				this.usage.shared(System.currentTimeMillis()));
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ItemRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ItemRunner.java
@@ -232,6 +232,9 @@
 			}
 			CallOrder order = new CallOrder(score.id(), "POST", score.host(), score.path(), List.of(), score.body(),
 					null, route.get().service(Math.random()), true, 1, this.clock.millis() + SCORE_MILLIS, (abort) -> {
+						if (plan.isEnded()) {
+							abort.run();
+						}
 					});
 			CallResult result = this.caller.call(order);
 			if (result instanceof CallResult.Answered answered) {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionDirectory.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionDirectory.java
@@ -225,15 +225,20 @@
 	}
 
 	/**
-	 * Reads the records of the submissions that this host runs.
+	 * Reads the records of the submissions that this host runs, and stops those that were
+	 * ended or are another host's.
 	 * @return whether all of them could be read
 	 */
 	public boolean confirmRunning() {
 		for (String id : this.runner.running()) {
 			Either<StoreFailure, Option<SubmissionStore.VersionedRecord>> read = this.store.record(id);
 			if (read.isLeft()) {
+				this.log.info("submission-not-confirmed", "submission", id, "code", read.getLeft().code());
 				return false;
 			}
+			if (read.get().isEmpty()) {
+				this.runner.stop(id, "no-record");
+			}
 			read.get().forEach((found) -> learn(id, found));
 		}
 		return true;
