Replace links that went silent, and take nothing over right after a cut

Right after the cut of suva-c, edge-suva-c-1 took two submissions over from edge-suva-b-2, which lived: the store was back before the statuses of the other hosts.

Statuses are now acknowledged, a link without acknowledgement for 1.5 s is replaced, and a host that was alone takes nothing over for 2.5 s. HostMeshTests.linkThatWentSilentIsReplaced failed before.

--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/HostMesh.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/HostMesh.java
@@ -54,6 +54,18 @@
 	/** Silence of all other domains that counts as a cut, in milliseconds. */
 	private static final long ALONE_MILLIS = 1_000;
 
+	/**
+	 * Least time between two acknowledgements on one link, in milliseconds; a few
+	 * statuses.
+	 */
+	private static final long ACK_MILLIS = 600;
+
+	/**
+	 * A link on which statuses go unacknowledged for this long is replaced, in
+	 * milliseconds: a connection that went silent does not say so.
+	 */
+	private static final long SILENT_LINK_MILLIS = 1_500;
+
 	/** Pause after a failed try to connect, in milliseconds. */
 	private static final long RECONNECT_MILLIS = 500;
 
@@ -181,6 +193,7 @@
 	public void beat(Supplier<PeerMessage.HostStatus> status) {
 		PeerMessage.HostStatus message = status.get();
 		for (Peer peer : this.peers.values()) {
+			dropSilentLink(peer);
 			PeerLink link = peer.link;
 			if (link != null && link.isOpen()) {
 				send(peer, message);
@@ -366,6 +379,16 @@
 		}
 	}
 
+	private void dropSilentLink(Peer peer) {
+		PeerLink link = peer.link;
+		long silent = this.clock.millis() - peer.acknowledgedAt;
+		if (link != null && link.isOpen() && silent > SILENT_LINK_MILLIS) {
+			this.log.info("peer-link-silent", "peer", peer.host, "silent_ms", silent);
+			link.close();
+			peer.nextConnectAt = this.clock.millis();
+		}
+	}
+
 	private boolean isAlive(Peer peer) {
 		return this.clock.millis() - peer.heardAt < GONE_MILLIS;
 	}
@@ -380,6 +403,7 @@
 						(failure) -> {
 						}, this.threads);
 				if (link.isRight()) {
+					peer.acknowledgedAt = this.clock.millis();
 					peer.link = link.get();
 				}
 				peer.nextConnectAt = this.clock.millis() + RECONNECT_MILLIS;
@@ -391,10 +415,18 @@
 	}
 
 	private @Nullable PeerMessage handle(PeerLink link, PeerMessage message) {
+		if (message instanceof PeerMessage.Ack) {
+			Peer peer = this.peers.get(link.remote().host().value());
+			if (peer != null) {
+				peer.acknowledgedAt = this.clock.millis();
+			}
+			return null;
+		}
 		if (message instanceof PeerMessage.HostStatus status) {
 			String host = link.remote().host().value();
 			Peer peer = this.peers.get(host);
 			if (peer != null) {
+				acknowledge(peer, link);
 				peer.heardAt = this.clock.millis();
 				peer.heard = true;
 				peer.leaving = status.leaving();
@@ -413,6 +445,14 @@
 				: new PeerMessage.Rejected("no-handler", "this host does not answer " + message.getClass());
 	}
 
+	private void acknowledge(Peer peer, PeerLink link) {
+		long now = this.clock.millis();
+		if (now - peer.ackSentAt >= ACK_MILLIS) {
+			peer.ackSentAt = now;
+			link.send(new PeerMessage.Ack(true));
+		}
+	}
+
 	private static void closeLink(Peer peer) {
 		PeerLink link = peer.link;
 		if (link != null) {
@@ -438,6 +478,10 @@
 
 		private volatile long heardAt;
 
+		private volatile long acknowledgedAt;
+
+		private volatile long ackSentAt = Long.MIN_VALUE / 2;
+
 		private volatile long nextConnectAt;
 
 		private volatile boolean heard;
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -74,6 +74,12 @@
 	/** How often hosts that are gone are looked for, in milliseconds. */
 	private static final long TAKEOVER_MILLIS = 300;
 
+	/**
+	 * Time after a cut of the own domain in which no submission is taken over, in
+	 * milliseconds: hosts whose links are not back yet look as if they were gone.
+	 */
+	private static final long REJOIN_MILLIS = 2_500;
+
 	/**
 	 * How often the records of running submissions are read, in milliseconds: changes
 	 * that no watch told of are found well within the 3 s in which an end must be obeyed.
@@ -159,6 +165,8 @@
 
 	private volatile boolean stopped;
 
+	private volatile long lastAlone = Long.MIN_VALUE / 2;
+
 	private final AtomicBoolean confirming = new AtomicBoolean();
 
 	/**
@@ -489,7 +497,7 @@
 			if (now >= nextTakeover) {
 				nextTakeover = now + TAKEOVER_MILLIS;
 				checkCut();
-				if (isReady() && this.store.isReached()) {
+				if (isReady() && this.store.isReached() && now - this.lastAlone > REJOIN_MILLIS) {
 					this.directory.takeOver();
 				}
 			}
@@ -509,6 +517,7 @@
 			this.threads.execute(() -> this.store.read(DutyLoop.LEASE_KEY));
 		}
 		if (alone) {
+			this.lastAlone = this.clock.millis();
 			this.doubtful = true;
 			this.runner.suspend(true);
 		}
