Pass statuses on through relays where there are many hosts

Cause taken first: 57 hosts that tell all others their status each 0.3 s send 10,640 messages a second.

Beyond 16 hosts each one tells three relays (the readers of the store) and the holder of the duties; relays tell all others what they heard each 0.6 s: 342 statuses and 280 digests a beat of two. Only relays contend for the duties, as they hear the usage of all. Other links are opened when a call needs one. Small deployments are unchanged.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerMessage.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerMessage.java
@@ -456,6 +456,35 @@
 	record HostStatus(boolean leaving, boolean holdsDuties, long leaseVersion, boolean reachesStore,
 			Map<String, Integer> demand, List<String> loading, Map<String, String> assigned,
 			Map<String, Integer> running, Map<Long, Map<String, Map<String, Long>>> usage) implements PeerMessage {
+
+		/**
+		 * Returns this status for hosts that do not add up usage.
+		 * @return the status without usage
+		 */
+		public HostStatus withoutUsage() {
+			return new HostStatus(this.leaving, this.holdsDuties, this.leaseVersion, this.reachesStore, this.demand,
+					this.loading, this.assigned, this.running, Map.of());
+		}
+	}
+
+	/**
+	 * Passes on the statuses that a host heard from others; answered by none.
+	 *
+	 * @param hosts the newest status of each host that was heard lately
+	 */
+	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+	record StatusDigest(List<HeardStatus> hosts) implements PeerMessage {
+	}
+
+	/**
+	 * A status that another host sent.
+	 *
+	 * @param host the host whose status it is
+	 * @param ageMillis the time since it was heard, in milliseconds
+	 * @param status the status, without usage
+	 */
+	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+	record HeardStatus(String host, long ageMillis, HostStatus status) {
 	}
 
 	/**
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerProtocol.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerProtocol.java
@@ -37,7 +37,7 @@
 			PeerMessage.WithdrawnDelta.class, PeerMessage.EndpointSetOffer.class, PeerMessage.HostStatus.class,
 			PeerMessage.ResultsRead.class, PeerMessage.ResultsAnswer.class, PeerMessage.StoreAsk.class,
 			PeerMessage.StoreAnswer.class, PeerMessage.TextCopy.class, PeerMessage.TextFetch.class,
-			PeerMessage.ObjectChanges.class);
+			PeerMessage.ObjectChanges.class, PeerMessage.StatusDigest.class);
 
 	/**
 	 * The number of types in the first release. A process sends later types only to
--- /dev/null
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/process/StatusRoutesTests.java
@@ -0,0 +1,73 @@
+package org.bamboorelay.core.process;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of {@link StatusRoutes}.
+ */
+class StatusRoutesTests {
+
+	@Test
+	void messagesOfABeatGrowWithTheHostsAndNotWithTheirSquare() {
+		// On a calm day at 57 hosts, statuses to all others took most processor time.
+		for (int count : new int[] { 57, 300, 360 }) {
+			Map<String, String> hosts = hosts(count);
+			long messages = hosts.keySet()
+				.stream()
+				.mapToLong((self) -> hosts.keySet()
+					.stream()
+					.filter((other) -> !other.equals(self))
+					.filter(StatusRoutes.of(self, hosts, Set.of())::sendsTo)
+					.count())
+				.sum();
+			assertThat(messages).isLessThanOrEqualTo(2L * 3 * count);
+		}
+	}
+
+	@Test
+	void fewHostsTellEachOther() {
+		Map<String, String> hosts = hosts(StatusRoutes.DIRECT_HOSTS);
+		StatusRoutes routes = StatusRoutes.of("host-0", hosts, Set.of());
+		assertThat(hosts.keySet()).allMatch(routes::sendsTo).allMatch(routes::needsUsage);
+		assertThat(routes.mayHoldDuties()).isTrue();
+	}
+
+	@Test
+	void eachHostIsHeardByEachOtherOneThroughARelay() {
+		Map<String, String> hosts = hosts(40);
+		Set<String> relays = StoreReaders.of(hosts);
+		hosts.keySet().forEach((self) -> {
+			StatusRoutes routes = StatusRoutes.of(self, hosts, Set.of());
+			assertThat(relays).allMatch((relay) -> relay.equals(self) || routes.sendsTo(relay));
+			assertThat(routes.isRelay()).isEqualTo(relays.contains(self));
+			assertThat(routes.mayHoldDuties()).isEqualTo(relays.contains(self));
+		});
+	}
+
+	@Test
+	void holderOfDutiesGetsUsageEvenIfItIsNoRelay() {
+		Map<String, String> hosts = hosts(40);
+		String holder = hosts.keySet()
+			.stream()
+			.filter((host) -> !StoreReaders.of(hosts).contains(host))
+			.findFirst()
+			.orElseThrow();
+		hosts.keySet()
+			.forEach((self) -> assertThat(StatusRoutes.of(self, hosts, Set.of(holder)).needsUsage(holder)).isTrue());
+	}
+
+	private static Map<String, String> hosts(int count) {
+		Map<String, String> hosts = new HashMap<>();
+		for (int index = 0; index < count; index++) {
+			hosts.put("host-" + index, "domain-" + index % 3);
+		}
+		return hosts;
+	}
+
+}
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/HostMesh.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/HostMesh.java
@@ -20,6 +20,7 @@
 
 import io.vavr.control.Either;
 import org.bamboorelay.core.connection.PeerMessage;
+import org.bamboorelay.core.process.StatusRoutes;
 import org.bamboorelay.core.process.StoreReaders;
 import org.bamboorelay.core.time.Clock;
 import org.bamboorelay.core.version.FailureDomain;
@@ -31,9 +32,9 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Links to all other hosts that the platform's store names. Each host opens a link to
- * each other one and sends its status there; a host without a status for a while counts
- * as gone.
+ * Links to the other hosts that the platform's store names. Each host sends its status on
+ * links of its own, to all others or to relays as {@link StatusRoutes} says; a host whose
+ * status was not heard for a while, also not through a relay, counts as gone.
  * <p>
  * Thread-safe.
  */
@@ -66,6 +67,9 @@
 	 */
 	private static final long SILENT_LINK_MILLIS = 1_500;
 
+	/** How often a relay passes on what it heard, in milliseconds; two statuses. */
+	private static final long DIGEST_MILLIS = 600;
+
 	/** Pause after a failed try to connect, in milliseconds. */
 	private static final long RECONNECT_MILLIS = 500;
 
@@ -91,6 +95,10 @@
 	private volatile Consumer<PeerMessage.ObjectChanges> onChanges = (changes) -> {
 	};
 
+	private volatile StatusRoutes routes;
+
+	private long nextDigestAt;
+
 	private @Nullable PeerListener listener;
 
 	private HostMesh(PeerMessage.Hello hello, Clock clock, ExecutorService threads, EventLog log) {
@@ -98,6 +106,7 @@
 		this.clock = Objects.requireNonNull(clock, "clock");
 		this.threads = Objects.requireNonNull(threads, "threads");
 		this.log = Objects.requireNonNull(log, "log");
+		this.routes = routes();
 	}
 
 	/**
@@ -187,19 +196,24 @@
 	}
 
 	/**
-	 * Sends the status of this host to all others, and connects to those without a link.
+	 * Sends the status of this host, and connects to hosts that are to get it and have no
+	 * link. Called by one thread.
 	 * @param status makes the status
 	 */
 	public void beat(Supplier<PeerMessage.HostStatus> status) {
-		PeerMessage.HostStatus message = status.get();
+		PeerMessage.HostStatus whole = status.get();
+		PeerMessage.HostStatus brief = whole.withoutUsage();
+		StatusRoutes present = routes();
+		this.routes = present;
 		for (Peer peer : this.peers.values()) {
-			dropSilentLink(peer);
-			PeerLink link = peer.link;
-			if (link != null && link.isOpen()) {
-				send(peer, message);
-			}
-			else {
-				connect(peer);
+			if (present.sendsTo(peer.host)) {
+				dropSilentLink(peer);
+				if (isLinked(peer)) {
+					send(peer, present.needsUsage(peer.host) ? whole : brief);
+				}
+				else {
+					connect(peer);
+				}
 			}
 			boolean alive = isAlive(peer);
 			if (alive != peer.reportedAlive) {
@@ -208,6 +222,19 @@
 						"silent_ms", this.clock.millis() - peer.heardAt);
 			}
 		}
+		if (present.isRelay() && this.clock.millis() >= this.nextDigestAt) {
+			this.nextDigestAt = this.clock.millis() + DIGEST_MILLIS;
+			PeerMessage.StatusDigest digest = digest();
+			this.peers.values().stream().filter(HostMesh::isLinked).forEach((peer) -> send(peer, digest));
+		}
+	}
+
+	/**
+	 * Tells whether this host may take the duties over.
+	 * @return whether all others send it their usage
+	 */
+	public boolean mayHoldDuties() {
+		return this.routes.mayHoldDuties();
 	}
 
 	/**
@@ -270,7 +297,7 @@
 		long now = this.clock.millis();
 		long heard = this.peers.values()
 			.stream()
-			.filter((peer) -> readers.contains(peer.host) && now - peer.heardAt < READER_MILLIS)
+			.filter((peer) -> readers.contains(peer.host) && now - peer.directAt < READER_MILLIS)
 			.count();
 		return readers.contains(this.hello.host().value()) || heard < MIN_HEARD_READERS;
 	}
@@ -325,6 +352,11 @@
 		return hosts;
 	}
 
+	// The open links of this host.
+	long links() {
+		return this.peers.values().stream().filter(HostMesh::isLinked).count();
+	}
+
 	/**
 	 * Asks a host.
 	 * @param host the host
@@ -334,11 +366,20 @@
 	 */
 	public Either<PeerFailure, PeerMessage> call(String host, PeerMessage message, long timeoutMillis) {
 		Peer peer = this.peers.get(host);
+		boolean lasting = this.routes.sendsTo(host);
+		if (peer != null && !lasting && !isLinked(peer)) {
+			open(peer);
+		}
 		PeerLink link = (peer != null) ? peer.link : null;
 		if (link == null || !link.isOpen()) {
 			return Either.left(new PeerFailure.Unreachable("no link to " + host));
 		}
-		return link.call(message, timeoutMillis);
+		Either<PeerFailure, PeerMessage> answer = link.call(message, timeoutMillis);
+		if (!lasting && answer.isLeft() && answer.getLeft() instanceof PeerFailure.NoAnswer) {
+			// No statuses show whether this link went silent.
+			link.close();
+		}
+		return answer;
 	}
 
 	@Override
@@ -399,14 +440,7 @@
 		}
 		this.threads.execute(() -> {
 			try {
-				Either<PeerFailure, PeerLink> link = PeerLink.connect(peer.address, this.hello, this::handle,
-						(failure) -> {
-						}, this.threads);
-				if (link.isRight()) {
-					peer.acknowledgedAt = this.clock.millis();
-					peer.link = link.get();
-				}
-				peer.nextConnectAt = this.clock.millis() + RECONNECT_MILLIS;
+				open(peer);
 			}
 			finally {
 				peer.connecting.set(false);
@@ -414,6 +448,50 @@
 		});
 	}
 
+	private void open(Peer peer) {
+		synchronized (peer.opening) {
+			if (isLinked(peer) || this.clock.millis() < peer.nextConnectAt) {
+				return;
+			}
+			Either<PeerFailure, PeerLink> link = PeerLink.connect(peer.address, this.hello, this::handle, (failure) -> {
+			}, this.threads);
+			if (link.isRight()) {
+				peer.acknowledgedAt = this.clock.millis();
+				peer.link = link.get();
+			}
+			else {
+				peer.nextConnectAt = this.clock.millis() + RECONNECT_MILLIS;
+			}
+		}
+	}
+
+	private StatusRoutes routes() {
+		Map<String, String> domains = new HashMap<>();
+		Set<String> holders = new TreeSet<>();
+		domains.put(this.hello.host().value(), this.hello.domain().value());
+		for (Peer peer : this.peers.values()) {
+			if (isAlive(peer) && !peer.leaving) {
+				domains.put(peer.host, peer.domain);
+				if (peer.holdsDuties) {
+					holders.add(peer.host);
+				}
+			}
+		}
+		return StatusRoutes.of(this.hello.host().value(), domains, holders);
+	}
+
+	private PeerMessage.StatusDigest digest() {
+		long now = this.clock.millis();
+		List<PeerMessage.HeardStatus> heard = new ArrayList<>();
+		for (Peer peer : this.peers.values()) {
+			PeerMessage.HostStatus status = peer.directStatus;
+			if (status != null && now - peer.directAt < GONE_MILLIS) {
+				heard.add(new PeerMessage.HeardStatus(peer.host, now - peer.directAt, status));
+			}
+		}
+		return new PeerMessage.StatusDigest(heard);
+	}
+
 	private @Nullable PeerMessage handle(PeerLink link, PeerMessage message) {
 		if (message instanceof PeerMessage.Ack) {
 			Peer peer = this.peers.get(link.remote().host().value());
@@ -427,15 +505,17 @@
 			Peer peer = this.peers.get(host);
 			if (peer != null) {
 				acknowledge(peer, link);
-				peer.heardAt = this.clock.millis();
-				peer.heard = true;
-				peer.leaving = status.leaving();
-				peer.holdsDuties = status.holdsDuties();
-				peer.reachesStore = status.reachesStore();
+				peer.directAt = this.clock.millis();
+				peer.directStatus = status.withoutUsage();
+				peer.heard(status, peer.directAt);
 			}
 			this.onStatus.accept(host, status);
 			return null;
 		}
+		if (message instanceof PeerMessage.StatusDigest digest) {
+			digest.hosts().forEach(this::heardThroughRelay);
+			return null;
+		}
 		if (message instanceof PeerMessage.ObjectChanges changes) {
 			this.onChanges.accept(changes);
 			return null;
@@ -445,6 +525,20 @@
 				: new PeerMessage.Rejected("no-handler", "this host does not answer " + message.getClass());
 	}
 
+	private void heardThroughRelay(PeerMessage.HeardStatus heard) {
+		Peer peer = this.peers.get(heard.host());
+		long at = this.clock.millis() - heard.ageMillis();
+		if (peer != null && at > peer.heardAt) {
+			peer.heard(heard.status(), at);
+			this.onStatus.accept(heard.host(), heard.status());
+		}
+	}
+
+	private static boolean isLinked(Peer peer) {
+		PeerLink link = peer.link;
+		return link != null && link.isOpen();
+	}
+
 	private void acknowledge(Peer peer, PeerLink link) {
 		long now = this.clock.millis();
 		if (now - peer.ackSentAt >= ACK_MILLIS) {
@@ -474,10 +568,16 @@
 
 		private final AtomicBoolean connecting = new AtomicBoolean();
 
+		private final Object opening = new Object();
+
 		private volatile @Nullable PeerLink link;
 
 		private volatile long heardAt;
 
+		private volatile long directAt = Long.MIN_VALUE / 2;
+
+		private volatile PeerMessage.@Nullable HostStatus directStatus;
+
 		private volatile long acknowledgedAt;
 
 		private volatile long ackSentAt = Long.MIN_VALUE / 2;
@@ -500,6 +600,14 @@
 			this.address = address;
 		}
 
+		private void heard(PeerMessage.HostStatus status, long at) {
+			this.heardAt = at;
+			this.heard = true;
+			this.leaving = status.leaving();
+			this.holdsDuties = status.holdsDuties();
+			this.reachesStore = status.reachesStore();
+		}
+
 	}
 
 }
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -200,8 +200,8 @@
 			.of(DutyLoop.LEASE_KEY, settings.host() + "/" + this.incarnation, this.clock, () -> terms,
 					() -> ThreadLocalRandom.current().nextDouble())
 			.succeeding(settings.host() + "/")
-			.where(() -> this.clock.millis() - lastHeld.get() > settings.leaseMillis()
-					&& this.mesh.dutyHolder() == null);
+			.where(() -> this.clock.millis() - lastHeld.get() > settings.leaseMillis() && this.mesh.dutyHolder() == null
+					&& this.mesh.mayHoldDuties());
 		this.lastHeld = lastHeld;
 		EndpointCaller caller = EndpointCaller.of(this.table, endpoints, pool, this.clock, this.counters, this.log);
 		ItemRunner items = new ItemRunner(this.table, endpoints, pool, caller, this.routing::get, this.clock,
--- a/bamboorelay-host/src/test/java/org/bamboorelay/host/connection/HostMeshTests.java
+++ b/bamboorelay-host/src/test/java/org/bamboorelay/host/connection/HostMeshTests.java
@@ -1,10 +1,12 @@
 package org.bamboorelay.host.connection;
 
 import java.io.IOException;
+import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -34,6 +36,9 @@
 
 	private static final long BEAT_MILLIS = 300;
 
+	/** More hosts than tell each other directly. */
+	private static final int MANY_HOSTS = 20;
+
 	private static final PeerMessage.HostStatus IDLE = new PeerMessage.HostStatus(false, false, 0, true, Map.of(),
 			List.of(), Map.of(), Map.of(), Map.of());
 
@@ -74,6 +79,49 @@
 		assertThat(this.links).hasSize(1);
 	}
 
+	@Test
+	void manyHostsHearEachOtherThroughRelays() throws IOException {
+		// Statuses to all others do not fit small hosts once there are many.
+		Map<String, HostMesh> meshes = new TreeMap<>();
+		Map<String, String> addresses = new TreeMap<>();
+		for (int index = 0; index < MANY_HOSTS; index++) {
+			String host = "host-" + index;
+			HostMesh opened = mesh(host, "domain-" + index % 3);
+			String address = "127.0.0.1:" + freePort();
+			opened.open(address);
+			this.closing.add(opened);
+			meshes.put(host, opened);
+			addresses.put(host, address);
+		}
+		meshes.values()
+			.forEach((opened) -> addresses.forEach((host, address) -> opened.put(host, address,
+					"domain-" + Integer.parseInt(host.substring("host-".length())) % 3)));
+		beat(meshes, () -> meshes.values().stream().allMatch((mesh) -> mesh.liveHosts().size() == MANY_HOSTS));
+		assertThat(meshes.values()).allMatch((mesh) -> mesh.liveHosts().size() == MANY_HOSTS);
+		long links = meshes.values().stream().mapToLong(HostMesh::links).sum();
+		assertThat(links).as("links").isLessThanOrEqualTo(2L * 3 * MANY_HOSTS);
+
+		String relay = meshes.keySet().stream().filter((host) -> meshes.get(host).isStoreReader()).findFirst().get();
+		meshes.remove(relay).close();
+		beat(meshes, () -> meshes.values().stream().allMatch((mesh) -> mesh.liveHosts().size() == MANY_HOSTS - 1));
+		assertThat(meshes.values()).as("after the loss of a relay")
+			.allMatch((mesh) -> mesh.liveHosts().size() == MANY_HOSTS - 1);
+	}
+
+	private void beat(Map<String, HostMesh> meshes, BooleanSupplier enough) {
+		for (int beat = 0; beat < 60 && !enough.getAsBoolean(); beat++) {
+			this.now.addAndGet(BEAT_MILLIS);
+			meshes.values().forEach((mesh) -> mesh.beat(() -> IDLE));
+			until(enough, 50);
+		}
+	}
+
+	private static int freePort() throws IOException {
+		try (ServerSocket socket = new ServerSocket(0)) {
+			return socket.getLocalPort();
+		}
+	}
+
 	// A peer that counts links and statuses, and acknowledges the statuses or does not.
 	private void peer(boolean acknowledges) throws IOException {
 		PeerMessage.Hello hello = PeerMessage.Hello.of("platform", HostId.of("host-b"), FailureDomain.of("domain-b"),
