Let hosts without work wake up less often

An idle host woke up some 90 times a second: seven watches that listen to peers (150 ms each), the duties (40 ms) and the loop of submissions (100 ms). With 57 hosts these are 5,100 wake-ups a second, about as much as the statuses through relays. Now some 25: 500 ms for listening (changes wake it at once), 200 ms for a lease without a step to take, 500 ms without submissions (a new one wakes the loop).

--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/DutyLoop.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/DutyLoop.java
@@ -41,9 +41,12 @@
 	/** The kind of the frozen figures of usage windows. */
 	static final String WINDOWS_KIND = "usage-windows";
 
-	/** How often duties are looked at, in milliseconds. */
+	/** How often duties are looked at by their holder, in milliseconds. */
 	private static final long TICK_MILLIS = 40;
 
+	/** How often a host without a step to take looks at the lease, in milliseconds. */
+	private static final long IDLE_TICK_MILLIS = 200;
+
 	/**
 	 * Wait after the end of a window for the last figures of other hosts, in
 	 * milliseconds; they pass them on twice a second.
@@ -152,7 +155,7 @@
 	@Override
 	public void run() {
 		while (!this.closed) {
-			drive();
+			boolean stepped = drive();
 			boolean now = this.lease.isHeld();
 			if (now != this.held) {
 				this.held = now;
@@ -164,7 +167,7 @@
 				orderEndpoints();
 				cleanUp(System.currentTimeMillis());
 			}
-			pause(TICK_MILLIS);
+			pause((now || stepped) ? TICK_MILLIS : IDLE_TICK_MILLIS);
 		}
 	}
 
@@ -182,11 +185,13 @@
 		}
 	}
 
-	private synchronized void drive() {
+	private synchronized boolean drive() {
 		StoreStep step = this.lease.next();
-		if (step != null) {
-			this.lease.onResult(step, step.perform(this.store));
+		if (step == null) {
+			return false;
 		}
+		this.lease.onResult(step, step.perform(this.store));
+		return true;
 	}
 
 	private void orderWeights() {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
@@ -55,6 +55,9 @@
 	/** How often waiting items and results are looked at, in milliseconds. */
 	private static final long TICK_MILLIS = 20;
 
+	/** How often the loop turns while this host runs no submission, in milliseconds. */
+	private static final long IDLE_MILLIS = 500;
+
 	/** How often runs on slow endpoints are looked for, in milliseconds. */
 	private static final long MOVE_MILLIS = 200;
 
@@ -305,7 +308,12 @@
 				busy |= running.plan().isWaiting(now) || !running.plan().unlisted().isEmpty();
 			}
 			nextMove = (now >= nextMove) ? now + MOVE_MILLIS : nextMove;
-			await(busy ? TICK_MILLIS : TICK_MILLIS * 5);
+			if (all.isEmpty()) {
+				await(IDLE_MILLIS);
+			}
+			else {
+				await(busy ? TICK_MILLIS : TICK_MILLIS * 5);
+			}
 		}
 	}
 
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/version/KindWatch.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/version/KindWatch.java
@@ -53,7 +53,7 @@
 	private static final long DOUBT_WAIT_MILLIS = 1_000;
 
 	/** How long a host that does not read waits for changes before it looks around. */
-	private static final long LISTEN_MILLIS = 150;
+	private static final long LISTEN_MILLIS = 500;
 
 	/** First wait after a failed call, in milliseconds. */
 	private static final long BACKOFF_BASE_MILLIS = 50;
