Run submissions and relay statuses on strong hosts

The grown sites have hosts of 0.36 and of 1.5 cores. The host that runs a trainer's submissions was chosen among all, so most times it had 0.36 of a core for some 130 streams, and the relays likewise. Hosts now tell their processor in their record; submissions go to hosts with at least half of the largest one, relays are such hosts of their domain. Deployments with equal hosts are unchanged.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/StatusRoutes.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/StatusRoutes.java
@@ -40,14 +40,17 @@
 	 * @param self the host
 	 * @param domains the failure domain of each host that is not known to be gone, the
 	 * host itself included
+	 * @param processors the processor of each host, in cores; relays are strong hosts
 	 * @param holders the hosts that say that they are in charge of duties, which add up
 	 * usage
 	 * @return the routes
 	 */
-	public static StatusRoutes of(String self, Map<String, String> domains, Set<String> holders) {
+	public static StatusRoutes of(String self, Map<String, String> domains, Map<String, Double> processors,
+			Set<String> holders) {
 		Objects.requireNonNull(self, "self");
 		boolean direct = domains.size() <= DIRECT_HOSTS;
-		return new StatusRoutes(self, direct, direct ? Set.of() : StoreReaders.of(domains), Set.copyOf(holders));
+		Set<String> relays = direct ? Set.of() : StoreReaders.of(StrongHosts.inEachDomain(processors, domains));
+		return new StatusRoutes(self, direct, relays, Set.copyOf(holders));
 	}
 
 	/**
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/process/StatusRoutesTests.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/process/StatusRoutesTests.java
@@ -23,7 +23,7 @@
 				.mapToLong((self) -> hosts.keySet()
 					.stream()
 					.filter((other) -> !other.equals(self))
-					.filter(StatusRoutes.of(self, hosts, Set.of())::sendsTo)
+					.filter(StatusRoutes.of(self, hosts, Map.of(), Set.of())::sendsTo)
 					.count())
 				.sum();
 			assertThat(messages).isLessThanOrEqualTo(2L * 3 * count);
@@ -33,7 +33,7 @@
 	@Test
 	void fewHostsTellEachOther() {
 		Map<String, String> hosts = hosts(StatusRoutes.DIRECT_HOSTS);
-		StatusRoutes routes = StatusRoutes.of("host-0", hosts, Set.of());
+		StatusRoutes routes = StatusRoutes.of("host-0", hosts, Map.of(), Set.of());
 		assertThat(hosts.keySet()).allMatch(routes::sendsTo).allMatch(routes::needsUsage);
 		assertThat(routes.mayHoldDuties()).isTrue();
 	}
@@ -43,7 +43,7 @@
 		Map<String, String> hosts = hosts(40);
 		Set<String> relays = StoreReaders.of(hosts);
 		hosts.keySet().forEach((self) -> {
-			StatusRoutes routes = StatusRoutes.of(self, hosts, Set.of());
+			StatusRoutes routes = StatusRoutes.of(self, hosts, Map.of(), Set.of());
 			assertThat(relays).allMatch((relay) -> relay.equals(self) || routes.sendsTo(relay));
 			assertThat(routes.isRelay()).isEqualTo(relays.contains(self));
 			assertThat(routes.mayHoldDuties()).isEqualTo(relays.contains(self));
@@ -59,7 +59,8 @@
 			.findFirst()
 			.orElseThrow();
 		hosts.keySet()
-			.forEach((self) -> assertThat(StatusRoutes.of(self, hosts, Set.of(holder)).needsUsage(holder)).isTrue());
+			.forEach((self) -> assertThat(StatusRoutes.of(self, hosts, Map.of(), Set.of(holder)).needsUsage(holder))
+				.isTrue());
 	}
 
 	private static Map<String, String> hosts(int count) {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/HostMesh.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/HostMesh.java
@@ -22,6 +22,7 @@
 import org.bamboorelay.core.connection.PeerMessage;
 import org.bamboorelay.core.process.StatusRoutes;
 import org.bamboorelay.core.process.StoreReaders;
+import org.bamboorelay.core.process.StrongHosts;
 import org.bamboorelay.core.time.Clock;
 import org.bamboorelay.core.version.FailureDomain;
 import org.bamboorelay.core.version.HostId;
@@ -79,6 +80,8 @@
 
 	private final PeerMessage.Hello hello;
 
+	private final double processors;
+
 	private final Clock clock;
 
 	private final ExecutorService threads;
@@ -101,8 +104,9 @@
 
 	private @Nullable PeerListener listener;
 
-	private HostMesh(PeerMessage.Hello hello, Clock clock, ExecutorService threads, EventLog log) {
+	private HostMesh(PeerMessage.Hello hello, double processors, Clock clock, ExecutorService threads, EventLog log) {
 		this.hello = hello;
+		this.processors = processors;
 		this.clock = Objects.requireNonNull(clock, "clock");
 		this.threads = Objects.requireNonNull(threads, "threads");
 		this.log = Objects.requireNonNull(log, "log");
@@ -113,17 +117,18 @@
 	 * Creates a mesh without links.
 	 * @param host this host
 	 * @param domain its failure domain
+	 * @param processors its processor, in cores
 	 * @param incarnation unique for each start of the process
 	 * @param clock the monotonic clock of the process
 	 * @param threads runs the links
 	 * @param log the log of the process
 	 * @return the mesh
 	 */
-	public static HostMesh of(String host, String domain, String incarnation, Clock clock, ExecutorService threads,
-			EventLog log) {
+	public static HostMesh of(String host, String domain, double processors, String incarnation, Clock clock,
+			ExecutorService threads, EventLog log) {
 		PeerMessage.Hello hello = PeerMessage.Hello.of(DEPLOYMENT, HostId.of(host), FailureDomain.of(domain), ROLE,
 				incarnation);
-		return new HostMesh(hello, clock, threads, log);
+		return new HostMesh(hello, processors, clock, threads, log);
 	}
 
 	/**
@@ -169,8 +174,9 @@
 	 * @param host the host
 	 * @param address {@code ip:port}
 	 * @param domain its failure domain
+	 * @param processors its processor, in cores
 	 */
-	public void put(String host, String address, String domain) {
+	public void put(String host, String address, String domain, double processors) {
 		if (host.equals(this.hello.host().value())) {
 			return;
 		}
@@ -178,7 +184,7 @@
 			if (known != null && known.address.equals(address)) {
 				return known;
 			}
-			Peer peer = new Peer(host, address, domain);
+			Peer peer = new Peer(host, address, domain, processors);
 			peer.heardAt = this.clock.millis();
 			return peer;
 		});
@@ -252,6 +258,14 @@
 		return live;
 	}
 
+	/**
+	 * Returns the hosts that serve and have enough processor for work of others.
+	 * @return some of the live hosts, at least one
+	 */
+	public Set<String> strongHosts() {
+		return new TreeSet<>(StrongHosts.of(processors(liveHosts())));
+	}
+
 	/**
 	 * Tells whether a host serves as far as this one knows.
 	 * @param host the host
@@ -293,7 +307,7 @@
 		for (String host : liveHosts()) {
 			domains.put(host, domainOf(host));
 		}
-		Set<String> readers = StoreReaders.of(domains);
+		Set<String> readers = StoreReaders.of(StrongHosts.inEachDomain(processors(domains.keySet()), domains));
 		long now = this.clock.millis();
 		long heard = this.peers.values()
 			.stream()
@@ -465,6 +479,15 @@
 		}
 	}
 
+	private Map<String, Double> processors(Set<String> hosts) {
+		Map<String, Double> known = new HashMap<>();
+		for (String host : hosts) {
+			Peer peer = this.peers.get(host);
+			known.put(host, (peer != null) ? peer.processors : this.processors);
+		}
+		return known;
+	}
+
 	private StatusRoutes routes() {
 		Map<String, String> domains = new HashMap<>();
 		Set<String> holders = new TreeSet<>();
@@ -477,7 +500,7 @@
 				}
 			}
 		}
-		return StatusRoutes.of(this.hello.host().value(), domains, holders);
+		return StatusRoutes.of(this.hello.host().value(), domains, processors(domains.keySet()), holders);
 	}
 
 	private PeerMessage.StatusDigest digest() {
@@ -562,6 +585,8 @@
 
 		private final String domain;
 
+		private final double processors;
+
 		private final Queue<PeerMessage> outbound = new ConcurrentLinkedQueue<>();
 
 		private final AtomicBoolean sending = new AtomicBoolean();
@@ -594,7 +619,8 @@
 
 		private boolean reportedAlive = true;
 
-		private Peer(String host, String address, String domain) {
+		private Peer(String host, String address, String domain, double processors) {
+			this.processors = processors;
 			this.domain = domain;
 			this.host = host;
 			this.address = address;
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -185,8 +185,8 @@
 		this.format = Objects.requireNonNull(format, "format");
 		this.incarnation = Long.toHexString(System.currentTimeMillis()) + "-"
 				+ Integer.toHexString(ThreadLocalRandom.current().nextInt());
-		this.mesh = HostMesh.of(settings.host(), settings.domain(), this.incarnation, this.clock, this.threads,
-				this.log);
+		this.mesh = HostMesh.of(settings.host(), settings.domain(), settings.processors(), this.incarnation, this.clock,
+				this.threads, this.log);
 		this.store = new RelayedStore(Objects.requireNonNull(store, "store"), this.mesh, this.clock, this.log);
 		this.usage = new UsageMeter(this.incarnation, settings.usageWindowMillis());
 		AtomicLong lastHeld = new AtomicLong(this.clock.millis());
@@ -454,14 +454,15 @@
 
 	private void host(String name, StoredObject object) {
 		Option<HostRecord> read = CoreJson.read(object.body(), HostRecord.class);
-		read.forEach((record) -> this.mesh.put(name, record.address(), record.domain()));
+		read.forEach((record) -> this.mesh.put(name, record.address(), record.domain(), record.processors()));
 	}
 
 	// Makes this host known to the others; a host that comes back has its old name, and
 	// maybe another address.
 	private void register() {
 		String key = HOSTS + "/" + this.settings.host();
-		byte[] body = CoreJson.bytes(new HostRecord(this.settings.peerAddress(), this.settings.domain()));
+		byte[] body = CoreJson
+			.bytes(new HostRecord(this.settings.peerAddress(), this.settings.domain(), this.settings.processors()));
 		while (!this.stopped) {
 			Either<StoreFailure, Long> created = this.store.create(key, body);
 			if (created.isRight()) {
@@ -586,8 +587,9 @@
 	 *
 	 * @param address {@code ip:port} where peers connect
 	 * @param domain its failure domain
+	 * @param processors its processor, in cores
 	 */
-	record HostRecord(String address, String domain) {
+	record HostRecord(String address, String domain, double processors) {
 	}
 
 }
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionDirectory.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionDirectory.java
@@ -221,7 +221,7 @@
 	 */
 	public String ownerFor(Submission submission) {
 		String model = (submission.model() != null) ? submission.model() : "";
-		return ranked(submission.workspace(), model, this.mesh.liveHosts()).get(0);
+		return ranked(submission.workspace(), model, this.mesh.strongHosts()).get(0);
 	}
 
 	/**
@@ -248,7 +248,7 @@
 	 * Takes over the submissions whose host is gone.
 	 */
 	public void takeOver() {
-		Set<String> live = this.mesh.liveHosts();
+		Set<String> live = this.mesh.strongHosts();
 		for (Map.Entry<String, SubmissionStore.VersionedRecord> entry : new HashMap<>(this.records).entrySet()) {
 			SubmissionRecord record = entry.getValue().record();
 			if (record.ended() || record.owner().equals(this.host) || this.mesh.isLive(record.owner())) {
@@ -267,8 +267,12 @@
 	 */
 	public Option<String> successorOf(String id) {
 		SubmissionStore.VersionedRecord known = this.records.get(id);
-		Set<String> others = new TreeSet<>(this.mesh.liveHosts());
+		Set<String> others = new TreeSet<>(this.mesh.strongHosts());
 		others.remove(this.host);
+		if (others.isEmpty()) {
+			others.addAll(this.mesh.liveHosts());
+			others.remove(this.host);
+		}
 		return (known == null || others.isEmpty()) ? Option.none() : Option.some(successor(known.record(), others));
 	}
 
--- a/bamboorelay-host/src/test/java/org/bamboorelay/host/connection/HostMeshTests.java
+++ b/bamboorelay-host/src/test/java/org/bamboorelay/host/connection/HostMeshTests.java
@@ -95,7 +95,7 @@
 		}
 		meshes.values()
 			.forEach((opened) -> addresses.forEach((host, address) -> opened.put(host, address,
-					"domain-" + Integer.parseInt(host.substring("host-".length())) % 3)));
+					"domain-" + Integer.parseInt(host.substring("host-".length())) % 3, 1)));
 		beat(meshes, () -> meshes.values().stream().allMatch((mesh) -> mesh.liveHosts().size() == MANY_HOSTS));
 		assertThat(meshes.values()).allMatch((mesh) -> mesh.liveHosts().size() == MANY_HOSTS);
 		long links = meshes.values().stream().mapToLong(HostMesh::links).sum();
@@ -136,7 +136,7 @@
 		}, (failure) -> {
 		}, this.threads);
 		this.closing.add(peer);
-		this.mesh.put("host-b", "127.0.0.1:" + peer.port(), "domain-b");
+		this.mesh.put("host-b", "127.0.0.1:" + peer.port(), "domain-b", 1);
 	}
 
 	private void beats(int count, BooleanSupplier enough) {
@@ -150,7 +150,7 @@
 	}
 
 	private HostMesh mesh(String host, String domain) {
-		return HostMesh.of(host, domain, "1", this.now::get, this.threads, new EventLog());
+		return HostMesh.of(host, domain, 1, "1", this.now::get, this.threads, new EventLog());
 	}
 
 	private static void until(BooleanSupplier condition, long millis) {
--- a/bamboorelay-host/src/test/java/org/bamboorelay/host/request/SubmissionDirectoryTests.java
+++ b/bamboorelay-host/src/test/java/org/bamboorelay/host/request/SubmissionDirectoryTests.java
@@ -116,7 +116,7 @@
 	}
 
 	private HostMesh mesh() {
-		return HostMesh.of("host-a", "domain-a", "1", Clock.monotonic(), this.threads, this.log);
+		return HostMesh.of("host-a", "domain-a", 1, "1", Clock.monotonic(), this.threads, this.log);
 	}
 
 	private static Submission submission() {
