Write results in fewer pages, the last ones at once

Most calls are pages of results, one each 120 ms for each running submission (an estimate from the number of running submissions, calls are not counted by kind).

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/request/SubmissionPlan.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/request/SubmissionPlan.java
@@ -307,7 +307,7 @@
 
 	/**
 	 * Returns the items that run or wait.
-	 * @return the number of items without a result
+	 * @return the number of items that have no whole text
 	 */
 	public synchronized int unfinished() {
 		return (int) this.items.values()
@@ -316,6 +316,17 @@
 			.count();
 	}
 
+	/**
+	 * Returns the items without a result, those included whose texts are being scored.
+	 * @return the number of items
+	 */
+	public synchronized int pending() {
+		return (int) this.items.values()
+			.stream()
+			.filter((item) -> item.state != State.FINISHED && item.state != State.LISTED)
+			.count();
+	}
+
 	/**
 	 * Tells whether an item is still to run or running.
 	 * @param id the item
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
@@ -20,7 +20,7 @@
 import org.bamboorelay.core.connection.PeerMessage;
 import org.bamboorelay.core.process.EndpointTable;
 import org.bamboorelay.core.request.ItemOrder;
-import org.bamboorelay.core.request.ItemResult;
+import org.bamboorelay.core.request.PagePacing;
 import org.bamboorelay.core.request.ResultLog;
 import org.bamboorelay.core.request.Submission;
 import org.bamboorelay.core.request.SubmissionItem;
@@ -46,9 +46,6 @@
  */
 public final class SubmissionRunner {
 
-	/** Time between a result and the page that lists it, in milliseconds. */
-	private static final long PAGE_MILLIS = 120;
-
 	/** The most characters of text in one page, well below the store's largest value. */
 	private static final int PAGE_CHARACTERS = 500_000;
 
@@ -336,8 +333,8 @@
 	}
 
 	private void writePage(ActiveSubmission running, long now) {
-		List<ItemResult> waiting = running.plan().unlisted();
-		if (waiting.isEmpty() || now < running.lastWriteMillis() + PAGE_MILLIS
+		int waiting = running.plan().unlisted().size();
+		if (!PagePacing.isDue(waiting, running.plan().pending(), now - running.lastWriteMillis())
 				|| !running.writing().compareAndSet(false, true)) {
 			return;
 		}
