Give the link to another host a class of its own

HostMesh had two jobs: who lives, and how messages leave. OutgoingLink now opens, queues, notices silence and reconnects; behaviour is unchanged.

--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/HostMesh.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/HostMesh.java
@@ -6,13 +6,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
-import java.util.Queue;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutorService;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -44,9 +41,6 @@
 	/** A host without a status for this long counts as gone, in milliseconds. */
 	private static final long GONE_MILLIS = 2_500;
 
-	/** Messages that wait for one link; a link that falls further behind is closed. */
-	private static final int MAX_OUTBOUND = 200;
-
 	/** A reader of the store that is silent for this long is not relied on. */
 	private static final long READER_MILLIS = 1_200;
 
@@ -62,18 +56,9 @@
 	 */
 	private static final long ACK_MILLIS = 600;
 
-	/**
-	 * A link on which statuses go unacknowledged for this long is replaced, in
-	 * milliseconds: a connection that went silent does not say so.
-	 */
-	private static final long SILENT_LINK_MILLIS = 1_500;
-
 	/** How often a relay passes on what it heard, in milliseconds; two statuses. */
 	private static final long DIGEST_MILLIS = 600;
 
-	/** Pause after a failed try to connect, in milliseconds. */
-	private static final long RECONNECT_MILLIS = 500;
-
 	private static final String DEPLOYMENT = "platform";
 
 	private static final String ROLE = "entry";
@@ -181,10 +166,11 @@
 			return;
 		}
 		this.peers.compute(host, (unused, known) -> {
-			if (known != null && known.address.equals(address)) {
+			if (known != null && known.link.address().equals(address)) {
 				return known;
 			}
-			Peer peer = new Peer(host, address, domain, processors);
+			Peer peer = new Peer(host, domain, processors,
+					new OutgoingLink(host, address, this::connect, this.clock, this.threads, this.log));
 			peer.heardAt = this.clock.millis();
 			return peer;
 		});
@@ -197,7 +183,7 @@
 	public void remove(String host) {
 		Peer peer = this.peers.remove(host);
 		if (peer != null) {
-			closeLink(peer);
+			peer.link.close();
 		}
 	}
 
@@ -213,25 +199,25 @@
 		this.routes = present;
 		for (Peer peer : this.peers.values()) {
 			if (present.sendsTo(peer.host)) {
-				dropSilentLink(peer);
-				if (isLinked(peer)) {
-					send(peer, present.needsUsage(peer.host) ? whole : brief);
+				peer.link.closeIfSilent();
+				if (peer.link.isOpen()) {
+					peer.link.send(present.needsUsage(peer.host) ? whole : brief);
 				}
 				else {
-					connect(peer);
+					peer.link.connect();
 				}
 			}
 			boolean alive = isAlive(peer);
 			if (alive != peer.reportedAlive) {
 				peer.reportedAlive = alive;
-				this.log.info(alive ? "peer-regained" : "peer-lost", "peer", peer.host, "address", peer.address,
+				this.log.info(alive ? "peer-regained" : "peer-lost", "peer", peer.host, "address", peer.link.address(),
 						"silent_ms", this.clock.millis() - peer.heardAt);
 			}
 		}
 		if (present.isRelay() && this.clock.millis() >= this.nextDigestAt) {
 			this.nextDigestAt = this.clock.millis() + DIGEST_MILLIS;
 			PeerMessage.StatusDigest digest = digest();
-			this.peers.values().stream().filter(HostMesh::isLinked).forEach((peer) -> send(peer, digest));
+			this.peers.values().stream().filter((peer) -> peer.link.isOpen()).forEach((peer) -> peer.link.send(digest));
 		}
 	}
 
@@ -324,7 +310,7 @@
 		this.peers.values()
 			.stream()
 			.filter((peer) -> this.clock.millis() - peer.heardAt < READER_MILLIS)
-			.forEach((peer) -> send(peer, message));
+			.forEach((peer) -> peer.link.send(message));
 	}
 
 	/**
@@ -368,7 +354,7 @@
 
 	// The open links of this host.
 	long links() {
-		return this.peers.values().stream().filter(HostMesh::isLinked).count();
+		return this.peers.values().stream().filter((peer) -> peer.link.isOpen()).count();
 	}
 
 	/**
@@ -380,18 +366,17 @@
 	 */
 	public Either<PeerFailure, PeerMessage> call(String host, PeerMessage message, long timeoutMillis) {
 		Peer peer = this.peers.get(host);
-		boolean lasting = this.routes.sendsTo(host);
-		if (peer != null && !lasting && !isLinked(peer)) {
-			open(peer);
+		if (peer == null) {
+			return Either.left(new PeerFailure.Unreachable("no host " + host));
 		}
-		PeerLink link = (peer != null) ? peer.link : null;
-		if (link == null || !link.isOpen()) {
-			return Either.left(new PeerFailure.Unreachable("no link to " + host));
+		boolean lasting = this.routes.sendsTo(host);
+		if (!lasting) {
+			peer.link.open();
 		}
-		Either<PeerFailure, PeerMessage> answer = link.call(message, timeoutMillis);
+		Either<PeerFailure, PeerMessage> answer = peer.link.call(message, timeoutMillis);
 		if (!lasting && answer.isLeft() && answer.getLeft() instanceof PeerFailure.NoAnswer) {
 			// No statuses show whether this link went silent.
-			link.close();
+			peer.link.close();
 		}
 		return answer;
 	}
@@ -401,82 +386,16 @@
 		if (this.listener != null) {
 			this.listener.close();
 		}
-		List.copyOf(new ArrayList<>(this.peers.values())).forEach(HostMesh::closeLink);
-	}
-
-	// A link whose other end does not read blocks its writer, which must be neither the
-	// thread that watches the store nor the one that keeps hosts alive.
-	private void send(Peer peer, PeerMessage message) {
-		if (peer.outbound.size() >= MAX_OUTBOUND) {
-			closeLink(peer);
-			peer.outbound.clear();
-			return;
-		}
-		peer.outbound.add(message);
-		if (peer.sending.compareAndSet(false, true)) {
-			this.threads.execute(() -> drain(peer));
-		}
-	}
-
-	private static void drain(Peer peer) {
-		while (true) {
-			PeerMessage next = peer.outbound.poll();
-			PeerLink link = peer.link;
-			if (next != null && link != null) {
-				link.send(next);
-			}
-			if (next == null) {
-				peer.sending.set(false);
-				if (peer.outbound.isEmpty() || !peer.sending.compareAndSet(false, true)) {
-					return;
-				}
-			}
-		}
-	}
-
-	private void dropSilentLink(Peer peer) {
-		PeerLink link = peer.link;
-		long silent = this.clock.millis() - peer.acknowledgedAt;
-		if (link != null && link.isOpen() && silent > SILENT_LINK_MILLIS) {
-			this.log.info("peer-link-silent", "peer", peer.host, "silent_ms", silent);
-			link.close();
-			peer.nextConnectAt = this.clock.millis();
-		}
+		this.peers.values().forEach((peer) -> peer.link.close());
 	}
 
 	private boolean isAlive(Peer peer) {
 		return this.clock.millis() - peer.heardAt < GONE_MILLIS;
 	}
 
-	private void connect(Peer peer) {
-		if (this.clock.millis() < peer.nextConnectAt || !peer.connecting.compareAndSet(false, true)) {
-			return;
-		}
-		this.threads.execute(() -> {
-			try {
-				open(peer);
-			}
-			finally {
-				peer.connecting.set(false);
-			}
-		});
-	}
-
-	private void open(Peer peer) {
-		synchronized (peer.opening) {
-			if (isLinked(peer) || this.clock.millis() < peer.nextConnectAt) {
-				return;
-			}
-			Either<PeerFailure, PeerLink> link = PeerLink.connect(peer.address, this.hello, this::handle, (failure) -> {
-			}, this.threads);
-			if (link.isRight()) {
-				peer.acknowledgedAt = this.clock.millis();
-				peer.link = link.get();
-			}
-			else {
-				peer.nextConnectAt = this.clock.millis() + RECONNECT_MILLIS;
-			}
-		}
+	private Either<PeerFailure, PeerLink> connect(String address) {
+		return PeerLink.connect(address, this.hello, this::handle, (failure) -> {
+		}, this.threads);
 	}
 
 	private Map<String, Double> processors(Set<String> hosts) {
@@ -519,7 +438,7 @@
 		if (message instanceof PeerMessage.Ack) {
 			Peer peer = this.peers.get(link.remote().host().value());
 			if (peer != null) {
-				peer.acknowledgedAt = this.clock.millis();
+				peer.link.acknowledged();
 			}
 			return null;
 		}
@@ -557,11 +476,6 @@
 		}
 	}
 
-	private static boolean isLinked(Peer peer) {
-		PeerLink link = peer.link;
-		return link != null && link.isOpen();
-	}
-
 	private void acknowledge(Peer peer, PeerLink link) {
 		long now = this.clock.millis();
 		if (now - peer.ackSentAt >= ACK_MILLIS) {
@@ -570,32 +484,15 @@
 		}
 	}
 
-	private static void closeLink(Peer peer) {
-		PeerLink link = peer.link;
-		if (link != null) {
-			link.close();
-		}
-	}
-
 	private static final class Peer {
 
 		private final String host;
 
-		private final String address;
-
 		private final String domain;
 
 		private final double processors;
 
-		private final Queue<PeerMessage> outbound = new ConcurrentLinkedQueue<>();
-
-		private final AtomicBoolean sending = new AtomicBoolean();
-
-		private final AtomicBoolean connecting = new AtomicBoolean();
-
-		private final Object opening = new Object();
-
-		private volatile @Nullable PeerLink link;
+		private final OutgoingLink link;
 
 		private volatile long heardAt;
 
@@ -603,12 +500,8 @@
 
 		private volatile PeerMessage.@Nullable HostStatus directStatus;
 
-		private volatile long acknowledgedAt;
-
 		private volatile long ackSentAt = Long.MIN_VALUE / 2;
 
-		private volatile long nextConnectAt;
-
 		private volatile boolean heard;
 
 		private volatile boolean leaving;
@@ -619,11 +512,11 @@
 
 		private boolean reportedAlive = true;
 
-		private Peer(String host, String address, String domain, double processors) {
-			this.processors = processors;
-			this.domain = domain;
+		private Peer(String host, String domain, double processors, OutgoingLink link) {
 			this.host = host;
-			this.address = address;
+			this.domain = domain;
+			this.processors = processors;
+			this.link = link;
 		}
 
 		private void heard(PeerMessage.HostStatus status, long at) {
