Test what a host does right after its domain was cut off

The guard against taking submissions over right after a cut had no test. DomainIsolation holds the decision, without threads; its test fails without the wait. Behaviour is unchanged.

--- /dev/null
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/process/DomainIsolationTests.java
@@ -0,0 +1,45 @@
+package org.bamboorelay.core.process;
+
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of {@link DomainIsolation}.
+ */
+class DomainIsolationTests {
+
+	private final AtomicLong now = new AtomicLong(1_000);
+
+	private final DomainIsolation isolation = DomainIsolation.of(this.now::get);
+
+	@Test
+	void nothingIsTakenOverUntilTheOthersCanBeHeardAgain() {
+		// After a cut, a host took the submissions of hosts over that it had not heard
+		// yet.
+		assertThat(this.isolation.mayTakeOver()).isTrue();
+		this.isolation.observe(true);
+		this.now.addAndGet(5_000);
+		this.isolation.observe(true);
+		this.isolation.observe(false);
+		assertThat(this.isolation.mayTakeOver()).isFalse();
+		this.now.addAndGet(DomainIsolation.REJOIN_MILLIS - 1);
+		assertThat(this.isolation.mayTakeOver()).isFalse();
+		this.now.addAndGet(1);
+		assertThat(this.isolation.mayTakeOver()).isTrue();
+	}
+
+	@Test
+	void itemsStartOnlyAfterRecordsWereReadInTouch() {
+		this.isolation.observe(true);
+		this.isolation.confirmed(true);
+		assertThat(this.isolation.isDoubtful()).as("read while alone").isTrue();
+		this.isolation.observe(false);
+		assertThat(this.isolation.isDoubtful()).isTrue();
+		this.isolation.confirmed(false);
+		assertThat(this.isolation.isDoubtful()).isFalse();
+	}
+
+}
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -23,6 +23,7 @@
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.HttpException;
 import org.bamboorelay.core.connection.PeerMessage;
+import org.bamboorelay.core.process.DomainIsolation;
 import org.bamboorelay.core.process.EndpointDemand;
 import org.bamboorelay.core.process.EndpointEntry;
 import org.bamboorelay.core.process.EndpointTable;
@@ -74,12 +75,6 @@
 	/** How often hosts that are gone are looked for, in milliseconds. */
 	private static final long TAKEOVER_MILLIS = 300;
 
-	/**
-	 * Time after a cut of the own domain in which no submission is taken over, in
-	 * milliseconds: hosts whose links are not back yet look as if they were gone.
-	 */
-	private static final long REJOIN_MILLIS = 2_500;
-
 	/**
 	 * How often the records of running submissions are read, in milliseconds: changes
 	 * that no watch told of are found well within the 3 s in which an end must be obeyed.
@@ -161,12 +156,10 @@
 
 	private volatile boolean cutOff;
 
-	private volatile boolean doubtful;
+	private final DomainIsolation isolation = DomainIsolation.of(this.clock);
 
 	private volatile boolean stopped;
 
-	private volatile long lastAlone = Long.MIN_VALUE / 2;
-
 	private final AtomicBoolean confirming = new AtomicBoolean();
 
 	/**
@@ -498,7 +491,7 @@
 			if (now >= nextTakeover) {
 				nextTakeover = now + TAKEOVER_MILLIS;
 				checkCut();
-				if (isReady() && this.store.isReached() && now - this.lastAlone > REJOIN_MILLIS) {
+				if (isReady() && this.store.isReached() && this.isolation.mayTakeOver()) {
 					this.directory.takeOver();
 				}
 			}
@@ -517,12 +510,11 @@
 			// Watches may be silent for a while, so the store is asked.
 			this.threads.execute(() -> this.store.read(DutyLoop.LEASE_KEY));
 		}
+		this.isolation.observe(alone);
 		if (alone) {
-			this.lastAlone = this.clock.millis();
-			this.doubtful = true;
 			this.runner.suspend(true);
 		}
-		else if (this.doubtful) {
+		else if (this.isolation.isDoubtful()) {
 			// Submissions may have been ended while this domain was alone.
 			confirmRunning();
 		}
@@ -540,9 +532,9 @@
 		this.threads.execute(() -> {
 			try {
 				boolean wasAlone = this.mesh.isDomainAlone();
-				if (this.directory.confirmRunning() && !wasAlone && this.doubtful) {
-					this.doubtful = false;
-					this.runner.suspend(false);
+				if (this.directory.confirmRunning()) {
+					this.isolation.confirmed(wasAlone);
+					this.runner.suspend(this.isolation.isDoubtful());
 				}
 			}
 			finally {
