--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/StatusRoutes.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/StatusRoutes.java
@@ -53,14 +53,6 @@
 		return new StatusRoutes(self, direct, relays, Set.copyOf(holders));
 	}
 
-	/**
-	 * Tells whether all hosts tell all others.
-	 * @return whether there are no relays
-	 */
-	public boolean isDirect() {
-		return this.direct;
-	}
-
 	/**
 	 * Tells whether the host passes on the statuses of others.
 	 * @return whether it is a relay
