--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/connection/HttpEngineClient.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/connection/HttpEngineClient.java
@@ -14,6 +14,7 @@
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
 import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
+import org.bamboorelay.runtime.connection.ExchangeOptions;
 import org.bamboorelay.runtime.connection.HttpConnectionPool;
 import org.bamboorelay.runtime.connection.HttpExchange;
 import org.bamboorelay.runtime.connection.HttpFailure;
@@ -114,8 +115,8 @@
 		ClassicHttpRequest message = new BasicClassicHttpRequest("POST", "/v1/completions");
 		message.setHeader(REQUEST_ID_HEADER, request.requestId());
 		message.setEntity(new ByteArrayEntity(Json.bytes(body(request)), ContentType.APPLICATION_JSON));
-		Either<HttpFailure, HttpExchange> result = this.pool.execute(address, message, true, READ_TIMEOUT_MILLIS,
-				onConnected);
+		Either<HttpFailure, HttpExchange> result = this.pool.execute(address, message,
+				ExchangeOptions.of(true, READ_TIMEOUT_MILLIS), onConnected);
 		if (result.isLeft()) {
 			return Either.left(failure(result.getLeft()));
 		}
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointCaller.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointCaller.java
@@ -13,6 +13,7 @@
 import org.bamboorelay.host.connection.EndpointCall;
 import org.bamboorelay.host.connection.EndpointProtocol;
 import org.bamboorelay.host.process.EventLog;
+import org.bamboorelay.runtime.connection.ExchangeOptions;
 import org.bamboorelay.runtime.connection.HttpConnectionPool;
 import org.bamboorelay.runtime.connection.HttpExchange;
 import org.bamboorelay.runtime.connection.HttpFailure;
@@ -147,7 +148,10 @@
 			EndpointCall call = new EndpointCall(order.id(), order.method(), order.host(), order.path(),
 					order.headers(), order.workspace(), grant.id(), left, 0, order.body());
 			Either<HttpFailure, HttpExchange> result = this.pool.execute(grant.address(), this.protocol.request(call),
-					order.idempotent(), (int) Math.min(Integer.MAX_VALUE, left), order.onAbort());
+					ExchangeOptions.of(order.idempotent(), (int) Math.min(Integer.MAX_VALUE, left))
+						.withTag(order.id())
+						.withWholeMillis(left),
+					order.onAbort());
 			if (result.isLeft()) {
 				return failed(order, grant, result.getLeft(), start);
 			}
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ItemRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ItemRunner.java
@@ -22,6 +22,7 @@
 import org.bamboorelay.host.connection.EndpointCall;
 import org.bamboorelay.host.connection.EndpointProtocol;
 import org.bamboorelay.host.process.EventLog;
+import org.bamboorelay.runtime.connection.ExchangeOptions;
 import org.bamboorelay.runtime.connection.HttpConnectionPool;
 import org.bamboorelay.runtime.connection.HttpExchange;
 import org.bamboorelay.runtime.connection.HttpFailure;
@@ -36,8 +37,9 @@
 public final class ItemRunner {
 
 	/**
-	 * The longest pause between two events, in milliseconds. An engine pauses its runs
-	 * while it loads weights, for a second or so.
+	 * The longest time from one whole event to the next, in milliseconds, also where
+	 * bytes come meanwhile. An engine pauses its runs while it loads weights, for a
+	 * second or so.
 	 */
 	private static final int MAX_PAUSE_MILLIS = 2_000;
 
@@ -129,8 +131,8 @@
 		else {
 			this.counters.counter("item_runs_broken_total", "reason", ending.reason()).inc();
 			this.log.info("item-run-broken", "request_id", id, "submission", plan.submission().id(), "endpoint",
-					grant.id(), "reason", ending.reason(), "events", ending.events(), "run_ms",
-					this.clock.millis() - start);
+					grant.id(), "reason", ending.reason(), "detail", ending.detail(), "events", ending.events(),
+					"run_ms", this.clock.millis() - start);
 			plan.broken(id, ending.counted(), System.currentTimeMillis());
 		}
 	}
@@ -144,10 +146,12 @@
 		EndpointCall call = new EndpointCall(item.id(), "POST", submission.host(), item.path(), headers,
 				submission.workspace().isEmpty() ? null : submission.workspace(), grant.id(), left, run.after(),
 				item.body());
-		Either<HttpFailure, HttpExchange> result = this.pool.execute(grant.address(), this.protocol.request(call), true,
-				MAX_PAUSE_MILLIS, (abort) -> active.running(item.id(), grant.id(), abort));
+		Either<HttpFailure, HttpExchange> result = this.pool.execute(grant.address(), this.protocol.request(call),
+				ExchangeOptions.of(true, MAX_PAUSE_MILLIS).withTag(item.id()).withWholeMillis(MAX_PAUSE_MILLIS),
+				(abort) -> active.running(item.id(), grant.id(), abort));
 		if (result.isLeft()) {
-			return new Ending(EndpointTable.Outcome.FAILED, false, false, result.getLeft().code(), 0);
+			return new Ending(EndpointTable.Outcome.FAILED, false, false, result.getLeft().code(), 0,
+					result.getLeft().detail());
 		}
 		try (HttpExchange exchange = result.get()) {
 			EndpointAnswer answer = this.protocol.head(exchange.response());
@@ -182,12 +186,14 @@
 			EventStreamReader reader = EventStreamReader.of(exchange.body(), this.protocol::versionLine,
 					answer.weightVersion());
 			long version = 0;
+			exchange.within(MAX_PAUSE_MILLIS);
 			for (EventStreamReader.Event event = reader.next(); event != null; event = reader.next()) {
 				if (!active.plan().event(item.id(), event.number(), event.data(), event.version())) {
 					exchange.abort();
 					return new Ending(EndpointTable.Outcome.ABANDONED, false, false, "not-next-event", events);
 				}
 				events++;
+				exchange.within(MAX_PAUSE_MILLIS);
 				if (events % PACE_EVENTS == 0) {
 					long now = this.clock.millis();
 					this.table.pace(grant.id(), (double) (now - paceFrom) / PACE_EVENTS);
@@ -215,7 +221,7 @@
 			if (active.isMoved(item.id())) {
 				return new Ending(EndpointTable.Outcome.ABANDONED, false, false, "moved", events);
 			}
-			return new Ending(EndpointTable.Outcome.FAILED, false, false, "stream-broke", events);
+			return new Ending(EndpointTable.Outcome.FAILED, false, false, "stream-broke", events, String.valueOf(ex));
 		}
 	}
 
@@ -263,7 +269,13 @@
 		}
 	}
 
-	private record Ending(EndpointTable.Outcome outcome, boolean whole, boolean counted, String reason, int events) {
+	private record Ending(EndpointTable.Outcome outcome, boolean whole, boolean counted, String reason, int events,
+			String detail) {
+
+		private Ending(EndpointTable.Outcome outcome, boolean whole, boolean counted, String reason, int events) {
+			this(outcome, whole, counted, reason, events, "");
+		}
+
 	}
 
 }
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/StreamRelay.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/StreamRelay.java
@@ -22,6 +22,7 @@
 import org.bamboorelay.host.connection.EndpointProtocol;
 import org.bamboorelay.host.process.EventLog;
 import org.bamboorelay.host.process.UsageMeter;
+import org.bamboorelay.runtime.connection.ExchangeOptions;
 import org.bamboorelay.runtime.connection.HttpConnectionPool;
 import org.bamboorelay.runtime.connection.HttpExchange;
 import org.bamboorelay.runtime.connection.HttpFailure;
@@ -101,8 +102,9 @@
 				EndpointCall call = new EndpointCall(order.id(), order.method(), order.host(), order.path(),
 						order.headers(), order.workspace(), grant.id(), Math.max(1, left), 0, order.body());
 				Either<HttpFailure, HttpExchange> result = this.pool.execute(grant.address(),
-						this.protocol.request(call), order.idempotent(),
-						(int) Math.min(MAX_PAUSE_MILLIS, Math.max(1, left)), order.onAbort());
+						this.protocol.request(call),
+						ExchangeOptions.of(order.idempotent(), (int) Math.min(MAX_PAUSE_MILLIS, Math.max(1, left))),
+						order.onAbort());
 				if (result.isLeft()) {
 					boolean sent = !(result.getLeft() instanceof HttpFailure.NotSent);
 					mayHaveRun |= sent;
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpConnectionPool.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpConnectionPool.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Map;
@@ -18,7 +19,6 @@
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
-import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
 import org.apache.hc.core5.http.impl.io.HttpRequestExecutor;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
@@ -26,7 +26,6 @@
 import org.apache.hc.core5.http.protocol.RequestConnControl;
 import org.apache.hc.core5.http.protocol.RequestContent;
 import org.apache.hc.core5.io.CloseMode;
-import org.apache.hc.core5.util.Timeout;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -75,10 +74,35 @@
 		.build();
 
 	/** Connections that carry an exchange, so that closing the pool ends them. */
-	private final Set<DefaultBHttpClientConnection> leased = ConcurrentHashMap.newKeySet();
+	private final Set<GuardedConnection> leased = ConcurrentHashMap.newKeySet();
+
+	private final boolean probed;
 
 	private volatile boolean closed;
 
+	/**
+	 * Creates a pool that probes its connections, so that one that went silent ends by
+	 * itself.
+	 */
+	public HttpConnectionPool() {
+		this(true);
+	}
+
+	private HttpConnectionPool(boolean probed) {
+		this.probed = probed;
+	}
+
+	/**
+	 * Creates a pool that does not probe its connections. A connection that ends through
+	 * its probes while a request is on its way leaves the bytes of that request to the
+	 * network, which may deliver them seconds later; one that this side resets takes them
+	 * back.
+	 * @return the pool
+	 */
+	public static HttpConnectionPool withoutProbes() {
+		return new HttpConnectionPool(false);
+	}
+
 	/**
 	 * Sends a request and waits for the head of the answer.
 	 * @param address {@code ip:port}
@@ -91,7 +115,7 @@
 	 */
 	public Either<HttpFailure, HttpExchange> execute(String address, ClassicHttpRequest request, boolean reuse,
 			int readTimeoutMillis) {
-		return execute(address, request, reuse, readTimeoutMillis, (abort) -> {
+		return execute(address, request, ExchangeOptions.of(reuse, readTimeoutMillis), (abort) -> {
 		});
 	}
 
@@ -100,17 +124,14 @@
 	 * answer.
 	 * @param address {@code ip:port}
 	 * @param request the request; a body must be repeatable only for the caller's sake
-	 * @param reuse whether an idle connection may be used; false for requests that must
-	 * not be sent twice
-	 * @param readTimeoutMillis the longest pause between two bytes of the answer, in
-	 * milliseconds
+	 * @param options what the exchange may take
 	 * @param onConnected takes, before the request is sent, a task that closes the
 	 * connection at once; the task must not be run after the exchange was closed
 	 * @return the exchange, which the caller closes
 	 */
-	public Either<HttpFailure, HttpExchange> execute(String address, ClassicHttpRequest request, boolean reuse,
-			int readTimeoutMillis, Consumer<Runnable> onConnected) {
-		DefaultBHttpClientConnection connection = reuse ? takeIdle(address) : null;
+	public Either<HttpFailure, HttpExchange> execute(String address, ClassicHttpRequest request,
+			ExchangeOptions options, Consumer<Runnable> onConnected) {
+		GuardedConnection connection = options.reuse() ? takeIdle(address, options.tag()) : null;
 		if (connection == null) {
 			try {
 				connection = connect(address);
@@ -119,7 +140,7 @@
 				return Either.left(new HttpFailure.NotSent("cannot connect to " + address + ": " + ex.getMessage()));
 			}
 		}
-		DefaultBHttpClientConnection used = connection;
+		GuardedConnection used = connection;
 		this.leased.add(connection);
 		if (this.closed) {
 			drop(connection);
@@ -127,18 +148,22 @@
 		}
 		onConnected.accept(() -> used.close(CloseMode.IMMEDIATE));
 		try {
-			connection.setSocketTimeout(Timeout.ofMilliseconds(readTimeoutMillis));
+			connection.begin(options);
 			HttpCoreContext context = HttpCoreContext.create();
 			if (!request.containsHeader(HttpHeaders.HOST)) {
 				request.setHeader(HttpHeaders.HOST, address);
 			}
 			this.executor.preProcess(request, this.processor, context);
 			ClassicHttpResponse response = this.executor.execute(request, connection, context);
+			connection.headRead();
 			boolean keep = DefaultConnectionReuseStrategy.INSTANCE.keepAlive(request, response, context);
 			return Either.right(new HttpExchange(this, address, connection, response, keep));
 		}
 		catch (IOException | HttpException | RuntimeException ex) {
 			drop(connection);
+			if (ex instanceof SocketTimeoutException) {
+				dropIdle(address);
+			}
 			return Either.left(new HttpFailure.Broken("exchange with " + address + " broke: " + ex));
 		}
 	}
@@ -158,12 +183,13 @@
 		});
 	}
 
-	void drop(DefaultBHttpClientConnection connection) {
+	void drop(GuardedConnection connection) {
 		this.leased.remove(connection);
 		connection.close(CloseMode.IMMEDIATE);
 	}
 
-	void release(String address, DefaultBHttpClientConnection connection) {
+	void release(String address, GuardedConnection connection) {
+		connection.end();
 		this.leased.remove(connection);
 		Deque<Idle> shard = shard(address);
 		synchronized (shard) {
@@ -175,12 +201,21 @@
 		connection.close(CloseMode.GRACEFUL);
 	}
 
-	private @Nullable DefaultBHttpClientConnection takeIdle(String address) {
+	// Other connections to an address that does not answer are likely to be silent too.
+	private void dropIdle(String address) {
+		Deque<Idle> shard = shard(address);
+		synchronized (shard) {
+			shard.forEach((entry) -> entry.connection().close(CloseMode.IMMEDIATE));
+			shard.clear();
+		}
+	}
+
+	private @Nullable GuardedConnection takeIdle(String address, String tag) {
 		Deque<Idle> shard = shard(address);
 		while (true) {
 			Idle entry;
 			synchronized (shard) {
-				entry = shard.pollFirst();
+				entry = first(shard, tag);
 			}
 			if (entry == null) {
 				return null;
@@ -192,11 +227,22 @@
 		}
 	}
 
+	private static @Nullable Idle first(Deque<Idle> shard, String tag) {
+		for (Idle entry : shard) {
+			if (!entry.connection().carried(tag)) {
+				shard.remove(entry);
+				return entry;
+			}
+		}
+		return null;
+	}
+
 	private static boolean isUsable(Idle entry) {
 		long idleMillis = (System.nanoTime() - entry.sinceNanos()) / 1_000_000L;
 		try {
 			return idleMillis < MAX_IDLE_MILLIS && entry.connection().isOpen()
-					&& (idleMillis < CHECK_AFTER_MILLIS || !entry.connection().isStale());
+					&& (idleMillis < CHECK_AFTER_MILLIS || !entry.connection().isStale())
+					&& !entry.connection().hasUnreadBytes();
 		}
 		catch (IOException ex) {
 			return false;
@@ -207,7 +253,20 @@
 		return this.idle.computeIfAbsent(address, (unused) -> new ArrayDeque<>());
 	}
 
-	private DefaultBHttpClientConnection connect(String address) throws IOException {
+	private GuardedConnection connect(String address) throws IOException {
+		Socket socket = open(address);
+		try {
+			GuardedConnection connection = new GuardedConnection(this.config);
+			connection.bind(socket);
+			return connection;
+		}
+		catch (IOException | RuntimeException ex) {
+			socket.close();
+			throw ex;
+		}
+	}
+
+	Socket open(String address) throws IOException {
 		int colon = address.lastIndexOf(':');
 		if (colon < 0) {
 			throw new IllegalArgumentException("address \"" + address + "\" has no port");
@@ -215,13 +274,13 @@
 		Socket socket = new Socket();
 		try {
 			socket.setTcpNoDelay(true);
-			watch(socket);
+			if (this.probed) {
+				probe(socket);
+			}
 			socket.connect(
 					new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))),
 					CONNECT_TIMEOUT_MILLIS);
-			DefaultBHttpClientConnection connection = new DefaultBHttpClientConnection(this.config);
-			connection.bind(socket);
-			return connection;
+			return socket;
 		}
 		catch (IOException | RuntimeException ex) {
 			socket.close();
@@ -231,7 +290,7 @@
 
 	// Without probes, a connection that went silent would hold its exchange until the
 	// read timeout, and a waiting watch of the store much longer.
-	private static void watch(Socket socket) throws IOException {
+	private static void probe(Socket socket) throws IOException {
 		socket.setKeepAlive(true);
 		if (socket.supportedOptions().contains(ExtendedSocketOptions.TCP_KEEPIDLE)) {
 			socket.setOption(ExtendedSocketOptions.TCP_KEEPIDLE, KEEPALIVE_SECONDS);
@@ -240,7 +299,7 @@
 		}
 	}
 
-	private record Idle(DefaultBHttpClientConnection connection, long sinceNanos) {
+	private record Idle(GuardedConnection connection, long sinceNanos) {
 	}
 
 }
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpExchange.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpExchange.java
@@ -6,7 +6,6 @@
 import io.vavr.control.Either;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.HttpEntity;
-import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
 import org.apache.hc.core5.io.CloseMode;
 
 /**
@@ -22,7 +21,7 @@
 
 	private final String address;
 
-	private final DefaultBHttpClientConnection connection;
+	private final GuardedConnection connection;
 
 	private final ClassicHttpResponse response;
 
@@ -32,8 +31,8 @@
 
 	private boolean done;
 
-	HttpExchange(HttpConnectionPool pool, String address, DefaultBHttpClientConnection connection,
-			ClassicHttpResponse response, boolean keepAlive) {
+	HttpExchange(HttpConnectionPool pool, String address, GuardedConnection connection, ClassicHttpResponse response,
+			boolean keepAlive) {
 		this.pool = pool;
 		this.address = address;
 		this.connection = connection;
@@ -101,6 +100,15 @@
 		this.reusable = this.keepAlive;
 	}
 
+	/**
+	 * Bounds the time for the next part of the answer, however many bytes come meanwhile.
+	 * It takes the place of all bounds before.
+	 * @param millis the longest time until the part is read, in milliseconds
+	 */
+	public void within(long millis) {
+		this.connection.within(millis);
+	}
+
 	/**
 	 * Closes the connection at once, whatever is still on its way.
 	 */
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpLimits.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpLimits.java
@@ -11,6 +11,12 @@
 	/** The most header fields of a message. */
 	public static final int MAX_HEADERS = 100;
 
+	/**
+	 * The largest head of an answer, with interim answers before it, in bytes: some
+	 * sixteen longest lines.
+	 */
+	public static final int MAX_HEAD_BYTES = 16 * MAX_LINE_BYTES;
+
 	/** The largest body of a request, in bytes. */
 	public static final int MAX_REQUEST_BYTES = 4 * 1_048_576;
 
