--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointCaller.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointCaller.java
@@ -3,10 +3,8 @@
 import java.util.HashSet;
 import java.util.Objects;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 
 import io.vavr.control.Either;
-import org.bamboorelay.core.process.EndpointDemand;
 import org.bamboorelay.core.process.EndpointTable;
 import org.bamboorelay.core.time.Clock;
 import org.bamboorelay.host.connection.EndpointAnswer;
@@ -19,7 +17,6 @@
 import org.bamboorelay.runtime.connection.HttpFailure;
 import org.bamboorelay.runtime.connection.HttpLimits;
 import org.bamboorelay.runtime.process.Counters;
-import org.jspecify.annotations.Nullable;
 
 /**
  * Sends a request to endpoints until one answers. A request that is not idempotent is
@@ -30,12 +27,6 @@
  */
 public final class EndpointCaller {
 
-	/** The longest wait for a free endpoint, as a share of the time that is left. */
-	private static final double WAIT_SHARE = 0.25;
-
-	/** Pause before endpoints are looked at again, in milliseconds. */
-	private static final long POLL_MILLIS = 5;
-
 	/** When to come back where no endpoint had room, in milliseconds. */
 	private static final long RETRY_AFTER_MILLIS = 200;
 
@@ -44,6 +35,8 @@
 
 	private final EndpointTable table;
 
+	private final EndpointWait wait;
+
 	private final EndpointProtocol protocol;
 
 	private final HttpConnectionPool pool;
@@ -62,6 +55,7 @@
 		this.clock = Objects.requireNonNull(clock, "clock");
 		this.counters = Objects.requireNonNull(counters, "counters");
 		this.log = Objects.requireNonNull(log, "log");
+		this.wait = new EndpointWait(table, clock);
 	}
 
 	/**
@@ -87,9 +81,9 @@
 	public CallResult call(CallOrder order) {
 		Set<String> tried = new HashSet<>();
 		CallResult last = new CallResult.NotRun("no-endpoint", RETRY_AFTER_MILLIS);
-		long waitEnd = this.clock.millis() + (long) (WAIT_SHARE * (order.endMillis() - this.clock.millis()));
+		long waitEnd = this.wait.until(order.endMillis());
 		while (tried.size() < order.maxAttempts()) {
-			EndpointTable.Grant grant = acquire(order, tried, waitEnd);
+			EndpointTable.Grant grant = this.wait.acquire(order.service(), tried, waitEnd);
 			if (grant == null) {
 				return last;
 			}
@@ -124,23 +118,6 @@
 		return (earlier instanceof CallResult.NotRun) ? later : earlier;
 	}
 
-	private EndpointTable.@Nullable Grant acquire(CallOrder order, Set<String> tried, long waitEnd) {
-		EndpointDemand demand = EndpointDemand.plain(order.service(), tried);
-		while (true) {
-			EndpointTable.Grant grant = this.table.acquire(demand);
-			if (grant != null || this.clock.millis() >= waitEnd || this.table.usable(demand) == 0) {
-				return grant;
-			}
-			try {
-				TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
-			}
-			catch (InterruptedException ex) {
-				Thread.currentThread().interrupt();
-				return null;
-			}
-		}
-	}
-
 	private CallResult attempt(CallOrder order, EndpointTable.Grant grant, long left) {
 		EndpointTable.Outcome outcome = EndpointTable.Outcome.FAILED;
 		long start = this.clock.millis();
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EventStreamReader.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EventStreamReader.java
@@ -1,9 +1,9 @@
 package org.bamboorelay.host.request;
 
-import java.io.BufferedReader;
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
-import java.io.InputStreamReader;
 import java.nio.charset.StandardCharsets;
 import java.util.Objects;
 import java.util.function.ToLongFunction;
@@ -12,20 +12,30 @@
 
 /**
  * Reads numbered events from the stream of an endpoint. An event that is cut off is left
- * out.
+ * out, and one without end breaks the stream.
  * <p>
  * Not thread-safe.
  */
 public final class EventStreamReader {
 
-	private final BufferedReader reader;
+	/**
+	 * The largest event, in bytes: a result of at most 1 MB holds the data of all of
+	 * them.
+	 */
+	static final int MAX_EVENT_BYTES = 1_048_576;
+
+	private final InputStream in;
 
 	private final ToLongFunction<String> versionLine;
 
+	private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+
 	private long version;
 
-	private EventStreamReader(BufferedReader reader, ToLongFunction<String> versionLine, long version) {
-		this.reader = reader;
+	private int eventBytes;
+
+	private EventStreamReader(InputStream in, ToLongFunction<String> versionLine, long version) {
+		this.in = in;
 		this.versionLine = versionLine;
 		this.version = version;
 	}
@@ -39,8 +49,7 @@
 	 */
 	public static EventStreamReader of(InputStream body, ToLongFunction<String> versionLine, long version) {
 		Objects.requireNonNull(versionLine, "versionLine");
-		return new EventStreamReader(new BufferedReader(new InputStreamReader(body, StandardCharsets.UTF_8)),
-				versionLine, version);
+		return new EventStreamReader(new BufferedInputStream(body), versionLine, version);
 	}
 
 	/**
@@ -51,8 +60,9 @@
 	public @Nullable Event next() throws IOException {
 		long number = -1;
 		StringBuilder data = null;
+		this.eventBytes = 0;
 		while (true) {
-			String line = this.reader.readLine();
+			String line = readLine();
 			if (line == null) {
 				return null;
 			}
@@ -77,6 +87,26 @@
 		}
 	}
 
+	// Returns null at the end of the stream; a last line without its end is left out.
+	private @Nullable String readLine() throws IOException {
+		this.line.reset();
+		while (true) {
+			int value = this.in.read();
+			if (value < 0) {
+				return null;
+			}
+			if (++this.eventBytes > MAX_EVENT_BYTES) {
+				throw new IOException("an event has more than " + MAX_EVENT_BYTES + " bytes");
+			}
+			if (value == '\n') {
+				return this.line.toString(StandardCharsets.UTF_8);
+			}
+			if (value != '\r') {
+				this.line.write(value);
+			}
+		}
+	}
+
 	private static long number(String text) throws IOException {
 		try {
 			return Long.parseLong(text);
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/FrontHandler.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/FrontHandler.java
@@ -149,7 +149,7 @@
 					body, workspace.isEmpty() ? null : workspace, route.service(Math.random()), idempotent,
 					route.maxAttempts(), start + time, watched::onAbort);
 			if (route.kind() == RouteKind.EVENT_STREAM) {
-				this.streams.relay(order, watched, responder);
+				this.streams.relay(order, route.goalMillis(), watched, responder);
 				return;
 			}
 			long sentMillis = System.currentTimeMillis();
