--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerMessage.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerMessage.java
@@ -449,13 +449,16 @@
 	 * @param loading the endpoints that load weights on its order
 	 * @param assigned the model that each endpoint loads the versions of, on its order
 	 * @param running the requests that it runs at each endpoint
+	 * @param leavingEndpoints the start, in milliseconds since the epoch, of each
+	 * endpoint that told the sender lately that it leaves
 	 * @param usage requests that began to run, by window, incarnation and workspace, of
 	 * the newest windows
 	 */
 	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
 	record HostStatus(boolean leaving, boolean holdsDuties, long leaseVersion, boolean reachesStore,
 			Map<String, Integer> demand, List<String> loading, Map<String, String> assigned,
-			Map<String, Integer> running, Map<Long, Map<String, Map<String, Long>>> usage) implements PeerMessage {
+			Map<String, Integer> running, Map<String, Long> leavingEndpoints,
+			Map<Long, Map<String, Map<String, Long>>> usage) implements PeerMessage {
 
 		/**
 		 * Returns this status for hosts that do not add up usage.
@@ -463,7 +466,7 @@
 		 */
 		public HostStatus withoutUsage() {
 			return new HostStatus(this.leaving, this.holdsDuties, this.leaseVersion, this.reachesStore, this.demand,
-					this.loading, this.assigned, this.running, Map.of());
+					this.loading, this.assigned, this.running, this.leavingEndpoints, Map.of());
 		}
 	}
 
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
@@ -63,10 +63,13 @@
 
 	private final Set<String> loading = new HashSet<>();
 
+	private final LeavingEndpoints leaving;
+
 	private int hosts = 1;
 
 	private EndpointTable(Clock clock) {
 		this.clock = Objects.requireNonNull(clock, "clock");
+		this.leaving = new LeavingEndpoints(clock);
 	}
 
 	/**
@@ -171,6 +174,36 @@
 		}
 	}
 
+	/**
+	 * Takes what an answer of an endpoint said of its leaving. Whatever the directory
+	 * says, it gets no further request until it starts anew.
+	 * @param id the endpoint
+	 * @param bornMillis the start of the endpoint that answered, in milliseconds since
+	 * the epoch
+	 * @param says whether it said that it leaves
+	 */
+	public synchronized void heard(String id, long bornMillis, boolean says) {
+		if (says) {
+			this.leaving.add(id, bornMillis, true);
+		}
+	}
+
+	/**
+	 * Takes the endpoints that told another host that they leave.
+	 * @param starts the start of each one, in milliseconds since the epoch
+	 */
+	public synchronized void leaving(Map<String, Long> starts) {
+		starts.forEach((id, bornMillis) -> this.leaving.add(id, bornMillis, false));
+	}
+
+	/**
+	 * Returns the endpoints that told this host lately that they leave.
+	 * @return the start of each one, in milliseconds since the epoch
+	 */
+	public synchronized Map<String, Long> leaving() {
+		return this.leaving.shared();
+	}
+
 	/**
 	 * Chooses an endpoint and counts the request there until {@link #release}.
 	 * @param demand what the request needs
@@ -356,7 +389,7 @@
 		List<ModelHolder> holders = new ArrayList<>();
 		for (Endpoint endpoint : this.endpoints.values()) {
 			Long version = endpoint.versions.get(model);
-			if (version != null && !endpoint.entry.leaving()) {
+			if (version != null && !isLeaving(endpoint)) {
 				holders.add(new ModelHolder(endpoint.entry.id(), endpoint.entry.address(), endpoint.entry.domain(),
 						endpoint.entry.bornMillis(), version, Map.copyOf(endpoint.versions),
 						(int) load(endpoint, now)));
@@ -374,14 +407,18 @@
 		Map<String, Integer> counts = new HashMap<>();
 		this.endpoints.values()
 			.stream()
-			.filter((endpoint) -> endpoint.entry.service().equals(service) && !endpoint.entry.leaving())
+			.filter((endpoint) -> endpoint.entry.service().equals(service) && !isLeaving(endpoint))
 			.forEach((endpoint) -> counts.merge(endpoint.entry.domain(), 1, Integer::sum));
 		return counts;
 	}
 
+	private boolean isLeaving(Endpoint endpoint) {
+		return endpoint.entry.leaving() || this.leaving.contains(endpoint.entry.id(), endpoint.entry.bornMillis());
+	}
+
 	private boolean isUsable(Endpoint endpoint, EndpointDemand demand) {
 		EndpointEntry entry = endpoint.entry;
-		if (!entry.service().equals(demand.service()) || entry.leaving()
+		if (!entry.service().equals(demand.service()) || isLeaving(endpoint)
 				|| this.closedDomains.contains(entry.domain())) {
 			return false;
 		}
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/EndpointAnswer.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/EndpointAnswer.java
@@ -14,13 +14,14 @@
  * @param status the status code
  * @param id the request id that the endpoint echoed; null where it echoed none
  * @param notRun whether the endpoint says that it did not run the request
+ * @param leaving whether the endpoint says that it leaves and is to get nothing more
  * @param seal the endpoint's proof that it made the answer; null where there is none
  * @param weightVersion the version of the weights that it runs with; 0 where it names
  * none
  * @param passedHeaders the headers that concern the caller, the proof included
  */
-public record EndpointAnswer(int status, @Nullable String id, boolean notRun, @Nullable String seal, long weightVersion,
-		List<Header> passedHeaders) {
+public record EndpointAnswer(int status, @Nullable String id, boolean notRun, boolean leaving, @Nullable String seal,
+		long weightVersion, List<Header> passedHeaders) {
 
 	public EndpointAnswer {
 		Objects.requireNonNull(passedHeaders, "passedHeaders");
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/PlatformCalls.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/PlatformCalls.java
@@ -68,8 +68,9 @@
 	 * @param versions the weight version of each model
 	 * @param busy whether an order is in progress
 	 * @param ordersAccepted the orders accepted since the engine started
+	 * @param leaving whether it says that it leaves
 	 */
-	record EngineState(Map<String, Long> versions, boolean busy, long ordersAccepted) {
+	record EngineState(Map<String, Long> versions, boolean busy, long ordersAccepted, boolean leaving) {
 	}
 
 }
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/DutyLoop.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/DutyLoop.java
@@ -209,7 +209,8 @@
 	private boolean swap(WeightSwaps.Swap swap, long fencing) {
 		EndpointTable.ModelHolder holder = swap.holder();
 		Either<HttpFailure, PlatformCalls.EngineState> state = this.calls.engineState(holder.address());
-		if (state.isLeft() || state.get().busy() || !this.lease.isHeld(fencing)) {
+		state.forEach((known) -> this.table.heard(holder.id(), holder.bornMillis(), known.leaving()));
+		if (state.isLeft() || state.get().busy() || state.get().leaving() || !this.lease.isHeld(fencing)) {
 			return false;
 		}
 		if (state.get().versions().getOrDefault(swap.model(), 0L) >= swap.version()) {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -221,6 +221,7 @@
 				this.incarnation);
 		this.mesh.onStatus((host, status) -> {
 			this.table.peerLoad(host, status.running());
+			this.table.leaving(status.leavingEndpoints());
 			this.usage.merge(status.usage());
 			this.duties.demand(host, status.demand());
 			if (status.holdsDuties()) {
@@ -548,7 +549,8 @@
 				this.usage.shared(System.currentTimeMillis()));
 		return new PeerMessage.HostStatus(this.leaving, this.lease.isHeld(), this.lease.heldVersion(),
 				this.store.isReached(), this.runner.demand(), List.copyOf(this.swaps.loading()),
-				this.lease.isHeld() ? this.swaps.assigned() : Map.of(), new HashMap<>(this.table.ownLoad()), figures);
+				this.lease.isHeld() ? this.swaps.assigned() : Map.of(), new HashMap<>(this.table.ownLoad()),
+				this.table.leaving(), figures);
 	}
 
 	private static void pause(long millis) {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointCaller.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointCaller.java
@@ -134,6 +134,7 @@
 			}
 			try (HttpExchange exchange = result.get()) {
 				EndpointAnswer answer = this.protocol.head(exchange.response());
+				this.table.heard(grant.id(), grant.bornMillis(), answer.leaving());
 				if (isCrossed(answer, order.id())) {
 					exchange.abort();
 					return failed(order, grant, new HttpFailure.Broken("answer to another request"), start);
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ItemRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ItemRunner.java
@@ -155,6 +155,7 @@
 		}
 		try (HttpExchange exchange = result.get()) {
 			EndpointAnswer answer = this.protocol.head(exchange.response());
+			this.table.heard(grant.id(), grant.bornMillis(), answer.leaving());
 			if (answer.isSuccess() && !item.id().equals(answer.id())) {
 				exchange.abort();
 				return new Ending(EndpointTable.Outcome.FAILED, false, false, "crossed-answer", 0);
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/StreamRelay.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/StreamRelay.java
@@ -204,6 +204,7 @@
 			}
 			HttpExchange exchange = result.get();
 			EndpointAnswer answer = StreamRelay.this.protocol.head(exchange.response());
+			StreamRelay.this.table.heard(grant.id(), grant.bornMillis(), answer.leaving());
 			if (answer.notRun()) {
 				exchange.close();
 				StreamRelay.this.table.release(grant, EndpointTable.Outcome.REFUSED);
--- a/bamboorelay-host/src/test/java/org/bamboorelay/host/connection/HostMeshTests.java
+++ b/bamboorelay-host/src/test/java/org/bamboorelay/host/connection/HostMeshTests.java
@@ -40,7 +40,7 @@
 	private static final int MANY_HOSTS = 20;
 
 	private static final PeerMessage.HostStatus IDLE = new PeerMessage.HostStatus(false, false, 0, true, Map.of(),
-			List.of(), Map.of(), Map.of(), Map.of());
+			List.of(), Map.of(), Map.of(), Map.of(), Map.of());
 
 	private final ExecutorService threads = Executors.newCachedThreadPool();
 
