--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpListener.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpListener.java
@@ -3,9 +3,12 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -51,8 +54,25 @@
 	/** How often a draining listener looks whether it is idle, in milliseconds. */
 	private static final long DRAIN_POLL_MILLIS = 20;
 
+	/**
+	 * Share of the time to drain after which no connection is accepted any more, so that
+	 * requests that are being served then can end.
+	 */
+	private static final double ACCEPT_SHARE = 0.7;
+
+	/**
+	 * Time without a request and without unread bytes after which nothing is on its way
+	 * any more, in milliseconds; some turns of the threads that read.
+	 */
+	private static final long SETTLE_MILLIS = 100;
+
 	private final HttpServer server;
 
+	private final Acceptor acceptor = new Acceptor();
+
+	/** The open connections, to see whether one has bytes that were not read. */
+	private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+
 	private final AtomicInteger running = new AtomicInteger();
 
 	private final AtomicBoolean leaving = new AtomicBoolean();
@@ -76,7 +96,7 @@
 				new BasicHttpServerExpectationDecorator(
 						(request, trigger, context) -> serve(handler, request, trigger)),
 				config, DefaultConnectionReuseStrategy.INSTANCE, null);
-		this.server = new HttpServer(port, service, address, socketConfig, ServerSocketFactory.getDefault(),
+		this.server = new HttpServer(port, service, address, socketConfig, this.acceptor,
 				(socket) -> connection(config, socket), null, null, new ErrorForwarder(onError));
 	}
 
@@ -121,7 +141,9 @@
 	}
 
 	/**
-	 * Stops accepting connections and waits for the requests that are being served.
+	 * Turns callers away, waits until none of them sends any more or most of the time is
+	 * over, accepts no further connection, and waits for the requests that were accepted
+	 * until then.
 	 * @param quietMillis how long no request must have run, in milliseconds
 	 * @param limitMillis the longest wait, in milliseconds
 	 * @return false where requests were still running at the limit
@@ -130,22 +152,46 @@
 	public boolean drain(long quietMillis, long limitMillis) throws InterruptedException {
 		startLeaving();
 		long start = System.nanoTime();
-		long lastBusy = start;
+		awaitIdle(quietMillis, start + TimeUnit.MILLISECONDS.toNanos((long) (limitMillis * ACCEPT_SHARE)));
+		this.acceptor.close();
+		return awaitIdle(SETTLE_MILLIS, start + TimeUnit.MILLISECONDS.toNanos(limitMillis));
+	}
+
+	private boolean awaitIdle(long idleMillis, long endNanos) throws InterruptedException {
+		long lastBusy = System.nanoTime();
 		while (true) {
 			long now = System.nanoTime();
-			if (this.running.get() > 0) {
+			if (this.running.get() > 0 || hasUnreadBytes()) {
 				lastBusy = now;
 			}
-			if (TimeUnit.NANOSECONDS.toMillis(now - lastBusy) >= quietMillis) {
+			if (TimeUnit.NANOSECONDS.toMillis(now - lastBusy) >= idleMillis) {
 				return true;
 			}
-			if (TimeUnit.NANOSECONDS.toMillis(now - start) >= limitMillis) {
+			if (now - endNanos >= 0) {
 				return false;
 			}
 			TimeUnit.MILLISECONDS.sleep(DRAIN_POLL_MILLIS);
 		}
 	}
 
+	private boolean hasUnreadBytes() {
+		for (Socket socket : this.sockets) {
+			try {
+				if (socket.isClosed()) {
+					this.sockets.remove(socket);
+				}
+				else if (socket.getInputStream().available() > 0) {
+					return true;
+				}
+			}
+			catch (IOException ex) {
+				// Its caller closed it, so that nobody waits for an answer.
+				this.sockets.remove(socket);
+			}
+		}
+		return false;
+	}
+
 	@Override
 	public void close() {
 		this.server.close(CloseMode.IMMEDIATE);
@@ -162,9 +208,10 @@
 		}
 	}
 
-	private static DefaultBHttpServerConnection connection(Http1Config config, Socket socket) throws IOException {
-		DefaultBHttpServerConnection connection = new CuttingConnection(config);
+	private DefaultBHttpServerConnection connection(Http1Config config, Socket socket) throws IOException {
+		DefaultBHttpServerConnection connection = new CuttingConnection(config, () -> this.sockets.remove(socket));
 		connection.bind(socket);
+		this.sockets.add(socket);
 		return connection;
 	}
 
@@ -262,8 +309,23 @@
 		/** The connection that the running thread serves. */
 		private static final ThreadLocal<@Nullable CuttingConnection> CURRENT = new ThreadLocal<>();
 
-		private CuttingConnection(Http1Config config) {
+		private final Runnable onClose;
+
+		private CuttingConnection(Http1Config config, Runnable onClose) {
 			super("http", config);
+			this.onClose = onClose;
+		}
+
+		@Override
+		public void close() throws IOException {
+			this.onClose.run();
+			super.close();
+		}
+
+		@Override
+		public void close(CloseMode closeMode) {
+			this.onClose.run();
+			super.close(closeMode);
 		}
 
 		@Override
@@ -317,6 +379,53 @@
 
 	}
 
+	/**
+	 * Makes the listening socket, and closes it without touching the connections that
+	 * were accepted, which the server itself would interrupt.
+	 */
+	private static final class Acceptor extends ServerSocketFactory {
+
+		private volatile @Nullable ServerSocket socket;
+
+		@Override
+		public ServerSocket createServerSocket() throws IOException {
+			return kept(new ServerSocket());
+		}
+
+		@Override
+		public ServerSocket createServerSocket(int port) throws IOException {
+			return kept(new ServerSocket(port));
+		}
+
+		@Override
+		public ServerSocket createServerSocket(int port, int backlog) throws IOException {
+			return kept(new ServerSocket(port, backlog));
+		}
+
+		@Override
+		public ServerSocket createServerSocket(int port, int backlog, InetAddress address) throws IOException {
+			return kept(new ServerSocket(port, backlog, address));
+		}
+
+		private ServerSocket kept(ServerSocket created) {
+			this.socket = created;
+			return created;
+		}
+
+		private void close() {
+			ServerSocket present = this.socket;
+			try {
+				if (present != null) {
+					present.close();
+				}
+			}
+			catch (IOException ex) {
+				// The socket is given up; the process ends right after.
+			}
+		}
+
+	}
+
 	private record ErrorForwarder(Consumer<Exception> onError) implements ExceptionListener {
 
 		@Override
--- a/bamboorelay-runtime/src/test/java/org/bamboorelay/runtime/connection/HttpListenerTests.java
+++ b/bamboorelay-runtime/src/test/java/org/bamboorelay/runtime/connection/HttpListenerTests.java
@@ -3,15 +3,22 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.BindException;
+import java.net.ConnectException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.io.entity.HttpEntities;
 import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
 import org.apache.hc.core5.http.message.BasicClassicHttpResponse;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -55,6 +62,55 @@
 		}
 	}
 
+	@Test
+	@Timeout(30)
+	void everyRequestThatIsServedDuringAPlannedStopIsAnswered() throws Exception {
+		// Callers do not stop sending, so that the listener is never quiet.
+		Set<String> served = ConcurrentHashMap.newKeySet();
+		Set<String> answered = ConcurrentHashMap.newKeySet();
+		ExecutorService callers = Executors.newCachedThreadPool();
+		HttpListener.HttpHandler handler = (request, responder) -> {
+			served.add(request.getRequestUri());
+			LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(40));
+			responder.send(200, "text/plain", "whole");
+		};
+		try (HttpListener listener = HttpListener.open("127.0.0.1", 0, handler, (ex) -> {
+		})) {
+			for (int caller = 0; caller < 8; caller++) {
+				String name = "/" + caller + "-";
+				callers.execute(() -> send(listener.port(), name, answered));
+			}
+			while (answered.size() < 40) {
+				LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(10));
+			}
+			assertThat(listener.drain(300, 1_000)).isTrue();
+		}
+		callers.shutdown();
+		assertThat(callers.awaitTermination(10, TimeUnit.SECONDS)).isTrue();
+		assertThat(answered).containsAll(served);
+	}
+
+	// Sends one request after the other, each on a new connection, until no connection
+	// is accepted.
+	private static void send(int port, String name, Set<String> answered) {
+		for (int number = 0;; number++) {
+			try (Socket socket = new Socket("127.0.0.1", port)) {
+				socket.getOutputStream()
+					.write(("GET " + name + number + " HTTP/1.1\r\nHost: relay\r\nConnection: close\r\n\r\n")
+						.getBytes(StandardCharsets.US_ASCII));
+				if (new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII).endsWith("whole")) {
+					answered.add(name + number);
+				}
+			}
+			catch (ConnectException ex) {
+				return;
+			}
+			catch (IOException ex) {
+				// Cut off; shows as a request that was served and not answered.
+			}
+		}
+	}
+
 	/**
 	 * Opens a listener on a port that was closed just before. The accepting thread lets
 	 * go of it a moment later; a connection that blocks it does so for a minute.
