--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/PlatformCalls.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/PlatformCalls.java
@@ -1,6 +1,8 @@
 package org.bamboorelay.host.connection;
 
 import java.util.Map;
+import java.util.Objects;
+import java.util.function.BooleanSupplier;
 
 import io.vavr.control.Either;
 import org.bamboorelay.runtime.connection.HttpFailure;
@@ -58,8 +60,16 @@
 	 *
 	 * @param host the host
 	 * @param fencing the fencing number
+	 * @param holds tells whether the host still holds the duty; asked right before a call
+	 * is sent, as connecting may take longer than the lease lasts
 	 */
-	record DutySender(String host, long fencing) {
+	record DutySender(String host, long fencing, BooleanSupplier holds) {
+
+		public DutySender {
+			Objects.requireNonNull(host, "host");
+			Objects.requireNonNull(holds, "holds");
+		}
+
 	}
 
 	/**
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/DutyLoop.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/DutyLoop.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 
 import io.vavr.control.Either;
@@ -108,6 +109,8 @@
 
 	private final Map<Long, Long> retryAt = new TreeMap<>();
 
+	private final AtomicInteger acting = new AtomicInteger();
+
 	private volatile boolean closed;
 
 	private boolean held;
@@ -172,19 +175,43 @@
 	}
 
 	/**
-	 * Gives the lease back and ends the loop.
-	 * @param millis the longest wait for the store, in milliseconds
+	 * Ends the loop, and gives the lease back once no call of a duty is on its way: the
+	 * next holder acts at once, and receivers do not compare fencing numbers. Where a
+	 * call does not end in time, the lease is left to run out.
+	 * @param millis the longest wait, in milliseconds
 	 */
 	public void leave(long millis) {
 		this.closed = true;
-		this.lease.release();
 		long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+		while (this.acting.get() > 0 && System.nanoTime() < end) {
+			pause(TICK_MILLIS);
+		}
+		if (this.acting.get() > 0) {
+			this.log.warn("lease-not-released", "reason", "calls-on-their-way", "calls", this.acting.get());
+			return;
+		}
+		this.lease.release();
 		while (!this.lease.isReleased() && System.nanoTime() < end) {
 			drive();
 			pause(TICK_MILLIS);
 		}
 	}
 
+	// Counts a call of a duty while it is on its way. None begins once the loop ends.
+	private Either<HttpFailure, Integer> act(Supplier<Either<HttpFailure, Integer>> call) {
+		this.acting.incrementAndGet();
+		try {
+			return this.closed ? Either.left(new HttpFailure.NotSent("this host leaves")) : call.get();
+		}
+		finally {
+			this.acting.decrementAndGet();
+		}
+	}
+
+	private PlatformCalls.DutySender sender(long fencing) {
+		return new PlatformCalls.DutySender(this.settings.host(), fencing, () -> this.lease.isHeld(fencing));
+	}
+
 	private synchronized boolean drive() {
 		StoreStep step = this.lease.next();
 		if (step == null) {
@@ -217,9 +244,8 @@
 			this.table.version(holder.id(), swap.model(), swap.version());
 			return true;
 		}
-		Either<HttpFailure, Integer> answer = this.calls.orderWeights(
-				new PlatformCalls.DutySender(this.settings.host(), fencing), holder.address(), holder.id(),
-				swap.model(), swap.version(), state.get().ordersAccepted());
+		Either<HttpFailure, Integer> answer = act(() -> this.calls.orderWeights(sender(fencing), holder.address(),
+				holder.id(), swap.model(), swap.version(), state.get().ordersAccepted()));
 		this.log.info("weights-ordered", "endpoint", holder.id(), "model", swap.model(), "version", swap.version(),
 				"held", holder.version(), "running", holder.running(), "fencing", fencing, "outcome",
 				answer.fold(HttpFailure::code, String::valueOf));
@@ -265,9 +291,8 @@
 				if (fencing == 0) {
 					return;
 				}
-				Either<HttpFailure, Integer> answer = this.calls.orderEndpoints(
-						new PlatformCalls.DutySender(this.settings.host(), fencing), order.service(), order.domain(),
-						order.count());
+				Either<HttpFailure, Integer> answer = act(() -> this.calls.orderEndpoints(sender(fencing),
+						order.service(), order.domain(), order.count()));
 				this.log.info("endpoints-ordered", "service", order.service(), "domain", order.domain(), "count",
 						order.count(), "demand", demand, "outcome", answer.fold(HttpFailure::code, String::valueOf));
 			}
@@ -309,8 +334,8 @@
 		if (!this.lease.isHeld(fencing) || fencing == 0) {
 			return;
 		}
-		Either<HttpFailure, Integer> sent = this.calls
-			.reportUsage(new PlatformCalls.DutySender(this.settings.host(), fencing), window, figures.counts());
+		Map<String, Long> counts = figures.counts();
+		Either<HttpFailure, Integer> sent = act(() -> this.calls.reportUsage(sender(fencing), window, counts));
 		this.log.info("usage-reported", "window", window, "fencing", fencing, "counts", figures.counts(), "outcome",
 				sent.fold(HttpFailure::code, String::valueOf));
 		if (sent.isRight() && sent.get() == STATUS_OK) {
