--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/DutyLoop.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/DutyLoop.java
@@ -158,20 +158,24 @@
 	@Override
 	public void run() {
 		while (!this.closed) {
-			boolean stepped = drive();
-			boolean now = this.lease.isHeld();
-			if (now != this.held) {
-				this.held = now;
-				this.log.info(now ? "duties-taken" : "duties-lost", "fencing", this.lease.fencing());
-			}
-			if (now) {
-				orderWeights();
-				reportUsage(System.currentTimeMillis());
-				orderEndpoints();
-				cleanUp(System.currentTimeMillis());
-			}
-			pause((now || stepped) ? TICK_MILLIS : IDLE_TICK_MILLIS);
+			Steps.run(this.log, "duties", this::step);
+		}
+	}
+
+	private void step() {
+		boolean stepped = drive();
+		boolean now = this.lease.isHeld();
+		if (now != this.held) {
+			this.held = now;
+			this.log.info(now ? "duties-taken" : "duties-lost", "fencing", this.lease.fencing());
+		}
+		if (now) {
+			orderWeights();
+			reportUsage(System.currentTimeMillis());
+			orderEndpoints();
+			cleanUp(System.currentTimeMillis());
 		}
+		pause((now || stepped) ? TICK_MILLIS : IDLE_TICK_MILLIS);
 	}
 
 	/**
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -162,6 +162,12 @@
 
 	private final AtomicBoolean confirming = new AtomicBoolean();
 
+	private long nextTakeover;
+
+	private long nextBeat;
+
+	private long nextConfirm;
+
 	/**
 	 * Creates a process that does nothing yet.
 	 * @param settings the settings
@@ -474,35 +480,36 @@
 	}
 
 	private void beatLoop() {
-		long nextTakeover = 0;
-		long nextBeat = 0;
-		long nextConfirm = 0;
 		while (!this.stopped) {
-			long now = this.clock.millis();
-			if (this.lease.isHeld()) {
-				this.lastHeld.set(now);
-				this.table.loading(this.swaps.loading());
-				this.table.assigned(this.swaps.assigned());
-			}
-			if (now >= nextBeat) {
-				nextBeat = now + BEAT_MILLIS;
-				this.mesh.beat(this::status);
-				this.table.hosts(this.mesh.liveHosts().size());
-			}
-			if (now >= nextTakeover) {
-				nextTakeover = now + TAKEOVER_MILLIS;
-				checkCut();
-				if (isReady() && this.store.isReached() && this.isolation.mayTakeOver()) {
-					this.directory.takeOver();
-				}
-			}
-			if (now >= nextConfirm) {
-				nextConfirm = now + CONFIRM_MILLIS;
-				confirmRunning();
+			Steps.run(this.log, "beats", this::beat);
+		}
+	}
+
+	private void beat() {
+		long now = this.clock.millis();
+		if (this.lease.isHeld()) {
+			this.lastHeld.set(now);
+			this.table.loading(this.swaps.loading());
+			this.table.assigned(this.swaps.assigned());
+		}
+		if (now >= this.nextBeat) {
+			this.nextBeat = now + BEAT_MILLIS;
+			this.mesh.beat(this::status);
+			this.table.hosts(this.mesh.liveHosts().size());
+		}
+		if (now >= this.nextTakeover) {
+			this.nextTakeover = now + TAKEOVER_MILLIS;
+			checkCut();
+			if (isReady() && this.store.isReached() && this.isolation.mayTakeOver()) {
+				this.directory.takeOver();
 			}
-			this.callerWatch.tick();
-			pause(CallerWatch.TICK_MILLIS);
 		}
+		if (now >= this.nextConfirm) {
+			this.nextConfirm = now + CONFIRM_MILLIS;
+			confirmRunning();
+		}
+		this.callerWatch.tick();
+		pause(CallerWatch.TICK_MILLIS);
 	}
 
 	private void checkCut() {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
@@ -33,6 +33,7 @@
 import org.bamboorelay.core.version.RoutingTable;
 import org.bamboorelay.host.connection.HostMesh;
 import org.bamboorelay.host.process.EventLog;
+import org.bamboorelay.host.process.Steps;
 import org.bamboorelay.host.version.SubmissionRecord;
 import org.bamboorelay.host.version.SubmissionStore;
 import org.bamboorelay.runtime.connection.PeerFailure;
@@ -104,6 +105,8 @@
 
 	private volatile Predicate<String> wanted = (id) -> true;
 
+	private long nextMove;
+
 	private volatile boolean closed;
 
 	private volatile boolean leaving;
@@ -283,34 +286,38 @@
 	 * Starts items and writes pages until the process ends.
 	 */
 	public void loop() {
-		long nextMove = 0;
 		while (!this.closed) {
-			long now = System.currentTimeMillis();
-			List<ActiveSubmission> all = new ArrayList<>(this.active.values());
-			all.sort(Comparator.comparingLong((ActiveSubmission running) -> running.plan().acceptedMillis()));
-			boolean busy = false;
-			for (ActiveSubmission running : all) {
-				running.plan().expire(now);
-				if (!this.leaving && !this.suspended) {
-					startItems(running, now);
-				}
-				if (now >= nextMove) {
-					running.moveFrom(this.table, running.plan().isWaiting(now));
-				}
-				writePage(running, now);
-				if (now >= running.lastCopyMillis() + COPY_MILLIS && !this.leaving) {
-					running.copying(now);
-					this.threads.execute(() -> copyTexts(running));
-				}
-				busy |= running.plan().isWaiting(now) || !running.plan().unlisted().isEmpty();
+			Steps.run(this.log, "submissions", this::step);
+		}
+	}
+
+	private void step() {
+		long now = System.currentTimeMillis();
+		List<ActiveSubmission> all = new ArrayList<>(this.active.values());
+		all.sort(Comparator.comparingLong((ActiveSubmission running) -> running.plan().acceptedMillis()));
+		boolean busy = false;
+		boolean moves = now >= this.nextMove;
+		for (ActiveSubmission running : all) {
+			running.plan().expire(now);
+			if (!this.leaving && !this.suspended) {
+				startItems(running, now);
 			}
-			nextMove = (now >= nextMove) ? now + MOVE_MILLIS : nextMove;
-			if (all.isEmpty()) {
-				await(IDLE_MILLIS);
+			if (moves) {
+				running.moveFrom(this.table, running.plan().isWaiting(now));
 			}
-			else {
-				await(busy ? TICK_MILLIS : TICK_MILLIS * 5);
+			writePage(running, now);
+			if (now >= running.lastCopyMillis() + COPY_MILLIS && !this.leaving) {
+				running.copying(now);
+				this.threads.execute(() -> copyTexts(running));
 			}
+			busy |= running.plan().isWaiting(now) || !running.plan().unlisted().isEmpty();
+		}
+		this.nextMove = moves ? now + MOVE_MILLIS : this.nextMove;
+		if (all.isEmpty()) {
+			await(IDLE_MILLIS);
+		}
+		else {
+			await(busy ? TICK_MILLIS : TICK_MILLIS * 5);
 		}
 	}
 
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/version/KindWatch.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/version/KindWatch.java
@@ -21,6 +21,7 @@
 import org.bamboorelay.core.store.StoredObject;
 import org.bamboorelay.core.store.WatchedStore;
 import org.bamboorelay.host.process.EventLog;
+import org.bamboorelay.host.process.Steps;
 
 /**
  * Follows the objects of one kind: lists them, watches them, and lists them again where
@@ -164,15 +165,19 @@
 	@Override
 	public void run() {
 		while (!this.closed) {
-			Either<StoreFailure, Long> revision = list();
-			if (revision.isRight()) {
-				this.listed.countDown();
-				this.revision = Math.max(this.revision, revision.get());
-				follow();
-			}
-			else {
-				failed(revision.getLeft());
-			}
+			Steps.run(this.log, "watch-" + this.kind, this::listAndFollow);
+		}
+	}
+
+	private void listAndFollow() {
+		Either<StoreFailure, Long> revision = list();
+		if (revision.isRight()) {
+			this.listed.countDown();
+			this.revision = Math.max(this.revision, revision.get());
+			follow();
+		}
+		else {
+			failed(revision.getLeft());
 		}
 	}
 
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpConnectionPool.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpConnectionPool.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 
 import io.vavr.control.Either;
@@ -76,8 +77,18 @@
 	/** Connections that carry an exchange, so that closing the pool ends them. */
 	private final Set<GuardedConnection> leased = ConcurrentHashMap.newKeySet();
 
+	/**
+	 * The most bytes of buffered answers that are being read at once, as a share of the
+	 * heap: an answer takes up to three times its size while it grows.
+	 */
+	private static final long ANSWER_MEMORY_SHARE = 8;
+
 	private final boolean probed;
 
+	private final long answerBytes;
+
+	private final AtomicLong answerBytesHeld = new AtomicLong();
+
 	private volatile boolean closed;
 
 	/**
@@ -85,11 +96,12 @@
 	 * itself.
 	 */
 	public HttpConnectionPool() {
-		this(true);
+		this(true, Runtime.getRuntime().maxMemory() / ANSWER_MEMORY_SHARE);
 	}
 
-	private HttpConnectionPool(boolean probed) {
+	HttpConnectionPool(boolean probed, long answerBytes) {
 		this.probed = probed;
+		this.answerBytes = answerBytes;
 	}
 
 	/**
@@ -100,7 +112,7 @@
 	 * @return the pool
 	 */
 	public static HttpConnectionPool withoutProbes() {
-		return new HttpConnectionPool(false);
+		return new HttpConnectionPool(false, Runtime.getRuntime().maxMemory() / ANSWER_MEMORY_SHARE);
 	}
 
 	/**
@@ -183,6 +195,15 @@
 		});
 	}
 
+	// Tells whether an answer may grow by so many bytes; they are given back in any case.
+	boolean hold(int bytes) {
+		return this.answerBytesHeld.addAndGet(bytes) <= this.answerBytes;
+	}
+
+	void giveBack(long bytes) {
+		this.answerBytesHeld.addAndGet(-bytes);
+	}
+
 	void drop(GuardedConnection connection) {
 		this.leased.remove(connection);
 		connection.close(CloseMode.IMMEDIATE);
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpExchange.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpExchange.java
@@ -1,5 +1,6 @@
 package org.bamboorelay.runtime.connection;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 
@@ -17,6 +18,8 @@
  */
 public final class HttpExchange implements AutoCloseable {
 
+	private static final int PART_BYTES = 8_192;
+
 	private final HttpConnectionPool pool;
 
 	private final String address;
@@ -75,21 +78,31 @@
 	 * @return the body, or a failure where it is truncated or too large
 	 */
 	public Either<HttpFailure, byte[]> readWhole(int maxBytes) {
-		try (InputStream body = body()) {
-			byte[] bytes = body.readNBytes(maxBytes + 1);
-			if (bytes.length > maxBytes) {
-				this.reusable = false;
-				abort();
-				return Either.left(new HttpFailure.AnswerTooLarge(
-						"answer of " + this.address + " has more than " + maxBytes + " bytes"));
+		ByteArrayOutputStream whole = new ByteArrayOutputStream();
+		long held = 0;
+		try {
+			InputStream body = body();
+			byte[] part = new byte[PART_BYTES];
+			for (int count = body.read(part); count >= 0; count = body.read(part)) {
+				held += count;
+				if (!this.pool.hold(count) || held > maxBytes) {
+					this.reusable = false;
+					abort();
+					return Either.left(new HttpFailure.AnswerTooLarge("answer of " + this.address + " has more than "
+							+ maxBytes + " bytes, or all answers together have too many, after " + held));
+				}
+				whole.write(part, 0, count);
 			}
 			markWhole();
-			return Either.right(bytes);
+			return Either.right(whole.toByteArray());
 		}
 		catch (IOException ex) {
 			abort();
 			return Either.left(new HttpFailure.Broken("answer of " + this.address + " was cut: " + ex.getMessage()));
 		}
+		finally {
+			this.pool.giveBack(held);
+		}
 	}
 
 	/**
--- /dev/null
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/process/FatalErrors.java
@@ -0,0 +1,60 @@
+package org.bamboorelay.runtime.process;
+
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.IntConsumer;
+
+import org.bamboorelay.runtime.request.Json;
+
+/**
+ * Writes why a thread ended by an error, and ends the process where it cannot go on, so
+ * that no process ends or loses a thread without a line.
+ * <p>
+ * Thread-safe.
+ */
+public final class FatalErrors implements Thread.UncaughtExceptionHandler {
+
+	/** Exit code of a process that ran out of memory or met a fault of the JVM. */
+	public static final int EXIT_CODE = 70;
+
+	private final Consumer<String> out;
+
+	private final IntConsumer exit;
+
+	FatalErrors(Consumer<String> out, IntConsumer exit) {
+		this.out = out;
+		this.exit = exit;
+	}
+
+	/**
+	 * Installs the handler for all threads of this process. Lines go to standard error at
+	 * once, as the queue of the log is lost when a process ends.
+	 */
+	public static void install() {
+		Thread.setDefaultUncaughtExceptionHandler(
+				new FatalErrors(System.err::println, (code) -> Runtime.getRuntime().halt(code)));
+	}
+
+	@Override
+	public void uncaughtException(Thread thread, Throwable error) {
+		boolean fatal = error instanceof VirtualMachineError;
+		try {
+			Map<String, Object> line = new LinkedHashMap<>();
+			line.put("level", "ERROR");
+			line.put("message", fatal ? "process-ending" : "thread-failed");
+			line.put("thread", thread.getName());
+			line.put("error", error.toString());
+			StackTraceElement[] stack = error.getStackTrace();
+			line.put("at", (stack.length > 0) ? stack[0].toString() : "");
+			this.out.accept(new String(Json.bytes(line), StandardCharsets.UTF_8));
+		}
+		finally {
+			if (fatal) {
+				this.exit.accept(EXIT_CODE);
+			}
+		}
+	}
+
+}
--- a/bamboorelay-runtime/src/test/java/org/bamboorelay/runtime/connection/HttpConnectionPoolTests.java
+++ b/bamboorelay-runtime/src/test/java/org/bamboorelay/runtime/connection/HttpConnectionPoolTests.java
@@ -92,6 +92,36 @@
 		assertBodyEnds("Transfer-Encoding: chunked\r\n\r\n0\r\n", "T: t\r\n", 0);
 	}
 
+	@Test
+	void headWithoutEndEndsAlsoWhereNoTimeIsSet() throws IOException {
+		try (RawServer server = new RawServer((request, out) -> forever(out, "HTTP/1.1 103 Early Hints\r\n\r\n", 0))) {
+			assertThat(this.pool.execute(server.address(), new BasicClassicHttpRequest("GET", "/"), true, PAUSE_MILLIS)
+				.isLeft()).isTrue();
+		}
+	}
+
+	@Test
+	void answersTogetherHaveALimit() throws IOException {
+		try (HttpConnectionPool small = new HttpConnectionPool(false, 50_000);
+				RawServer server = new RawServer((request, out) -> write(out, answer("b".repeat(40_000))))) {
+			for (int number = 0; number < 3; number++) {
+				try (HttpExchange exchange = small
+					.execute(server.address(), new BasicClassicHttpRequest("GET", "/"), true, PAUSE_MILLIS)
+					.get()) {
+					assertThat(exchange.readWhole(100_000).get()).as("the bytes of the last one are given back")
+						.hasSize(40_000);
+				}
+			}
+		}
+		try (HttpConnectionPool small = new HttpConnectionPool(false, 50_000);
+				RawServer server = new RawServer((request, out) -> write(out, answer("b".repeat(60_000))));
+				HttpExchange exchange = small
+					.execute(server.address(), new BasicClassicHttpRequest("GET", "/"), true, PAUSE_MILLIS)
+					.get()) {
+			assertThat(exchange.readWhole(100_000).getLeft()).isInstanceOf(HttpFailure.AnswerTooLarge.class);
+		}
+	}
+
 	@Test
 	void slowButSoundAnswerLives() throws IOException {
 		try (RawServer server = new RawServer((request, out) -> {
--- /dev/null
+++ b/bamboorelay-runtime/src/test/java/org/bamboorelay/runtime/process/FatalErrorsTests.java
@@ -0,0 +1,36 @@
+package org.bamboorelay.runtime.process;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of what a process leaves behind when a thread of it ends by an error.
+ */
+class FatalErrorsTests {
+
+	private final List<String> lines = new ArrayList<>();
+
+	private final List<Integer> exits = new ArrayList<>();
+
+	private final FatalErrors errors = new FatalErrors(this.lines::add, this.exits::add);
+
+	@Test
+	void failedThreadLeavesALineAndTheProcessGoesOn() {
+		this.errors.uncaughtException(new Thread("watch"), new IllegalStateException("no \"state\""));
+		assertThat(this.lines).hasSize(1);
+		assertThat(this.lines.get(0)).contains("\"thread\":\"watch\"").contains("no \\\"state\\\"");
+		assertThat(this.exits).isEmpty();
+	}
+
+	@Test
+	void processWithoutMemoryEndsWithItsReason() {
+		this.errors.uncaughtException(new Thread("item"), new OutOfMemoryError("Java heap space"));
+		assertThat(this.lines.get(0)).contains("process-ending").contains("Java heap space");
+		assertThat(this.exits).containsExactly(FatalErrors.EXIT_CODE);
+	}
+
+}
