--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
@@ -31,6 +31,12 @@
 
 	private static final int MAX_DOUBLINGS = 10;
 
+	/**
+	 * Requests in a row that ran out of their own time before an endpoint counts as
+	 * failing: a request may be given less time than its work takes.
+	 */
+	private static final int SLOW_IN_A_ROW = 3;
+
 	/** Pause after an endpoint refused a request without running it, in milliseconds. */
 	private static final long REFUSED_PAUSE_MILLIS = 150;
 
@@ -275,11 +281,12 @@
 		long now = this.clock.millis();
 		if (outcome == Outcome.SERVED) {
 			endpoint.failures = 0;
+			endpoint.slow = 0;
 		}
 		else if (outcome == Outcome.REFUSED) {
 			endpoint.pausedUntil = Math.max(endpoint.pausedUntil, now + REFUSED_PAUSE_MILLIS);
 		}
-		else if (outcome == Outcome.FAILED) {
+		else if (outcome == Outcome.FAILED || (outcome == Outcome.OUT_OF_TIME && ++endpoint.slow >= SLOW_IN_A_ROW)) {
 			long pause = PAUSE_BASE_MILLIS << Math.min(endpoint.failures, MAX_DOUBLINGS);
 			endpoint.pausedUntil = now + Math.min(PAUSE_CAP_MILLIS, pause);
 			endpoint.failures++;
@@ -502,6 +509,9 @@
 		/** The endpoint could not be reached, or broke off. */
 		FAILED,
 
+		/** The time of the request ended before an answer came. */
+		OUT_OF_TIME,
+
 		/** This host broke off. */
 		ABANDONED
 
@@ -546,6 +556,8 @@
 
 		private int failures;
 
+		private int slow;
+
 		private long pausedUntil;
 
 		private long coldUntil;
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/process/EndpointTableTests.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/process/EndpointTableTests.java
@@ -89,6 +89,42 @@
 		assertThat(pauses).isSorted().doesNotHaveDuplicates();
 	}
 
+	@Test
+	void requestWithTooLittleTimeDoesNotStopAnEndpointForOthers() {
+		// Load: some requests last longer than their route grants; each one stopped a
+		// sound endpoint for all others.
+		this.table.put(entry("a", "zone-a", false, 0, 1));
+		for (int round = 0; round < 5; round++) {
+			for (int late = 0; late < 2; late++) {
+				this.table.release(this.table.acquire(demand(0)), EndpointTable.Outcome.OUT_OF_TIME);
+			}
+			assertThat(this.table.open(demand(0))).isEqualTo(1);
+			this.table.release(this.table.acquire(demand(0)), EndpointTable.Outcome.SERVED);
+		}
+		for (int late = 0; late < 3; late++) {
+			this.table.release(this.table.acquire(demand(0)), EndpointTable.Outcome.OUT_OF_TIME);
+		}
+		assertThat(this.table.open(demand(0))).as("an endpoint that answers nothing").isZero();
+	}
+
+	@Test
+	void endpointThatSaidThatItLeavesStaysOutUntilItStartsAnew() {
+		this.table.put(entry("a", "zone-a", false, 0, 1));
+		this.table.leaving(Map.of("a", 1L));
+		assertThat(this.table.usable(demand(0))).isZero();
+		this.table.remove("a");
+		this.table.put(entry("a", "zone-a", false, 0, 1));
+		assertThat(this.table.usable(demand(0))).as("an entry that came late").isZero();
+		assertThat(this.table.leaving()).as("told by another host").isEmpty();
+		this.table.put(new EndpointEntry("a", "s", "10.0.0.1:80", "zone-a", 4, false, 0, 2, Map.of("m", 1L)));
+		assertThat(this.table.usable(demand(0))).isEqualTo(1);
+		this.table.heard("a", 2, true);
+		assertThat(this.table.leaving()).containsExactly(Map.entry("a", 2L));
+		this.clock.advance(LeavingEndpoints.SHARED_MILLIS);
+		assertThat(this.table.leaving()).isEmpty();
+		assertThat(this.table.usable(demand(0))).isZero();
+	}
+
 	@Test
 	void endpointThatLoadsWeightsStartsNothing() {
 		this.table.put(entry("a", "zone-a", false, 0, 1));
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -186,7 +186,8 @@
 				+ Integer.toHexString(ThreadLocalRandom.current().nextInt());
 		this.mesh = HostMesh.of(settings.host(), settings.domain(), settings.processors(), this.incarnation, this.clock,
 				this.threads, this.log);
-		this.store = new RelayedStore(Objects.requireNonNull(store, "store"), this.mesh, this.clock, this.log);
+		this.store = new RelayedStore(Objects.requireNonNull(store, "store"), this.mesh, this.clock, this.counters,
+				this.log);
 		this.usage = new UsageMeter(this.incarnation, settings.usageWindowMillis());
 		AtomicLong lastHeld = new AtomicLong(this.clock.millis());
 		long length = settings.leaseMillis() * 2 / 3;
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointCaller.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointCaller.java
@@ -130,6 +130,9 @@
 						.withWholeMillis(left),
 					order.onAbort());
 			if (result.isLeft()) {
+				if (this.clock.millis() >= order.endMillis()) {
+					outcome = EndpointTable.Outcome.OUT_OF_TIME;
+				}
 				return failed(order, grant, result.getLeft(), start);
 			}
 			try (HttpExchange exchange = result.get()) {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/version/RelayedStore.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/version/RelayedStore.java
@@ -16,6 +16,7 @@
 import org.bamboorelay.host.connection.HostMesh;
 import org.bamboorelay.host.process.EventLog;
 import org.bamboorelay.runtime.connection.PeerFailure;
+import org.bamboorelay.runtime.process.Counters;
 
 /**
  * The platform's store, called through another host while this one does not reach it.
@@ -41,6 +42,8 @@
 
 	private final Clock clock;
 
+	private final Counters counters;
+
 	private final EventLog log;
 
 	private volatile long detourUntil = Long.MIN_VALUE / 2;
@@ -52,12 +55,14 @@
 	 * @param direct the store as this host reaches it
 	 * @param mesh the other hosts
 	 * @param clock the monotonic clock of the process
+	 * @param counters the metrics of the process
 	 * @param log the log of the process
 	 */
-	public RelayedStore(WatchedStore direct, HostMesh mesh, Clock clock, EventLog log) {
+	public RelayedStore(WatchedStore direct, HostMesh mesh, Clock clock, Counters counters, EventLog log) {
 		this.direct = Objects.requireNonNull(direct, "direct");
 		this.mesh = Objects.requireNonNull(mesh, "mesh");
 		this.clock = Objects.requireNonNull(clock, "clock");
+		this.counters = Objects.requireNonNull(counters, "counters");
 		this.log = Objects.requireNonNull(log, "log");
 		mesh.register(PeerMessage.StoreAsk.class, this::answer);
 	}
@@ -104,6 +109,7 @@
 
 	@Override
 	public Either<StoreFailure, List<Entry>> list(String prefix) {
+		count("list", prefix);
 		return this.direct.list(prefix);
 	}
 
@@ -129,6 +135,7 @@
 	private <T> Either<StoreFailure, T> call(Supplier<Either<StoreFailure, T>> own, PeerMessage.StoreAsk ask,
 			Function<PeerMessage.StoreAnswer, T> decoder) {
 		if (this.clock.millis() >= this.detourUntil || this.mesh.hostsWithStore().isEmpty()) {
+			count(ask.call(), ask.key());
 			Either<StoreFailure, T> result = own.get();
 			boolean answered = result.isRight() || !isLoss(result.getLeft());
 			if (answered != this.reached) {
@@ -162,7 +169,16 @@
 		return Either.left(new StoreFailure.Unavailable("neither this host nor " + hosts + " reaches the store"));
 	}
 
+	// Each call is paid. Kinds that bear the name of a submission count as one.
+	private void count(String call, String key) {
+		String kind = key.contains("/") ? key.substring(0, key.indexOf('/')) : key;
+		boolean results = kind.startsWith(SubmissionStore.RESULTS);
+		this.counters.counter("store_calls_total", "call", call + " " + (results ? SubmissionStore.RESULTS : kind))
+			.inc();
+	}
+
 	private PeerMessage answer(PeerMessage.StoreAsk ask) {
+		count(ask.call(), ask.key());
 		return switch (ask.call()) {
 			case "read" -> encode(this.direct.read(ask.key()),
 					(found) -> answer(0, false, found.toJavaList().stream().map(RelayedStore::relayed).toList()));
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpConnectionPool.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpConnectionPool.java
@@ -74,6 +74,9 @@
 		.setMaxHeaderCount(HttpLimits.MAX_HEADERS)
 		.build();
 
+	/** When an address last began to answer, by the steady clock in nanoseconds. */
+	private final Map<String, Long> answeredNanos = new ConcurrentHashMap<>();
+
 	/** Connections that carry an exchange, so that closing the pool ends them. */
 	private final Set<GuardedConnection> leased = ConcurrentHashMap.newKeySet();
 
@@ -159,6 +162,7 @@
 			return Either.left(new HttpFailure.NotSent("the connections of this process are closed"));
 		}
 		onConnected.accept(() -> used.close(CloseMode.IMMEDIATE));
+		long sentNanos = System.nanoTime();
 		try {
 			connection.begin(options);
 			HttpCoreContext context = HttpCoreContext.create();
@@ -168,12 +172,13 @@
 			this.executor.preProcess(request, this.processor, context);
 			ClassicHttpResponse response = this.executor.execute(request, connection, context);
 			connection.headRead();
+			this.answeredNanos.put(address, System.nanoTime());
 			boolean keep = DefaultConnectionReuseStrategy.INSTANCE.keepAlive(request, response, context);
 			return Either.right(new HttpExchange(this, address, connection, response, keep));
 		}
 		catch (IOException | HttpException | RuntimeException ex) {
 			drop(connection);
-			if (ex instanceof SocketTimeoutException) {
+			if (ex instanceof SocketTimeoutException && !answeredSince(address, sentNanos)) {
 				dropIdle(address);
 			}
 			return Either.left(new HttpFailure.Broken("exchange with " + address + " broke: " + ex));
@@ -222,6 +227,11 @@
 		connection.close(CloseMode.GRACEFUL);
 	}
 
+	private boolean answeredSince(String address, long nanos) {
+		Long answered = this.answeredNanos.get(address);
+		return answered != null && answered - nanos > 0;
+	}
+
 	// Other connections to an address that does not answer are likely to be silent too.
 	private void dropIdle(String address) {
 		Deque<Idle> shard = shard(address);
--- a/bamboorelay-runtime/src/test/java/org/bamboorelay/runtime/connection/HttpConnectionPoolTests.java
+++ b/bamboorelay-runtime/src/test/java/org/bamboorelay/runtime/connection/HttpConnectionPoolTests.java
@@ -183,6 +183,32 @@
 		}
 	}
 
+	@Test
+	void slowRequestLeavesTheOtherConnectionsOfItsAddress() throws IOException {
+		try (RawServer server = new RawServer((request, out) -> {
+			if (request != 2) {
+				write(out, answer("first"));
+			}
+		})) {
+			HttpExchange one = execute(server, "a").get();
+			assertThat(read(server, "b")).isEqualTo("first");
+			assertThat(one.readWhole(100).isRight()).isTrue();
+			one.close();
+			Thread sound = new Thread(() -> {
+				LockSupport.parkNanos(TRICKLE_NANOS);
+				this.pool.execute(server.address(), new BasicClassicHttpRequest("GET", "/"),
+						ExchangeOptions.of(false, PAUSE_MILLIS), (abort) -> {
+						})
+					.forEach(HttpExchange::close);
+			});
+			sound.start();
+			assertThat(execute(server, "c").isLeft()).isTrue();
+			assertThat(server.connections()).isEqualTo(3);
+			assertThat(execute(server, "d").isLeft()).as("on a connection that was kept").isTrue();
+			assertThat(server.connections()).isEqualTo(3);
+		}
+	}
+
 	@Test
 	void exchangeThatTimesOutTakesItsBytesBack() throws IOException {
 		// A request that was closed with a plain end reached its endpoint seconds later.
