--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointCaller.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointCaller.java
@@ -30,6 +30,15 @@
 	/** When to come back where no endpoint had room, in milliseconds. */
 	private static final long RETRY_AFTER_MILLIS = 200;
 
+	/**
+	 * Share of the time that is left for which an answer on a kept connection is waited
+	 * for: one that went silent leaves time for another endpoint.
+	 */
+	private static final double KEPT_SHARE = 0.5;
+
+	/** The shortest such wait, in milliseconds; several times what a request takes. */
+	private static final long MIN_KEPT_MILLIS = 300;
+
 	/** Less time than this is not worth an attempt, in milliseconds. */
 	private static final long MIN_ATTEMPT_MILLIS = 5;
 
@@ -127,7 +136,8 @@
 			Either<HttpFailure, HttpExchange> result = this.pool.execute(grant.address(), this.protocol.request(call),
 					ExchangeOptions.of(order.idempotent(), (int) Math.min(Integer.MAX_VALUE, left))
 						.withTag(order.id())
-						.withWholeMillis(left),
+						.withWholeMillis(left)
+						.withKeptMillis(Math.max(MIN_KEPT_MILLIS, (long) (left * KEPT_SHARE))),
 					order.onAbort());
 			if (result.isLeft()) {
 				if (this.clock.millis() >= order.endMillis()) {
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/ExchangeOptions.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/ExchangeOptions.java
@@ -15,8 +15,10 @@
  * @param pauseMillis the longest pause between two bytes of the answer, in milliseconds
  * @param wholeMillis the longest time until the answer is whole, in milliseconds, however
  * many bytes come meanwhile; {@link HttpExchange#within} sets it anew
+ * @param keptMillis the longest wait for the head on a connection that was kept from an
+ * earlier exchange, in milliseconds: it may have gone silent without a sign
  */
-public record ExchangeOptions(boolean reuse, String tag, int pauseMillis, long wholeMillis) {
+public record ExchangeOptions(boolean reuse, String tag, int pauseMillis, long wholeMillis, long keptMillis) {
 
 	/** No bound on the whole answer. */
 	static final long UNBOUNDED_MILLIS = Long.MAX_VALUE;
@@ -29,6 +31,9 @@
 		if (wholeMillis <= 0) {
 			throw new IllegalArgumentException("wholeMillis must be positive: " + wholeMillis);
 		}
+		if (keptMillis <= 0) {
+			throw new IllegalArgumentException("keptMillis must be positive: " + keptMillis);
+		}
 	}
 
 	/**
@@ -38,7 +43,7 @@
 	 * @return the options
 	 */
 	public static ExchangeOptions of(boolean reuse, int pauseMillis) {
-		return new ExchangeOptions(reuse, "", pauseMillis, UNBOUNDED_MILLIS);
+		return new ExchangeOptions(reuse, "", pauseMillis, UNBOUNDED_MILLIS, UNBOUNDED_MILLIS);
 	}
 
 	/**
@@ -47,7 +52,7 @@
 	 * @return the options
 	 */
 	public ExchangeOptions withTag(String tag) {
-		return new ExchangeOptions(this.reuse, tag, this.pauseMillis, this.wholeMillis);
+		return new ExchangeOptions(this.reuse, tag, this.pauseMillis, this.wholeMillis, this.keptMillis);
 	}
 
 	/**
@@ -56,7 +61,16 @@
 	 * @return the options
 	 */
 	public ExchangeOptions withWholeMillis(long millis) {
-		return new ExchangeOptions(this.reuse, this.tag, this.pauseMillis, millis);
+		return new ExchangeOptions(this.reuse, this.tag, this.pauseMillis, millis, this.keptMillis);
+	}
+
+	/**
+	 * Returns these options with a bound on the head where a kept connection is used.
+	 * @param millis the longest wait for the head, in milliseconds
+	 * @return the options
+	 */
+	public ExchangeOptions withKeptMillis(long millis) {
+		return new ExchangeOptions(this.reuse, this.tag, this.pauseMillis, this.wholeMillis, millis);
 	}
 
 }
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/GuardedConnection.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/GuardedConnection.java
@@ -33,6 +33,8 @@
 
 	private final Deque<String> tags = new ArrayDeque<>();
 
+	private int pauseMillis;
+
 	private boolean bounded;
 
 	private long endNanos;
@@ -51,8 +53,10 @@
 	}
 
 	// Begins an exchange: its head may have so many bytes and last so long.
-	void begin(ExchangeOptions options) {
-		setSocketTimeout(Timeout.ofMilliseconds(options.pauseMillis()));
+	void begin(ExchangeOptions options, boolean kept) {
+		long pause = kept ? Math.min(options.pauseMillis(), options.keptMillis()) : options.pauseMillis();
+		setSocketTimeout(Timeout.ofMilliseconds(pause));
+		this.pauseMillis = options.pauseMillis();
 		this.bounded = options.wholeMillis() != ExchangeOptions.UNBOUNDED_MILLIS;
 		this.endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(options.wholeMillis());
 		this.bytesLeft = HttpLimits.MAX_HEAD_BYTES;
@@ -64,8 +68,9 @@
 		}
 	}
 
-	// Notes that the head is whole, so that its limit in bytes no longer holds.
+	// Notes that the head is whole, so that its own limits no longer hold.
 	void headRead() {
+		setSocketTimeout(Timeout.ofMilliseconds(this.pauseMillis));
 		this.bytesLeft = UNLIMITED;
 	}
 
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpConnectionPool.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpConnectionPool.java
@@ -147,6 +147,7 @@
 	public Either<HttpFailure, HttpExchange> execute(String address, ClassicHttpRequest request,
 			ExchangeOptions options, Consumer<Runnable> onConnected) {
 		GuardedConnection connection = options.reuse() ? takeIdle(address, options.tag()) : null;
+		boolean kept = connection != null;
 		if (connection == null) {
 			try {
 				connection = connect(address);
@@ -164,7 +165,7 @@
 		onConnected.accept(() -> used.close(CloseMode.IMMEDIATE));
 		long sentNanos = System.nanoTime();
 		try {
-			connection.begin(options);
+			connection.begin(options, kept);
 			HttpCoreContext context = HttpCoreContext.create();
 			if (!request.containsHeader(HttpHeaders.HOST)) {
 				request.setHeader(HttpHeaders.HOST, address);
