--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EventFrames.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EventFrames.java
@@ -21,6 +21,8 @@
 
 	private boolean hasField;
 
+	private long events;
+
 	private long eventNumber;
 
 	private long firstNumber;
@@ -72,6 +74,14 @@
 		return this.lastNumber;
 	}
 
+	/**
+	 * Tells whether the stream can go on elsewhere without an event missing or twice.
+	 * @return whether no event was whole yet, or the last whole one had a number
+	 */
+	boolean mayGoOn() {
+		return this.events == 0 || this.lastNumber > 0;
+	}
+
 	/**
 	 * Returns the number of the first whole event since {@link #restart}.
 	 * @return the number; 0 where there is none yet
@@ -99,6 +109,7 @@
 				whole.writeBytes(this.pending.toByteArray());
 				this.pending.reset();
 				this.hasField = false;
+				this.events++;
 				this.lastNumber = this.eventNumber;
 				this.firstNumber = (this.firstNumber == 0) ? this.eventNumber : this.firstNumber;
 			}
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/StreamRelay.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/StreamRelay.java
@@ -103,7 +103,7 @@
 	public void relay(CallOrder order, long goalMillis, CallerWatch.Watched watched, HttpListener.Responder responder)
 			throws HttpException, IOException {
 		Attempts attempts = new Attempts(order, goalMillis);
-		Opened first = attempts.open(0, watched);
+		Opened first = attempts.open(0, false, watched);
 		if (first != null) {
 			this.usage.count((order.workspace() != null) ? order.workspace() : "", System.currentTimeMillis());
 			responder.send(response(first.answer(), (out) -> attempts.pump(first, watched, out)));
@@ -163,16 +163,18 @@
 			this.pauseMillis = Math.max(MIN_PAUSE_MILLIS, GOALS_PER_PAUSE * Math.min(goalMillis, MAX_GOAL_MILLIS));
 		}
 
-		// Returns null where no endpoint began to answer.
-		private @Nullable Opened open(long afterEvent, CallerWatch.Watched watched) {
-			long end = (afterEvent > 0) ? StreamRelay.this.clock.millis() + this.pauseMillis : this.waitEnd;
+		// Returns null where no endpoint began to answer. Once the caller has a head,
+		// only
+		// a success goes on from it.
+		private @Nullable Opened open(long afterEvent, boolean begun, CallerWatch.Watched watched) {
+			long end = begun ? StreamRelay.this.clock.millis() + this.pauseMillis : this.waitEnd;
 			while (this.tried.size() < this.order.maxAttempts() && !watched.isGone()) {
 				EndpointTable.Grant grant = StreamRelay.this.wait.acquire(this.order.service(), this.tried, end);
 				if (grant == null) {
 					return null;
 				}
 				this.tried.add(grant.id());
-				Opened opened = open(grant, afterEvent);
+				Opened opened = open(grant, afterEvent, begun);
 				if (opened != null) {
 					return opened;
 				}
@@ -183,12 +185,12 @@
 			return null;
 		}
 
-		private @Nullable Opened open(EndpointTable.Grant grant, long afterEvent) {
+		private @Nullable Opened open(EndpointTable.Grant grant, long afterEvent, boolean begun) {
 			long left = Math.max(1, this.order.endMillis() - StreamRelay.this.clock.millis());
 			EndpointCall call = new EndpointCall(this.order.id(), this.order.method(), this.order.host(),
 					this.order.path(), this.order.headers(), this.order.workspace(), grant.id(), left, afterEvent,
 					this.order.body());
-			long head = (afterEvent > 0) ? this.pauseMillis : left;
+			long head = begun ? this.pauseMillis : left;
 			Either<HttpFailure, HttpExchange> result = StreamRelay.this.pool.execute(grant.address(),
 					StreamRelay.this.protocol.request(call),
 					ExchangeOptions.of(this.order.idempotent(), (int) Math.min(this.pauseMillis, head))
@@ -212,7 +214,7 @@
 			}
 			this.mayHaveRun = true;
 			boolean crossed = (answer.id() != null) ? !answer.id().equals(this.order.id()) : answer.isSuccess();
-			if (crossed || (answer.isSuccess() && answer.seal() == null) || (afterEvent > 0 && !answer.isSuccess())) {
+			if (crossed || (answer.isSuccess() && answer.seal() == null) || (begun && !answer.isSuccess())) {
 				StreamRelay.this.log.info("stream-endpoint-failed", "request_id", this.order.id(), "endpoint",
 						grant.id(), "code", "wrong-answer", "status", answer.status(), "crossed", crossed);
 				exchange.close();
@@ -236,8 +238,8 @@
 						present.grant().id(), "after_event", frames.lastNumber(), "detail", broken.getMessage());
 				long after = frames.lastNumber();
 				frames.restart();
-				Opened next = (this.order.idempotent() && present.answer().isSuccess() && !watched.isGone())
-						? open(after, watched) : null;
+				boolean mayGoOn = this.order.idempotent() && present.answer().isSuccess() && frames.mayGoOn();
+				Opened next = (mayGoOn && !watched.isGone()) ? open(after, true, watched) : null;
 				if (next == null) {
 					throw broken;
 				}
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpConnectionPool.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpConnectionPool.java
@@ -60,6 +60,12 @@
 	/** Unanswered probes after which a connection is given up. */
 	private static final int KEEPALIVE_PROBES = 2;
 
+	/**
+	 * The most bytes of buffered answers that are being read at once, as a share of the
+	 * heap: an answer takes up to three times its size while it grows.
+	 */
+	private static final long ANSWER_MEMORY_SHARE = 8;
+
 	private final Map<String, Deque<Idle>> idle = new ConcurrentHashMap<>();
 
 	private final HttpRequestExecutor executor = new HttpRequestExecutor();
@@ -80,12 +86,6 @@
 	/** Connections that carry an exchange, so that closing the pool ends them. */
 	private final Set<GuardedConnection> leased = ConcurrentHashMap.newKeySet();
 
-	/**
-	 * The most bytes of buffered answers that are being read at once, as a share of the
-	 * heap: an answer takes up to three times its size while it grows.
-	 */
-	private static final long ANSWER_MEMORY_SHARE = 8;
-
 	private final boolean probed;
 
 	private final long answerBytes;
