Hold results until the trainer can use them

A trainer that has read a page pauses for half a second. The longest texts of a step reach their maximum length within a tenth of a second of each other; the first of them was listed alone, so the trainer read it and came back half a second later for the rest. A result is now held for up to 500 ms (before: at least 300 ms between two pages) and written at once when no item is pending or the wanted groups are complete, which was not recognized for trainers that do not wait for all groups. While results are held the loop passes each 100 ms instead of each 20 ms; the end of a run wakes it.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/request/SubmissionState.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/request/SubmissionState.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -265,6 +266,35 @@
 		return List.copyOf(this.results);
 	}
 
+	/**
+	 * Returns whether unlisted results belong to groups that the trainer waits for last:
+	 * either no item is pending, or as many groups as the trainer wants are complete and
+	 * some of their results are not listed yet.
+	 * @return whether listing the results now lets the trainer continue
+	 */
+	public synchronized boolean hasAwaitedResults() {
+		Set<String> incompleteGroups = new HashSet<>();
+		Set<String> groups = new HashSet<>();
+		Set<String> unlistedGroups = new HashSet<>();
+		for (Item item : this.items.values()) {
+			String group = item.item.group();
+			groups.add(group);
+			if (item.state == State.FINISHED) {
+				unlistedGroups.add(group);
+			}
+			else if (item.state != State.LISTED) {
+				incompleteGroups.add(group);
+			}
+		}
+		int wanted = this.submission.wantedGroups();
+		int completeCount = groups.size() - incompleteGroups.size();
+		if (completeCount < ((wanted > 0) ? Math.min(wanted, groups.size()) : groups.size())) {
+			return false;
+		}
+		unlistedGroups.removeAll(incompleteGroups);
+		return !unlistedGroups.isEmpty();
+	}
+
 	/**
 	 * Returns the events that are missing from a copy of the texts.
 	 * @param copiedEvents the number of the last event of each item in the copy; updated
@@ -319,17 +349,6 @@
 			.count();
 	}
 
-	/**
-	 * Returns the number of items without a result, including those being scored.
-	 * @return the number of items
-	 */
-	public synchronized int pendingCount() {
-		return (int) this.items.values()
-			.stream()
-			.filter((item) -> item.state != State.FINISHED && item.state != State.LISTED)
-			.count();
-	}
-
 	/**
 	 * Returns whether the run of an item may continue.
 	 * @param id the id of the item
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/request/SubmissionStateTests.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/request/SubmissionStateTests.java
@@ -130,6 +130,31 @@
 				"b2", "c2");
 	}
 
+	@Test
+	void resultsAreAwaitedOnceTheWantedGroupsAreComplete() {
+		// The trainer waits for one of two groups; the rest of the other one comes later.
+		List<SubmissionItem> items = List.of(item("a1", "a", 1), item("b1", "b", 1), item("a2", "a", 1),
+				item("b2", "b", 1));
+		SubmissionState plan = SubmissionState.of(new Submission("s", "w", "h", "/p/1", "m", 0, 1, 1, items), 3, false,
+				0, Long.MAX_VALUE, ItemOrder.AS_SUBMITTED, Set.of());
+		items.forEach((item) -> plan.startNext(0));
+		complete(plan, "a1");
+		complete(plan, "b1");
+		assertThat(plan.hasAwaitedResults()).isFalse();
+		complete(plan, "a2");
+		assertThat(plan.hasAwaitedResults()).isTrue();
+		plan.onListed(plan.unlistedResults());
+		assertThat(plan.hasAwaitedResults()).isFalse();
+		complete(plan, "b2");
+		assertThat(plan.hasAwaitedResults()).isTrue();
+	}
+
+	private static void complete(SubmissionState plan, String item) {
+		plan.onEvent(item, 1, "text", 1);
+		plan.onGenerated(item);
+		plan.onScored(item, "seal");
+	}
+
 	@Property(tries = 200)
 	void orderContainsEachItemOnce(@ForAll @IntRange(min = 1, max = 40) int count,
 			@ForAll @IntRange(min = 0, max = 10) int wanted) {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ActiveSubmission.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ActiveSubmission.java
@@ -58,7 +58,10 @@
 
 	private final AtomicBoolean pageWriteInProgress = new AtomicBoolean();
 
-	private volatile long lastPageWriteMillis;
+	// When the oldest unlisted result became available; 0 if all results are listed.
+	private volatile long unlistedSinceMillis;
+
+	private volatile long pageRetryMillis;
 
 	private volatile boolean stopped;
 
@@ -86,12 +89,31 @@
 		return this.pageWriteInProgress;
 	}
 
-	long lastPageWriteMillis() {
-		return this.lastPageWriteMillis;
+	// Returns for how long the oldest unlisted result has been available, in
+	// milliseconds.
+	long oldestUnlistedAge(int unlistedCount, long now) {
+		if (unlistedCount == 0) {
+			this.unlistedSinceMillis = 0;
+			return 0;
+		}
+		if (this.unlistedSinceMillis == 0) {
+			this.unlistedSinceMillis = now;
+		}
+		return now - this.unlistedSinceMillis;
+	}
+
+	void onPageListed() {
+		this.unlistedSinceMillis = 0;
+	}
+
+	// Returns the earliest time for the next page after a failed write, wall clock in
+	// milliseconds.
+	long pageRetryMillis() {
+		return this.pageRetryMillis;
 	}
 
-	void onPageWritten(long now) {
-		this.lastPageWriteMillis = now;
+	void retryPageAt(long millis) {
+		this.pageRetryMillis = millis;
 	}
 
 	EndpointRequirements requirements(long affinity) {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
@@ -321,7 +321,7 @@
 				running.onReplicationStarted(now);
 				this.executor.execute(() -> replicateTexts(running));
 			}
-			busy |= running.state().isWaiting(now) || !running.state().unlistedResults().isEmpty();
+			busy |= running.state().isWaiting(now);
 		}
 		this.nextMigrationMillis = migrationDue ? now + MIGRATION_INTERVAL_MILLIS : this.nextMigrationMillis;
 		if (all.isEmpty()) {
@@ -351,8 +351,10 @@
 	}
 
 	private void schedulePageWrite(ActiveSubmission running, long now) {
-		int waiting = running.state().unlistedResults().size();
-		if (!PageWritePolicy.isDue(waiting, running.state().pendingCount(), now - running.lastPageWriteMillis())
+		int unlisted = running.state().unlistedResults().size();
+		long oldestAgeMillis = running.oldestUnlistedAge(unlisted, now);
+		if (now < running.pageRetryMillis() || unlisted == 0
+				|| !PageWritePolicy.isDue(unlisted, running.state().hasAwaitedResults(), oldestAgeMillis)
 				|| !running.pageWriteInProgress().compareAndSet(false, true)) {
 			return;
 		}
@@ -374,18 +376,18 @@
 			return;
 		}
 		Either<StoreFailure, Long> written = this.store.writePage(id, page);
-		long now = System.currentTimeMillis();
-		running.onPageWritten(now);
+		long retryMillis = System.currentTimeMillis() + STORE_RETRY_DELAY_MILLIS;
 		if (written.isRight()) {
 			running.results().add(page);
 			running.state().onListed(page.results());
+			running.onPageListed();
 		}
 		else if (written.getLeft() instanceof StoreFailure.ConditionFailed) {
 			// The position is taken: by this page, if the response to an earlier attempt
 			// was lost, or by a page of another host that runs the same submission.
 			Either<StoreFailure, Integer> read = this.store.readPages(id, running.results());
 			if (read.isLeft()) {
-				running.onPageWritten(now + STORE_RETRY_DELAY_MILLIS);
+				running.retryPageAt(retryMillis);
 				return;
 			}
 			running.state().onListed(running.results().resultsFrom(0));
@@ -396,7 +398,7 @@
 			}
 			this.log.warn("page-not-written", "submission", id, "first", page.first(), "code", written.getLeft().code(),
 					"detail", written.getLeft().detail());
-			running.onPageWritten(now + STORE_RETRY_DELAY_MILLIS);
+			running.retryPageAt(retryMillis);
 		}
 	}
 
