Give the work of a silent host to others after 1.2 s

A host counted as lost after 2.5 s without a status, and only then were its submissions taken over. In a cut of a failure domain both steps in progress of the trainer there waited 2.7 to 2.8 s for another host. Two hosts that run the same submission do no harm, as results are created at their positions under a condition, so work is now given away after 1.2 s (1.8 s where the status comes through a relay); new submissions go to hosts that are heard. Loss of a host for all other purposes stays at 2.5 s.

--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/HostMesh.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/HostMesh.java
@@ -42,6 +42,13 @@
 	/** Time without a status after which a host counts as lost, in milliseconds. */
 	private static final long HOST_TIMEOUT_MILLIS = 2_500;
 
+	/**
+	 * Time without a status after which the work of a host is given to other hosts, in
+	 * milliseconds. If the host lives, two hosts do the same work for a moment, which is
+	 * harmless, so this is shorter than the time after which it counts as lost.
+	 */
+	private static final long TAKEOVER_SILENCE_MILLIS = 1_200;
+
 	/**
 	 * Time without a direct status after which a host that watches the store is not
 	 * relied on, in milliseconds.
@@ -258,25 +265,32 @@
 	}
 
 	/**
-	 * Returns the live hosts with enough processor capacity to do work for others.
-	 * @return some of the live hosts, at least one
+	 * Returns the responsive hosts with enough processor capacity to do work for others.
+	 * @return some of the responsive hosts, at least one
 	 */
 	public Set<String> highCapacityHosts() {
-		return new TreeSet<>(HighCapacityHosts.of(processors(liveHosts())));
+		Set<String> responsive = liveHosts();
+		responsive.removeIf((host) -> !isResponsive(host));
+		return new TreeSet<>(HighCapacityHosts.of(processors(responsive)));
 	}
 
 	/**
-	 * Returns whether a host is live, as far as this host knows.
+	 * Returns whether a host can be expected to continue its work. A host that was silent
+	 * for a moment is not responsive some time before it counts as lost.
 	 * @param host the host
 	 * @return whether it is this host, or one whose status was received recently and that
 	 * is not shutting down
 	 */
-	public boolean isLive(String host) {
+	public boolean isResponsive(String host) {
 		if (host.equals(this.hello.host().value())) {
 			return true;
 		}
 		Peer peer = this.peers.get(host);
-		return peer != null && isAlive(peer) && !peer.leaving;
+		if (peer == null || peer.leaving) {
+			return false;
+		}
+		long relayMillis = (peer.lastStatusMillis > peer.lastDirectStatusMillis) ? DIGEST_INTERVAL_MILLIS : 0;
+		return this.clock.millis() - peer.lastStatusMillis < TAKEOVER_SILENCE_MILLIS + relayMillis;
 	}
 
 	/**
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionDirectory.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionDirectory.java
@@ -250,16 +250,17 @@
 	}
 
 	/**
-	 * Takes over submissions whose owner is lost, if this host is their successor.
+	 * Takes over submissions whose owner is not responsive, if this host is their
+	 * successor.
 	 */
 	public void takeOver() {
-		Set<String> live = this.mesh.highCapacityHosts();
+		Set<String> candidates = this.mesh.highCapacityHosts();
 		for (Map.Entry<String, SubmissionStore.VersionedRecord> entry : new HashMap<>(this.records).entrySet()) {
 			SubmissionRecord record = entry.getValue().record();
-			if (record.ended() || record.owner().equals(this.host) || this.mesh.isLive(record.owner())) {
+			if (record.ended() || record.owner().equals(this.host) || this.mesh.isResponsive(record.owner())) {
 				continue;
 			}
-			if (successor(record, live).equals(this.host)) {
+			if (successor(record, candidates).equals(this.host)) {
 				takeOver(entry.getKey(), entry.getValue());
 			}
 		}
--- a/bamboorelay-host/src/test/java/org/bamboorelay/host/connection/HostMeshTests.java
+++ b/bamboorelay-host/src/test/java/org/bamboorelay/host/connection/HostMeshTests.java
@@ -117,6 +117,27 @@
 			.allMatch((mesh) -> mesh.liveHosts().size() == MANY_HOSTS - 1);
 	}
 
+	@Test
+	void silentHostLosesItsWorkBeforeItCountsAsLost() throws IOException {
+		// A training step waited 2.8 s for another host after the domain of its owner had
+		// been cut off.
+		HostMesh other = mesh("host-b", "domain-b");
+		this.resources.add(other);
+		String address = "127.0.0.1:" + freePort();
+		String otherAddress = "127.0.0.1:" + freePort();
+		this.mesh.open(address);
+		other.open(otherAddress);
+		this.mesh.putHost("host-b", otherAddress, "domain-b", 1);
+		other.putHost("host-a", address, "domain-a", 1);
+		exchangeStatuses(Map.of("host-a", this.mesh, "host-b", other), () -> this.mesh.liveHosts().contains("host-b"));
+		this.now.addAndGet(3 * STATUS_INTERVAL_MILLIS);
+		assertThat(this.mesh.isResponsive("host-b")).isTrue();
+		this.now.addAndGet(STATUS_INTERVAL_MILLIS);
+		assertThat(this.mesh.isResponsive("host-b")).isFalse();
+		assertThat(this.mesh.highCapacityHosts()).containsExactly("host-a");
+		assertThat(this.mesh.liveHosts()).containsExactly("host-a", "host-b");
+	}
+
 	private void exchangeStatuses(Map<String, HostMesh> meshes, BooleanSupplier enough) {
 		for (int beat = 0; beat < 60 && !enough.getAsBoolean(); beat++) {
 			this.now.addAndGet(STATUS_INTERVAL_MILLIS);
