Store long partial texts in the platform's store

Texts of 40 events and more are now stored in one object a submission every 2 s, at most 400,000 characters, longest first, and are read when a submission is resumed after more than 2 s and no host has a copy.

Ruled out: incremental parts, because parts of two owners could be joined to a text that no run generated.

--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/StoreCleanup.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/StoreCleanup.java
@@ -55,6 +55,7 @@
 				.getOrElse(false);
 			String id = name(object);
 			if (expired && deleteAll(SubmissionStore.RESULTS_KIND_PREFIX + id)
+					&& delete(SubmissionStore.TEXTS_KIND + "/" + id)
 					&& delete(SubmissionStore.BODIES_KIND + "/" + id)) {
 				deleted += delete(object) ? 1 : 0;
 			}
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ActiveSubmission.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ActiveSubmission.java
@@ -8,11 +8,16 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 
+import io.vavr.control.Either;
+import io.vavr.control.Option;
 import org.bamboorelay.core.process.EndpointRequirements;
 import org.bamboorelay.core.process.EndpointTable;
+import org.bamboorelay.core.request.DurableTextPolicy;
 import org.bamboorelay.core.request.ResultLog;
 import org.bamboorelay.core.request.SubmissionState;
 import org.bamboorelay.core.request.TextPart;
+import org.bamboorelay.core.store.StoreFailure;
+import org.bamboorelay.host.version.SubmissionStore;
 
 /**
  * State of a submission that this host runs: the state of its items, its results, its
@@ -56,6 +61,12 @@
 
 	private volatile long lastReplicationMillis;
 
+	private volatile long lastTextWriteMillis;
+
+	private long storedTextsVersion;
+
+	private long storedEventCount;
+
 	private final AtomicBoolean pageWriteInProgress = new AtomicBoolean();
 
 	// When the oldest unlisted result became available; 0 if all results are listed.
@@ -65,11 +76,14 @@
 
 	private volatile boolean stopped;
 
-	ActiveSubmission(SubmissionState state, ResultLog results, String service, long deadlineMillis) {
+	ActiveSubmission(SubmissionState state, ResultLog results, String service, long deadlineMillis,
+			long storedTextsVersion, long nowMillis) {
 		this.state = Objects.requireNonNull(state, "state");
 		this.results = Objects.requireNonNull(results, "results");
 		this.service = Objects.requireNonNull(service, "service");
 		this.deadlineMillis = deadlineMillis;
+		this.storedTextsVersion = storedTextsVersion;
+		this.lastTextWriteMillis = nowMillis;
 	}
 
 	SubmissionState state() {
@@ -162,6 +176,35 @@
 		this.lastReplicationMillis = now;
 	}
 
+	long lastTextWriteMillis() {
+		return this.lastTextWriteMillis;
+	}
+
+	void onTextWriteStarted(long now) {
+		this.lastTextWriteMillis = now;
+	}
+
+	// Stores the long partial texts if they have grown since the last write.
+	synchronized Option<StoreFailure> storeTexts(SubmissionStore store) {
+		List<TextPart> texts = DurableTextPolicy.select(this.state.partsMissingFrom(new HashMap<>()));
+		long eventCount = texts.stream().mapToLong((text) -> text.events().size()).sum();
+		if (this.stopped || texts.isEmpty() || eventCount == this.storedEventCount) {
+			return Option.none();
+		}
+		Either<StoreFailure, Long> written = store.writeTexts(this.state.submission().id(), texts,
+				this.storedTextsVersion);
+		if (written.isRight()) {
+			this.storedTextsVersion = written.get();
+			this.storedEventCount = eventCount;
+			return Option.none();
+		}
+		// The object may be newer than known, because the response to an earlier write
+		// was
+		// lost or a former owner wrote it.
+		store.texts(this.state.submission().id()).forEach((stored) -> this.storedTextsVersion = stored.version());
+		return Option.some(written.getLeft());
+	}
+
 	// Returns the texts not yet copied to the successor host. A host other than that of
 	// the previous call is assumed to have no copies.
 	synchronized List<TextPart> unreplicatedParts(String host) {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
@@ -19,6 +19,7 @@
 import io.vavr.control.Option;
 import org.bamboorelay.core.connection.PeerMessage;
 import org.bamboorelay.core.process.EndpointTable;
+import org.bamboorelay.core.request.DurableTextPolicy;
 import org.bamboorelay.core.request.ItemOrder;
 import org.bamboorelay.core.request.PageWritePolicy;
 import org.bamboorelay.core.request.ReplicatedTexts;
@@ -180,7 +181,7 @@
 	 * @param route its route
 	 */
 	public void start(Submission submission, SubmissionRecord record, RouteRule route) {
-		activate(submission, record, route, new ResultLog(), List.of());
+		activate(submission, record, route, new ResultLog(), SubmissionStore.VersionedTexts.NONE);
 	}
 
 	/**
@@ -321,6 +322,10 @@
 				running.onReplicationStarted(now);
 				this.executor.execute(() -> replicateTexts(running));
 			}
+			if (now >= running.lastTextWriteMillis() + DurableTextPolicy.WRITE_INTERVAL_MILLIS && !this.draining) {
+				running.onTextWriteStarted(now);
+				this.executor.execute(() -> storeTexts(running));
+			}
 			busy |= running.state().isWaiting(now);
 		}
 		this.nextMigrationMillis = migrationDue ? now + MIGRATION_INTERVAL_MILLIS : this.nextMigrationMillis;
@@ -418,6 +423,12 @@
 		}
 	}
 
+	private void storeTexts(ActiveSubmission running) {
+		running.storeTexts(this.store)
+			.forEach((failure) -> this.log.info("texts-not-stored", "submission", running.state().submission().id(),
+					"code", failure.code(), "detail", failure.detail()));
+	}
+
 	/**
 	 * Stores partial texts that a peer replicates to this host.
 	 * @param message the texts
@@ -447,7 +458,23 @@
 		this.replicatedTexts.remove(id);
 	}
 
-	private List<TextPart> recoverTexts(String id) {
+	// The copies in the memory of hosts are newer than the stored texts, but may be lost
+	// together with the owner of the submission.
+	private SubmissionStore.VersionedTexts recoverTexts(String id, SubmissionRecord record) {
+		List<TextPart> copies = replicatedTexts(id);
+		if (System.currentTimeMillis() < record.acceptedMillis() + DurableTextPolicy.WRITE_INTERVAL_MILLIS) {
+			return new SubmissionStore.VersionedTexts(copies, 0);
+		}
+		Either<StoreFailure, SubmissionStore.VersionedTexts> stored = this.store.texts(id);
+		if (stored.isLeft()) {
+			this.log.warn("texts-not-read", "submission", id, "code", stored.getLeft().code(), "detail",
+					stored.getLeft().detail());
+			return new SubmissionStore.VersionedTexts(copies, 0);
+		}
+		return copies.isEmpty() ? stored.get() : new SubmissionStore.VersionedTexts(copies, stored.get().version());
+	}
+
+	private List<TextPart> replicatedTexts(String id) {
 		List<TextPart> ownTexts = this.replicatedTexts.textsOf(id);
 		Option<String> host = this.successorFinder.apply(id);
 		if (!ownTexts.isEmpty() || host.isEmpty()) {
@@ -481,9 +508,9 @@
 							submission.get().isDefined(), "route_found", route.isDefined());
 					return;
 				}
-				List<TextPart> texts = recoverTexts(id);
+				SubmissionStore.VersionedTexts texts = recoverTexts(id, record);
 				this.log.info("submission-resumed", "submission", id, "listed", results.size(), "total", record.total(),
-						"texts", texts.size());
+						"texts", texts.texts().size(), "texts_version", texts.version());
 				activate(submission.get().get(), record, route.get(), results, texts);
 				return;
 			}
@@ -492,15 +519,16 @@
 	}
 
 	private void activate(Submission submission, SubmissionRecord record, RouteRule route, ResultLog results,
-			List<TextPart> texts) {
+			SubmissionStore.VersionedTexts texts) {
 		Set<String> resubmittedItems = findResubmittedItems(submission);
 		SubmissionState state = SubmissionState.of(submission, route.maxAttempts(), route.singleVersion(),
 				record.acceptedMillis(), route.maxAgeMillis(), this.itemOrder, resubmittedItems);
 		state.onListed(results.resultsFrom(0));
-		state.preload(texts);
+		state.preload(texts.texts());
 		long deadline = (route.maxAgeMillis() > Long.MAX_VALUE / 2) ? record.acceptedMillis() + 60_000
 				: record.acceptedMillis() + route.maxAgeMillis();
-		ActiveSubmission running = new ActiveSubmission(state, results, route.service(Math.random()), deadline);
+		ActiveSubmission running = new ActiveSubmission(state, results, route.service(Math.random()), deadline,
+				texts.version(), System.currentTimeMillis());
 		boolean added = this.activeSubmissions.putIfAbsent(submission.id(), running) == null;
 		if (added && !this.ownershipCheck.test(submission.id())) {
 			// It was ended or changed its owner while its items were read.
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/version/SubmissionStore.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/version/SubmissionStore.java
@@ -1,5 +1,6 @@
 package org.bamboorelay.host.version;
 
+import java.util.List;
 import java.util.Objects;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -10,6 +11,7 @@
 import org.bamboorelay.core.process.Backoff;
 import org.bamboorelay.core.request.ResultLog;
 import org.bamboorelay.core.request.Submission;
+import org.bamboorelay.core.request.TextPart;
 import org.bamboorelay.core.store.StoreFailure;
 import org.bamboorelay.core.store.StoredObject;
 import org.bamboorelay.core.store.WatchableStore;
@@ -30,6 +32,9 @@
 	/** The kind of the objects with the items. */
 	public static final String BODIES_KIND = "submission-bodies";
 
+	/** The kind of the objects with the partial texts of submissions. */
+	public static final String TEXTS_KIND = "submission-texts";
+
 	/** Prefix of the kind that holds the results of one submission. */
 	public static final String RESULTS_KIND_PREFIX = "submission-results-";
 
@@ -167,6 +172,35 @@
 		return this.store.create(RESULTS_KIND_PREFIX + id + "/" + pageName(page.first()), CoreJson.bytes(page));
 	}
 
+	/**
+	 * Writes the partial texts of a submission.
+	 * @param id the submission
+	 * @param texts the texts
+	 * @param version the version of the object that holds earlier texts; 0 if there is
+	 * none
+	 * @return the new version; {@link StoreFailure.ConditionFailed} if another host wrote
+	 * texts in the meantime
+	 */
+	public Either<StoreFailure, Long> writeTexts(String id, List<TextPart> texts, long version) {
+		String key = TEXTS_KIND + "/" + id;
+		byte[] body = CoreJson.bytes(texts);
+		return (version == 0) ? this.store.create(key, body) : this.store.replace(key, body, version);
+	}
+
+	/**
+	 * Reads the partial texts of a submission.
+	 * @param id the submission
+	 * @return the texts with their version; version 0 if none are stored
+	 */
+	public Either<StoreFailure, VersionedTexts> texts(String id) {
+		return this.store.read(TEXTS_KIND + "/" + id)
+			.map((object) -> object
+				.map((found) -> new VersionedTexts(
+						CoreJson.read(found.body(), TextPart[].class).map(List::of).getOrElse(List.of()),
+						found.version()))
+				.getOrElse(VersionedTexts.NONE));
+	}
+
 	private Either<StoreFailure, Long> createWithRetry(String key, byte[] body, long deadlineMillis) {
 		boolean uncertain = false;
 		Backoff backoff = Backoff.of(BACKOFF_BASE_MILLIS, BACKOFF_MAX_MILLIS,
@@ -207,4 +241,21 @@
 	public record VersionedRecord(SubmissionRecord record, long version) {
 	}
 
+	/**
+	 * Partial texts with the version at which they were read.
+	 *
+	 * @param texts the texts, each from its first event
+	 * @param version the version; 0 if no texts are stored
+	 */
+	public record VersionedTexts(List<TextPart> texts, long version) {
+
+		/** No stored texts. */
+		public static final VersionedTexts NONE = new VersionedTexts(List.of(), 0);
+
+		public VersionedTexts {
+			texts = List.copyOf(texts);
+		}
+
+	}
+
 }
