Tell all hosts when an endpoint starts and ends loading weights

Only the holder of the duties polled an endpoint that loads weights. Other hosts learned the new version from the platform's store, more than a second later, and the start of a load with the next status, up to 0.3 s later.

The holder now sends a message of its own at the start and the end of a load. Messages of later types are not sent to processes of earlier releases, which would close the link. The fastest pace of a service is computed once a decision instead of once an endpoint.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerMessage.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerMessage.java
@@ -597,4 +597,17 @@
 	record ResultsResponse(boolean known, byte[] body) implements PeerMessage {
 	}
 
+	/**
+	 * Reports that an endpoint started or ended loading weights on the sender's order;
+	 * one-way. The platform's store reports the same seconds later.
+	 *
+	 * @param endpoint the endpoint
+	 * @param model the model
+	 * @param version the version that the endpoint holds; 0 if it is not known
+	 * @param inProgress whether the endpoint is loading
+	 */
+	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+	record WeightLoad(String endpoint, String model, long version, boolean inProgress) implements PeerMessage {
+	}
+
 }
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
@@ -229,13 +229,14 @@
 	 */
 	public synchronized @Nullable Grant acquire(EndpointRequirements requirements) {
 		long now = this.clock.millis();
+		double fastestUnitTime = fastestUnitTime(requirements.service());
 		double bestScore = Double.MAX_VALUE;
 		EndpointState best = null;
 		for (EndpointState endpoint : this.endpoints.values()) {
 			if (!isAvailable(endpoint, requirements, now)) {
 				continue;
 			}
-			double score = score(endpoint, requirements, now);
+			double score = score(endpoint, requirements, fastestUnitTime, now);
 			if (score < bestScore) {
 				bestScore = score;
 				best = endpoint;
@@ -375,6 +376,27 @@
 		this.loading.addAll(ids);
 	}
 
+	/**
+	 * Records that an endpoint started or ended loading weights. Until an endpoint has
+	 * finished, it accepts no requests; afterwards it accepts those that need its new
+	 * version.
+	 * @param id the endpoint
+	 * @param model the model
+	 * @param version the version that the endpoint holds; 0 if it is not known
+	 * @param inProgress whether the endpoint is loading
+	 */
+	public synchronized void onWeightLoad(String id, String model, long version, boolean inProgress) {
+		if (inProgress) {
+			this.loading.add(id);
+		}
+		else {
+			this.loading.remove(id);
+		}
+		if (version > 0) {
+			version(id, model, version);
+		}
+	}
+
 	/**
 	 * Sets the model whose versions each endpoint loads. Requests for another model use
 	 * the endpoint only if the endpoints of that model have a much higher load.
@@ -466,12 +488,11 @@
 		return load(endpoint, now) < limit;
 	}
 
-	private double score(EndpointState endpoint, EndpointRequirements requirements, long now) {
+	private double score(EndpointState endpoint, EndpointRequirements requirements, double fastestUnitTime, long now) {
 		double slots = endpoint.entry.slots();
 		double score = (load(endpoint, now) + 1) / slots;
-		double fastest = fastestUnitTime(endpoint.entry.service());
-		if (endpoint.unitTime > 0 && fastest > 0) {
-			score *= Math.max(1.0, endpoint.unitTime / fastest);
+		if (endpoint.unitTime > 0 && fastestUnitTime > 0) {
+			score *= Math.max(1.0, endpoint.unitTime / fastestUnitTime);
 		}
 		String model = this.assignedModels.get(endpoint.entry.id());
 		if (model != null && requirements.model() != null && !model.equals(requirements.model())) {
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/process/EndpointTableTests.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/process/EndpointTableTests.java
@@ -132,6 +132,17 @@
 		assertThat(this.table.acquire(requirements(0))).isNull();
 	}
 
+	@Test
+	void endpointIsUsedAgainAsSoonAsItsLoadIsReportedToHaveEnded() {
+		// Items of the next step waited for the store to report versions that the engines
+		// had held for more than a second.
+		this.table.put(entry("a", "zone-a", false, 0, 1));
+		this.table.onWeightLoad("a", "m", 0, true);
+		assertThat(this.table.acquire(requirements(1))).as("while it loads").isNull();
+		this.table.onWeightLoad("a", "m", 2, false);
+		assertThat(this.table.acquire(requirements(2))).isNotNull();
+	}
+
 	@Test
 	void longRunMovesOnlyToAFasterEndpointWithAFreeSlot() {
 		// The last long text of a step runs on an engine that became slow.
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/HostMesh.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/HostMesh.java
@@ -103,6 +103,9 @@
 	private volatile Consumer<PeerMessage.ObjectChanges> onChanges = (changes) -> {
 	};
 
+	private volatile Consumer<PeerMessage.WeightLoad> onWeightLoad = (load) -> {
+	};
+
 	private volatile StatusRoutes routes;
 
 	private long nextDigestMillis;
@@ -144,6 +147,14 @@
 		this.onStatus = Objects.requireNonNull(listener, "listener");
 	}
 
+	/**
+	 * Sets the listener for weight loads that another host ordered.
+	 * @param listener receives the start and the end of each load; must not block
+	 */
+	public void onWeightLoad(Consumer<PeerMessage.WeightLoad> listener) {
+		this.onWeightLoad = Objects.requireNonNull(listener, "listener");
+	}
+
 	/**
 	 * Sets the listener for store changes that another host relays.
 	 * @param listener receives the changes; must not block
@@ -497,6 +508,10 @@
 			this.onChanges.accept(changes);
 			return null;
 		}
+		if (message instanceof PeerMessage.WeightLoad load) {
+			this.onWeightLoad.accept(load);
+			return null;
+		}
 		Function<PeerMessage, PeerMessage> handler = this.handlers.get(message.getClass());
 		return (handler != null) ? handler.apply(message)
 				: new PeerMessage.Rejected("no-handler", "no handler is registered for " + message.getClass());
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/OutgoingLink.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/OutgoingLink.java
@@ -192,7 +192,9 @@
 		while (true) {
 			PeerMessage next = this.outbound.poll();
 			PeerLink currentLink = this.link;
-			if (next != null && currentLink != null) {
+			// A process of an earlier release closes the link if it receives a later
+			// type.
+			if (next != null && currentLink != null && currentLink.remote().supports(next.getClass())) {
 				currentLink.send(next);
 			}
 			if (next == null) {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/DutyLoop.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/DutyLoop.java
@@ -9,10 +9,12 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import io.vavr.control.Either;
 import io.vavr.control.Option;
+import org.bamboorelay.core.connection.PeerMessage;
 import org.bamboorelay.core.process.EndpointAutoscaler;
 import org.bamboorelay.core.process.EndpointTable;
 import org.bamboorelay.core.process.LeaseState;
@@ -103,6 +105,8 @@
 
 	private final Supplier<Map<String, Integer>> ownDemand;
 
+	private final Consumer<PeerMessage> publisher;
+
 	private final StoreCleanup cleanup;
 
 	private long nextCleanupMillis;
@@ -130,13 +134,16 @@
 	 * @param usage the usage counts
 	 * @param ownDemand supplies the number of items that run or wait at this host, by
 	 * service
+	 * @param publisher sends a message to all other hosts without blocking
 	 * @param executor the threads that execute weight orders
 	 * @param counters the metrics of the process
 	 * @param log the log of the process
 	 */
 	public DutyLoop(HostSettings settings, LeaseState lease, WatchableStore store, PlatformCalls calls,
 			EndpointTable table, WeightLoadScheduler weightLoadScheduler, UsageMeter usage,
-			Supplier<Map<String, Integer>> ownDemand, ExecutorService executor, Counters counters, EventLog log) {
+			Supplier<Map<String, Integer>> ownDemand, Consumer<PeerMessage> publisher, ExecutorService executor,
+			Counters counters, EventLog log) {
+		this.publisher = Objects.requireNonNull(publisher, "publisher");
 		this.ownDemand = Objects.requireNonNull(ownDemand, "ownDemand");
 		this.settings = Objects.requireNonNull(settings, "settings");
 		this.lease = Objects.requireNonNull(lease, "lease");
@@ -262,18 +269,25 @@
 		if (response.isRight() && response.get() != STATUS_ACCEPTED && response.get() != STATUS_OK) {
 			return false;
 		}
+		publishLoad(new PeerMessage.WeightLoad(holder.id(), swap.model(), 0, true));
 		long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(SWAP_TIMEOUT_MILLIS);
 		while (System.nanoTime() < deadlineNanos) {
 			pause(SWAP_POLL_INTERVAL_MILLIS);
 			Either<HttpFailure, PlatformCalls.EngineState> now = this.calls.engineState(holder.address());
 			if (now.isRight() && now.get().versions().getOrDefault(swap.model(), 0L) >= swap.version()) {
-				this.table.version(holder.id(), swap.model(), swap.version());
+				publishLoad(new PeerMessage.WeightLoad(holder.id(), swap.model(), swap.version(), false));
 				return true;
 			}
 		}
+		publishLoad(new PeerMessage.WeightLoad(holder.id(), swap.model(), 0, false));
 		return false;
 	}
 
+	private void publishLoad(PeerMessage.WeightLoad load) {
+		this.table.onWeightLoad(load.endpoint(), load.model(), load.version(), load.inProgress());
+		this.publisher.accept(load);
+	}
+
 	private void cleanUp(long now) {
 		if (this.nextCleanupMillis == 0) {
 			this.nextCleanupMillis = now + CLEANUP_INTERVAL_MILLIS;
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -223,7 +223,7 @@
 		this.callerRequestHandler = new CallerRequestHandler(this.routing::get, callers, endpointClient, streamRelay,
 				submissionHandler, this.callerMonitor, this.usage, this.clock, this.counters, this.log);
 		this.duties = new DutyLoop(settings, this.lease, this.store, calls, this.table, this.weightLoadScheduler,
-				this.usage, this.runner::demand, this.executor, this.counters, this.log);
+				this.usage, this.runner::demand, this.mesh::publish, this.executor, this.counters, this.log);
 	}
 
 	/**
@@ -253,6 +253,8 @@
 				watch.onChanges(message);
 			}
 		});
+		this.mesh.onWeightLoad(
+				(load) -> this.table.onWeightLoad(load.endpoint(), load.model(), load.version(), load.inProgress()));
 		this.mesh.open(this.settings.peerAddress());
 		startWatcher(this.format.routingKind(), false, true, this::onRouting, (name) -> {
 		});
--- a/bamboorelay-host/src/test/java/org/bamboorelay/host/connection/HostMeshTests.java
+++ b/bamboorelay-host/src/test/java/org/bamboorelay/host/connection/HostMeshTests.java
@@ -121,6 +121,29 @@
 	void silentHostLosesItsWorkBeforeItCountsAsLost() throws IOException {
 		// A training step waited 2.8 s for another host after the domain of its owner had
 		// been cut off.
+		linkedMesh();
+		this.now.addAndGet(3 * STATUS_INTERVAL_MILLIS);
+		assertThat(this.mesh.isResponsive("host-b")).isTrue();
+		this.now.addAndGet(STATUS_INTERVAL_MILLIS);
+		assertThat(this.mesh.isResponsive("host-b")).isFalse();
+		assertThat(this.mesh.highCapacityHosts()).containsExactly("host-a");
+		assertThat(this.mesh.liveHosts()).containsExactly("host-a", "host-b");
+	}
+
+	@Test
+	void weightLoadReachesOtherHosts() throws IOException {
+		PeerMessage.WeightLoad load = new PeerMessage.WeightLoad("engine-1", "m", 4, false);
+		Set<PeerMessage.WeightLoad> received = ConcurrentHashMap.newKeySet();
+		HostMesh other = linkedMesh();
+		other.onWeightLoad(received::add);
+		this.mesh.publish(load);
+		awaitCondition(() -> !received.isEmpty(), TIMEOUT_MILLIS);
+		assertThat(received).containsExactly(load);
+	}
+
+	// Returns the mesh of host-b in domain-b, linked with that of host-a in both
+	// directions.
+	private HostMesh linkedMesh() throws IOException {
 		HostMesh other = mesh("host-b", "domain-b");
 		this.resources.add(other);
 		String address = "127.0.0.1:" + freePort();
@@ -129,13 +152,9 @@
 		other.open(otherAddress);
 		this.mesh.putHost("host-b", otherAddress, "domain-b", 1);
 		other.putHost("host-a", address, "domain-a", 1);
-		exchangeStatuses(Map.of("host-a", this.mesh, "host-b", other), () -> this.mesh.liveHosts().contains("host-b"));
-		this.now.addAndGet(3 * STATUS_INTERVAL_MILLIS);
-		assertThat(this.mesh.isResponsive("host-b")).isTrue();
-		this.now.addAndGet(STATUS_INTERVAL_MILLIS);
-		assertThat(this.mesh.isResponsive("host-b")).isFalse();
-		assertThat(this.mesh.highCapacityHosts()).containsExactly("host-a");
-		assertThat(this.mesh.liveHosts()).containsExactly("host-a", "host-b");
+		exchangeStatuses(Map.of("host-a", this.mesh, "host-b", other),
+				() -> this.mesh.liveHosts().contains("host-b") && other.liveHosts().contains("host-a"));
+		return other;
 	}
 
 	private void exchangeStatuses(Map<String, HostMesh> meshes, BooleanSupplier enough) {
