Notice a cut of a failure domain before calls time out

Hosts of a domain that was cut off noticed it only once a call to the store had timed out after the domain had been silent for a second, 2.6 s in all, and were taken out of rotation two checks later.

The store is now probed when the other domains have been silent for 0.7 s, and a domain counts as cut off when they have been silent for 1 s and a probe is not answered within 0.4 s. Meanwhile calls to the store fail at once, so callers are refused without waiting; watches and probes notice the end.

--- /dev/null
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/DomainCutOff.java
@@ -0,0 +1,98 @@
+package org.bamboorelay.core.process;
+
+import java.util.Objects;
+
+import org.bamboorelay.core.time.Clock;
+
+/**
+ * Decides whether a host's failure domain is cut off: it hears no other domain, and the
+ * platform's store does not answer either. A host of such a domain rejects at once what
+ * needs the store, and callers are sent to other domains. The store is probed as soon as
+ * the other domains fall silent, because no call may be on its way.
+ * <p>
+ * Thread-safe; guarded by its own lock.
+ */
+public final class DomainCutOff {
+
+	/** Silence of all other domains from which the store is probed, in milliseconds. */
+	static final long SUSPICION_MILLIS = 700;
+
+	/** Silence of all other domains from which a domain is isolated, in milliseconds. */
+	static final long ISOLATION_MILLIS = 1_000;
+
+	/** Interval between two probes of the store, in milliseconds. */
+	static final long PROBE_INTERVAL_MILLIS = 500;
+
+	/** Time after which a probe counts as not answered, in milliseconds. */
+	static final long PROBE_TIMEOUT_MILLIS = 400;
+
+	private static final long NONE = -1;
+
+	private final Clock clock;
+
+	private long nextProbeMillis;
+
+	private long unansweredProbeMillis = NONE;
+
+	private boolean isolated;
+
+	private DomainCutOff(Clock clock) {
+		this.clock = Objects.requireNonNull(clock, "clock");
+	}
+
+	/**
+	 * Creates the state of a domain that is not cut off.
+	 * @param clock the monotonic clock of the process
+	 * @return the state
+	 */
+	public static DomainCutOff of(Clock clock) {
+		return new DomainCutOff(clock);
+	}
+
+	/**
+	 * Records what this host heard last.
+	 * @param silenceMillis the time since a status of a host in another domain was
+	 * received, in milliseconds; 0 if no other domain is known
+	 * @param lastStoreResponseMillis when the store answered a call of this host last, in
+	 * milliseconds of the clock
+	 * @return whether to probe the store now
+	 */
+	public synchronized boolean observe(long silenceMillis, long lastStoreResponseMillis) {
+		long now = this.clock.millis();
+		this.isolated = silenceMillis >= ISOLATION_MILLIS;
+		if (silenceMillis < SUSPICION_MILLIS) {
+			this.unansweredProbeMillis = NONE;
+			this.nextProbeMillis = now;
+			return false;
+		}
+		if (lastStoreResponseMillis >= this.unansweredProbeMillis) {
+			this.unansweredProbeMillis = NONE;
+		}
+		if (now < this.nextProbeMillis) {
+			return false;
+		}
+		this.nextProbeMillis = now + PROBE_INTERVAL_MILLIS;
+		if (this.unansweredProbeMillis == NONE) {
+			this.unansweredProbeMillis = now;
+		}
+		return true;
+	}
+
+	/**
+	 * Returns whether no other failure domain is heard.
+	 * @return whether the domain is isolated
+	 */
+	public synchronized boolean isIsolated() {
+		return this.isolated;
+	}
+
+	/**
+	 * Returns whether the domain reaches neither the other domains nor the store.
+	 * @return whether the domain is cut off
+	 */
+	public synchronized boolean isCutOff() {
+		return this.isolated && this.unansweredProbeMillis != NONE
+				&& this.clock.millis() - this.unansweredProbeMillis >= PROBE_TIMEOUT_MILLIS;
+	}
+
+}
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/HostMesh.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/HostMesh.java
@@ -61,12 +61,6 @@
 	 */
 	private static final int MIN_LIVE_WATCHERS = 2;
 
-	/**
-	 * Time without a status from any other failure domain after which this domain counts
-	 * as isolated, in milliseconds.
-	 */
-	private static final long DOMAIN_ISOLATION_MILLIS = 1_000;
-
 	/**
 	 * Minimum interval between two acknowledgements on one link, in milliseconds; a few
 	 * status intervals.
@@ -147,14 +141,6 @@
 		this.onStatus = Objects.requireNonNull(listener, "listener");
 	}
 
-	/**
-	 * Sets the listener for weight loads that another host ordered.
-	 * @param listener receives the start and the end of each load; must not block
-	 */
-	public void onWeightLoad(Consumer<PeerMessage.WeightLoad> listener) {
-		this.onWeightLoad = Objects.requireNonNull(listener, "listener");
-	}
-
 	/**
 	 * Sets the listener for store changes that another host relays.
 	 * @param listener receives the changes; must not block
@@ -163,6 +149,14 @@
 		this.onChanges = Objects.requireNonNull(listener, "listener");
 	}
 
+	/**
+	 * Sets the listener for weight loads that another host ordered.
+	 * @param listener receives the start and the end of each load; must not block
+	 */
+	public void onWeightLoad(Consumer<PeerMessage.WeightLoad> listener) {
+		this.onWeightLoad = Objects.requireNonNull(listener, "listener");
+	}
+
 	/**
 	 * Registers the handler of a message type.
 	 * @param <T> the message type
@@ -305,21 +299,17 @@
 	}
 
 	/**
-	 * Returns whether statuses of all hosts in other failure domains have ceased.
-	 * @return whether this domain appears to be isolated from all others
+	 * Returns the time since the last status of a host in another failure domain.
+	 * @return the time, in milliseconds; 0 if no other domain was ever heard
 	 */
-	public boolean isDomainIsolated() {
+	public long outsideSilenceMillis() {
 		long now = this.clock.millis();
-		boolean known = false;
-		for (Peer peer : this.peers.values()) {
-			if (peer.statusReceived && !peer.domain.equals(this.hello.domain().value())) {
-				known = true;
-				if (now - peer.lastStatusMillis < DOMAIN_ISOLATION_MILLIS) {
-					return false;
-				}
-			}
-		}
-		return known;
+		return this.peers.values()
+			.stream()
+			.filter((peer) -> peer.statusReceived && !peer.domain.equals(this.hello.domain().value()))
+			.mapToLong((peer) -> now - peer.lastStatusMillis)
+			.min()
+			.orElse(0);
 	}
 
 	/**
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -23,6 +23,7 @@
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.HttpException;
 import org.bamboorelay.core.connection.PeerMessage;
+import org.bamboorelay.core.process.DomainCutOff;
 import org.bamboorelay.core.process.DomainIsolation;
 import org.bamboorelay.core.process.EndpointEntry;
 import org.bamboorelay.core.process.EndpointRequirements;
@@ -164,6 +165,8 @@
 
 	private final DomainIsolation isolation = DomainIsolation.of(this.clock);
 
+	private final DomainCutOff cutOff = DomainCutOff.of(this.clock);
+
 	private volatile boolean stopped;
 
 	private final AtomicBoolean confirmationInProgress = new AtomicBoolean();
@@ -510,9 +513,13 @@
 			this.mesh.sendStatus(this::status);
 			this.table.hostCount(this.mesh.liveHosts().size());
 		}
+		checkIsolation();
 		if (now >= this.nextTakeoverMillis) {
 			this.nextTakeoverMillis = now + TAKEOVER_INTERVAL_MILLIS;
-			checkIsolation();
+			if (!this.cutOff.isIsolated() && this.isolation.areRecordsStale()) {
+				// Submissions may have been ended while this domain was isolated.
+				confirmRunning();
+			}
 			if (isReady() && this.store.isDirectlyReachable() && this.isolation.mayTakeOver()) {
 				this.directory.takeOver();
 			}
@@ -526,22 +533,17 @@
 	}
 
 	private void checkIsolation() {
-		boolean domainIsolated = this.mesh.isDomainIsolated();
-		if (domainIsolated && this.store.isDirectlyReachable()) {
-			// No watch may have been answered recently, so a read checks the store.
-			this.executor.execute(() -> this.store.read(DutyLoop.LEASE_KEY));
+		if (this.cutOff.observe(this.mesh.outsideSilenceMillis(), this.store.lastResponseMillis())) {
+			this.executor.execute(() -> this.store.probe(DutyLoop.LEASE_KEY));
 		}
-		this.isolation.observe(domainIsolated);
-		if (domainIsolated) {
+		this.isolation.observe(this.cutOff.isIsolated());
+		if (this.cutOff.isIsolated()) {
 			this.runner.suspend(true);
 		}
-		else if (this.isolation.areRecordsStale()) {
-			// Submissions may have been ended while this domain was isolated.
-			confirmRunning();
-		}
-		boolean nowCutOff = domainIsolated && !this.store.isDirectlyReachable();
+		boolean nowCutOff = this.cutOff.isCutOff();
 		if (nowCutOff != this.domainCutOff) {
 			this.domainCutOff = nowCutOff;
+			this.store.domainCutOff(nowCutOff);
 			this.log.warn(nowCutOff ? "domain-cut-off" : "domain-rejoined", "domain", this.settings.domain());
 		}
 	}
@@ -552,7 +554,7 @@
 		}
 		this.executor.execute(() -> {
 			try {
-				boolean wasIsolated = this.mesh.isDomainIsolated();
+				boolean wasIsolated = this.cutOff.isIsolated();
 				if (this.directory.confirmRunning()) {
 					this.isolation.onRecordsRead(wasIsolated);
 					this.runner.suspend(this.isolation.areRecordsStale());
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/version/PeerFallbackStore.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/version/PeerFallbackStore.java
@@ -27,6 +27,8 @@
  */
 public final class PeerFallbackStore implements WatchableStore {
 
+	private static final String WATCH_OPERATION = "changes";
+
 	/**
 	 * Time after a failed direct call for which calls go through another host, in
 	 * milliseconds.
@@ -56,6 +58,10 @@
 
 	private volatile boolean directlyReachable = true;
 
+	private volatile long lastResponseMillis = Long.MIN_VALUE / 2;
+
+	private volatile boolean domainCutOff;
+
 	/**
 	 * Creates a store.
 	 * @param direct the direct connection to the store
@@ -81,6 +87,31 @@
 		return this.directlyReachable;
 	}
 
+	/**
+	 * Returns when the store answered a direct call of this host last.
+	 * @return the time, in milliseconds of the clock of the process
+	 */
+	public long lastResponseMillis() {
+		return this.lastResponseMillis;
+	}
+
+	/**
+	 * Sets whether the failure domain of this host is cut off. Meanwhile calls fail at
+	 * once instead of timing out, except watches and probes, which notice the end.
+	 * @param domainCutOff whether neither the store nor another domain is reached
+	 */
+	public void domainCutOff(boolean domainCutOff) {
+		this.domainCutOff = domainCutOff;
+	}
+
+	/**
+	 * Reads an object directly from the store to find out whether the store answers.
+	 * @param key the key of any object
+	 */
+	public void probe(String key) {
+		callDirectly(() -> this.direct.read(key), "read", key);
+	}
+
 	@Override
 	public Either<StoreFailure, Option<StoredObject>> read(String key) {
 		return call(() -> this.direct.read(key), new PeerMessage.StoreRequest("read", key, "", 0, 0, new byte[0]),
@@ -131,8 +162,8 @@
 	@Override
 	public Either<StoreFailure, Changes> awaitChanges(String kind, long since, long waitMillis) {
 		return call(() -> this.direct.awaitChanges(kind, since, waitMillis),
-				new PeerMessage.StoreRequest("changes", kind, "", since, Math.min(waitMillis, MAX_PEER_WAIT_MILLIS),
-						new byte[0]),
+				new PeerMessage.StoreRequest(WATCH_OPERATION, kind, "", since,
+						Math.min(waitMillis, MAX_PEER_WAIT_MILLIS), new byte[0]),
 				(response) -> new Changes(response.objects()
 					.stream()
 					.map((object) -> new Change(toStoredObject(object), object.removed()))
@@ -141,16 +172,12 @@
 
 	private <T> Either<StoreFailure, T> call(Supplier<Either<StoreFailure, T>> directCall,
 			PeerMessage.StoreRequest request, Function<PeerMessage.StoreResponse, T> decoder) {
+		if (this.domainCutOff && !request.operation().equals(WATCH_OPERATION)) {
+			return Either.left(new StoreFailure.Unavailable("the domain of this host is cut off from the store"));
+		}
 		if (this.clock.millis() >= this.fallbackUntilMillis || this.mesh.hostsReachingStore().isEmpty()) {
-			countCall(request.operation(), request.key());
-			Either<StoreFailure, T> result = directCall.get();
-			boolean storeResponded = result.isRight() || !isUnreachable(result.getLeft());
-			if (storeResponded != this.directlyReachable) {
-				this.directlyReachable = storeResponded;
-				this.log.info(storeResponded ? "store-reached" : "store-not-reached", "call", request.operation(),
-						"key", request.key(), "outcome", storeResponded ? "ok" : result.getLeft().detail());
-			}
-			if (storeResponded) {
+			Either<StoreFailure, T> result = callDirectly(directCall, request.operation(), request.key());
+			if (result.isRight() || !isUnreachable(result.getLeft())) {
 				return result;
 			}
 			this.fallbackUntilMillis = this.clock.millis() + FALLBACK_MILLIS;
@@ -161,6 +188,22 @@
 		return callThroughPeer(request).map(decoder);
 	}
 
+	private <T> Either<StoreFailure, T> callDirectly(Supplier<Either<StoreFailure, T>> directCall, String operation,
+			String key) {
+		countCall(operation, key);
+		Either<StoreFailure, T> result = directCall.get();
+		boolean storeResponded = result.isRight() || !isUnreachable(result.getLeft());
+		if (storeResponded) {
+			this.lastResponseMillis = this.clock.millis();
+		}
+		if (storeResponded != this.directlyReachable) {
+			this.directlyReachable = storeResponded;
+			this.log.info(storeResponded ? "store-reached" : "store-not-reached", "call", operation, "key", key,
+					"outcome", storeResponded ? "ok" : result.getLeft().detail());
+		}
+		return result;
+	}
+
 	private Either<StoreFailure, PeerMessage.StoreResponse> callThroughPeer(PeerMessage.StoreRequest request) {
 		Set<String> hosts = this.mesh.hostsReachingStore();
 		for (String host : hosts) {
@@ -200,7 +243,7 @@
 			case "page" ->
 				encode(this.direct.listPage(request.key(), request.argument()), (page) -> respond(page.revision(),
 						page.more(), page.objects().stream().map(PeerFallbackStore::toRelayedObject).toList()));
-			case "changes" -> encode(
+			case WATCH_OPERATION -> encode(
 					this.direct.awaitChanges(request.key(), request.number(),
 							Math.min(request.waitMillis(), MAX_PEER_WAIT_MILLIS)),
 					(changes) -> respond(changes.revision(), false,
