Divide engines among models by their demand

Engines were divided equally among the models, whatever ran on them.

The holder of the duties now averages the requests that run on the engines of each model over 12 s and moves one engine at a time, each 4 s at most, while the model that gains has 1.25 times the load per engine that the other one will have. A model keeps two engines.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/WeightLoadScheduler.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/WeightLoadScheduler.java
@@ -13,10 +13,10 @@
 
 /**
  * Decides which endpoints load a new weight version next. If an engine holds several
- * models, the endpoints are divided among the models, and each endpoint loads the
- * versions of its assigned model only. The number of concurrent loads is limited;
- * endpoints with the oldest version are ordered first, then those with the fewest
- * requests. Only the process that holds the order duty uses this class.
+ * models, the endpoints are divided among the models by their demand, and each endpoint
+ * loads the versions of its assigned model only. The number of concurrent loads is
+ * limited; endpoints with the oldest version are ordered first, then those with the
+ * fewest requests. Only the process that holds the order duty uses this class.
  * <p>
  * Thread-safe; guarded by its own lock.
  */
@@ -42,8 +42,11 @@
 
 	private final Map<String, String> assignedModels = new HashMap<>();
 
+	private final ModelDemand demand;
+
 	private WeightLoadScheduler(Clock clock) {
 		this.clock = Objects.requireNonNull(clock, "clock");
+		this.demand = ModelDemand.of(clock);
 	}
 
 	/**
@@ -75,6 +78,7 @@
 		Map<String, List<EndpointTable.ModelHolder>> holders = new HashMap<>();
 		table.models().forEach((model) -> holders.put(model, table.holders(model)));
 		assign(holders);
+		reassign(holders);
 		removeFinished(holders, now);
 		List<Swap> candidates = new ArrayList<>();
 		holders.forEach((model, list) -> {
@@ -152,6 +156,29 @@
 		}
 	}
 
+	// Assigns an endpoint of the model with the least demand to the one with the most.
+	private void reassign(Map<String, List<EndpointTable.ModelHolder>> holders) {
+		Map<String, Integer> running = new HashMap<>();
+		Map<String, Integer> endpoints = new HashMap<>();
+		holders.forEach((model, list) -> list.stream()
+			.filter((holder) -> model.equals(this.assignedModels.get(holder.id())))
+			.forEach((holder) -> {
+				running.merge(model, holder.running(), Integer::sum);
+				endpoints.merge(model, 1, Integer::sum);
+			}));
+		ModelDemand.Change change = this.demand.next(running, endpoints);
+		if (change == null) {
+			return;
+		}
+		holders.get(change.from())
+			.stream()
+			.filter((holder) -> change.from().equals(this.assignedModels.get(holder.id()))
+					&& holder.versions().containsKey(change.to()) && !this.inProgress.containsKey(holder.id()))
+			.min(Comparator.comparingInt(EndpointTable.ModelHolder::running)
+				.thenComparing(EndpointTable.ModelHolder::id))
+			.ifPresent((holder) -> this.assignedModels.put(holder.id(), change.to()));
+	}
+
 	private void removeFinished(Map<String, List<EndpointTable.ModelHolder>> holders, long now) {
 		Set<String> presentIds = new HashSet<>();
 		holders.forEach((model, list) -> list.forEach((holder) -> {
