Send one request at a time to endpoints of silent domains

The owner knows that no host of that domain is heard, but not whether its endpoints are gone too: all hosts may have been restarted.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
@@ -75,6 +75,8 @@
 
 	private final Set<String> disabledDomains = new HashSet<>();
 
+	private final Map<String, Long> silentSinceMillis = new HashMap<>();
+
 	private final Map<String, String> assignedModels = new HashMap<>();
 
 	private final Set<String> loading = new HashSet<>();
@@ -155,6 +157,17 @@
 		this.disabledDomains.addAll(domains);
 	}
 
+	/**
+	 * Sets the failure domains none of whose hosts is heard. As the domain may be cut
+	 * off, an endpoint there receives one request of this host at a time until it has
+	 * responded.
+	 * @param domains the silent domains
+	 */
+	public synchronized void silentDomains(Set<String> domains) {
+		this.silentSinceMillis.keySet().retainAll(domains);
+		domains.forEach((domain) -> this.silentSinceMillis.putIfAbsent(domain, this.clock.millis()));
+	}
+
 	/**
 	 * Sets the number of requests that a peer runs at each endpoint.
 	 * @param host the peer
@@ -297,6 +310,9 @@
 		}
 		endpoint.running = Math.max(0, endpoint.running - 1);
 		long now = this.clock.millis();
+		if (outcome == Outcome.SERVED || outcome == Outcome.REFUSED) {
+			endpoint.lastResponseMillis = now;
+		}
 		if (outcome == Outcome.SERVED) {
 			endpoint.failures = 0;
 			endpoint.timeouts = 0;
@@ -321,6 +337,7 @@
 	public synchronized void unitTime(String id, double millisPerUnit) {
 		EndpointState endpoint = this.endpoints.get(id);
 		if (endpoint != null) {
+			endpoint.lastResponseMillis = this.clock.millis();
 			endpoint.unitTime = (endpoint.unitTime == 0) ? millisPerUnit
 					: endpoint.unitTime + UNIT_TIME_EWMA_WEIGHT * (millisPerUnit - endpoint.unitTime);
 		}
@@ -484,6 +501,10 @@
 		if (now < endpoint.coldUntilMillis && now < endpoint.nextColdRequestAtMillis) {
 			return false;
 		}
+		Long silentSince = this.silentSinceMillis.get(endpoint.entry.domain());
+		if (silentSince != null && endpoint.lastResponseMillis < silentSince && endpoint.running > 0) {
+			return false;
+		}
 		double limit = endpoint.entry.slots() * (requirements.slotsOnly() ? 1.0 : 1.0 + QUEUE_TO_SLOTS_RATIO);
 		return load(endpoint, now) < limit;
 	}
@@ -609,6 +630,8 @@
 
 		private double unitTime;
 
+		private long lastResponseMillis = Long.MIN_VALUE;
+
 		private EndpointState(EndpointEntry entry) {
 			this.entry = entry;
 		}
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/process/EndpointTableTests.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/process/EndpointTableTests.java
@@ -143,6 +143,23 @@
 		assertThat(this.table.acquire(requirements(2))).isNotNull();
 	}
 
+	@Test
+	void endpointOfASilentDomainGetsOneRequestUntilItHasResponded() {
+		// After a submission had been taken over from a domain that was cut off, its
+		// items
+		// waited twice for a connection to the engines there.
+		this.table.put(entry("a", "zone-a", false, 0, 1));
+		this.table.silentDomains(Set.of("zone-a"));
+		EndpointTable.Grant first = this.table.acquire(requirements(0));
+		assertThat(first).isNotNull();
+		assertThat(this.table.acquire(requirements(0))).as("before the first response").isNull();
+		this.table.silentDomains(Set.of("zone-a"));
+		this.table.unitTime("a", 40);
+		assertThat(this.table.acquire(requirements(0))).as("after a response").isNotNull();
+		this.table.silentDomains(Set.of());
+		assertThat(this.table.acquire(requirements(0))).as("after the silence").isNotNull();
+	}
+
 	@Test
 	void longRunMovesOnlyToAFasterEndpointWithAFreeSlot() {
 		// The last long text of a step runs on an engine that became slow.
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/HostMesh.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/HostMesh.java
@@ -291,11 +291,22 @@
 			return true;
 		}
 		Peer peer = this.peers.get(host);
-		if (peer == null || peer.leaving) {
-			return false;
-		}
-		long relayMillis = (peer.lastStatusMillis > peer.lastDirectStatusMillis) ? DIGEST_INTERVAL_MILLIS : 0;
-		return this.clock.millis() - peer.lastStatusMillis < TAKEOVER_SILENCE_MILLIS + relayMillis;
+		return peer != null && !peer.leaving && !isSilent(peer);
+	}
+
+	/**
+	 * Returns the other failure domains none of whose hosts was heard recently.
+	 * @return the silent domains, which may be cut off
+	 */
+	public Set<String> silentDomains() {
+		Set<String> silent = new TreeSet<>();
+		Set<String> heard = new TreeSet<>(Set.of(this.hello.domain().value()));
+		this.peers.values()
+			.stream()
+			.filter((peer) -> peer.statusReceived)
+			.forEach((peer) -> (isSilent(peer) ? silent : heard).add(peer.domain));
+		silent.removeAll(heard);
+		return silent;
 	}
 
 	/**
@@ -425,6 +436,11 @@
 		this.peers.values().forEach((peer) -> peer.link.close());
 	}
 
+	private boolean isSilent(Peer peer) {
+		long relayMillis = (peer.lastStatusMillis > peer.lastDirectStatusMillis) ? DIGEST_INTERVAL_MILLIS : 0;
+		return this.clock.millis() - peer.lastStatusMillis >= TAKEOVER_SILENCE_MILLIS + relayMillis;
+	}
+
 	private boolean isAlive(Peer peer) {
 		return this.clock.millis() - peer.lastStatusMillis < HOST_TIMEOUT_MILLIS;
 	}
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -514,6 +514,7 @@
 			this.table.hostCount(this.mesh.liveHosts().size());
 		}
 		checkIsolation();
+		this.table.silentDomains(this.mesh.silentDomains());
 		if (now >= this.nextTakeoverMillis) {
 			this.nextTakeoverMillis = now + TAKEOVER_INTERVAL_MILLIS;
 			if (!this.cutOff.isIsolated() && this.isolation.areRecordsStale()) {
--- a/bamboorelay-host/src/test/java/org/bamboorelay/host/connection/HostMeshTests.java
+++ b/bamboorelay-host/src/test/java/org/bamboorelay/host/connection/HostMeshTests.java
@@ -124,8 +124,10 @@
 		linkedMesh();
 		this.now.addAndGet(3 * STATUS_INTERVAL_MILLIS);
 		assertThat(this.mesh.isResponsive("host-b")).isTrue();
+		assertThat(this.mesh.silentDomains()).isEmpty();
 		this.now.addAndGet(STATUS_INTERVAL_MILLIS);
 		assertThat(this.mesh.isResponsive("host-b")).isFalse();
+		assertThat(this.mesh.silentDomains()).containsExactly("domain-b");
 		assertThat(this.mesh.highCapacityHosts()).containsExactly("host-a");
 		assertThat(this.mesh.liveHosts()).containsExactly("host-a", "host-b");
 	}
