--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/DutyLoop.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/DutyLoop.java
@@ -1,6 +1,7 @@
 package org.bamboorelay.host.process;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
@@ -239,7 +240,14 @@
 	}
 
 	private void orderWeights() {
-		for (WeightLoadScheduler.Swap swap : this.weightLoadScheduler.nextOrders(this.table)) {
+		Map<String, String> before = this.weightLoadScheduler.assignedModels();
+		List<WeightLoadScheduler.Swap> orders = this.weightLoadScheduler.nextOrders(this.table);
+		this.weightLoadScheduler.assignedModels().forEach((endpoint, model) -> {
+			if (!model.equals(before.getOrDefault(endpoint, model))) {
+				this.log.info("engine-reassigned", "endpoint", endpoint, "from", before.get(endpoint), "to", model);
+			}
+		});
+		for (WeightLoadScheduler.Swap swap : orders) {
 			long fencing = this.lease.fencing();
 			this.executor.execute(() -> {
 				if (!loadWeights(swap, fencing)) {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ActiveSubmission.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ActiveSubmission.java
@@ -198,9 +198,7 @@
 			this.storedEventCount = eventCount;
 			return Option.none();
 		}
-		// The object may be newer than known, because the response to an earlier write
-		// was
-		// lost or a former owner wrote it.
+		// An earlier response was lost, or a former owner wrote the object.
 		store.texts(this.state.submission().id()).forEach((stored) -> this.storedTextsVersion = stored.version());
 		return Option.some(written.getLeft());
 	}
