Let the fixture of host tests bind ports that are free

The fixture looked for free ports, closed them, and let the host bind them later; an outgoing connection may take one meanwhile (address in use, once). The host now binds any port and tells the address of its front.

--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -357,6 +357,20 @@
 		this.executor.shutdownNow();
 	}
 
+	/**
+	 * Returns the address on which this host serves callers.
+	 * @return {@code ip:port}, with the actual port if the settings leave it open
+	 * @throws IllegalStateException if the process was not started
+	 */
+	public String frontAddress() {
+		HttpListener listener = this.frontListener;
+		if (listener == null) {
+			throw new IllegalStateException("host " + this.settings.host() + " was not started");
+		}
+		String address = this.settings.frontAddress();
+		return address.substring(0, address.lastIndexOf(':') + 1) + listener.port();
+	}
+
 	/**
 	 * Returns the number of endpoints of a service that can accept a request now.
 	 * @param service the service
