--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
@@ -83,6 +83,8 @@
 
 	private final LeavingEndpoints leaving;
 
+	private final NamedRates namedRates = new NamedRates();
+
 	private int hostCount = 1;
 
 	private EndpointTable(Clock clock) {
@@ -235,6 +237,18 @@
 		return this.leaving.shared();
 	}
 
+	/**
+	 * Handles the request rate that an endpoint names in a response, or that it names
+	 * none.
+	 * @param grant the grant of the request
+	 * @param requestsPerSecond the rate; infinite if the response names none
+	 * @return whether the rate of the endpoint changed
+	 */
+	public synchronized boolean onRateNamed(Grant grant, double requestsPerSecond) {
+		return this.namedRates.onResponse(grant.id(), grant.startedAtMillis(), requestsPerSecond,
+				grant.grantedAtMillis(), this.clock.millis());
+	}
+
 	/**
 	 * Chooses an endpoint and counts the request there until {@link #release}.
 	 * @param requirements the requirements of the request
@@ -262,7 +276,7 @@
 		if (now < best.coldUntilMillis) {
 			best.nextColdRequestAtMillis = now + coldIntervalMillis(best);
 		}
-		return new Grant(best.entry.id(), best.entry.address(), best.entry.domain(), best.entry.startedAtMillis());
+		return new Grant(best.entry.id(), best.entry.address(), best.entry.domain(), best.entry.startedAtMillis(), now);
 	}
 
 	/**
@@ -588,8 +602,10 @@
 	 * @param address {@code ip:port}
 	 * @param domain its failure domain
 	 * @param startedAtMillis its start time, in milliseconds since the epoch
+	 * @param grantedAtMillis the time of the choice, in milliseconds of the clock of the
+	 * process
 	 */
-	public record Grant(String id, String address, String domain, long startedAtMillis) {
+	public record Grant(String id, String address, String domain, long startedAtMillis, long grantedAtMillis) {
 	}
 
 	/**
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/EndpointResponse.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/EndpointResponse.java
@@ -16,6 +16,8 @@
  * @param notExecuted whether the endpoint reports that it did not execute the request
  * @param leaving whether the endpoint reports that it is leaving and must get no further
  * requests
+ * @param requestsPerSecond the requests per second that the endpoint takes from all hosts
+ * together; infinite if it names no rate
  * @param seal the seal by which the endpoint proves that it generated the response; null
  * if there is none
  * @param weightVersion the weight version with which the endpoint runs; 0 if it names
@@ -23,7 +25,7 @@
  * @param forwardedHeaders the headers to forward to the caller, including the seal
  */
 public record EndpointResponse(int status, @Nullable String id, boolean notExecuted, boolean leaving,
-		@Nullable String seal, long weightVersion, List<Header> forwardedHeaders) {
+		double requestsPerSecond, @Nullable String seal, long weightVersion, List<Header> forwardedHeaders) {
 
 	public EndpointResponse {
 		Objects.requireNonNull(forwardedHeaders, "forwardedHeaders");
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -45,6 +45,7 @@
 import org.bamboorelay.host.request.CallerMonitor;
 import org.bamboorelay.host.request.CallerRequestHandler;
 import org.bamboorelay.host.request.EndpointClient;
+import org.bamboorelay.host.request.EndpointNotices;
 import org.bamboorelay.host.request.ItemRunner;
 import org.bamboorelay.host.request.StreamRelay;
 import org.bamboorelay.host.request.SubmissionDirectory;
@@ -212,9 +213,10 @@
 			.contendingWhen(() -> this.clock.millis() - lastHeldMillis.get() > settings.leaseMillis()
 					&& this.mesh.dutyHolder() == null && this.mesh.mayHoldDuties());
 		this.lastHeldMillis = lastHeldMillis;
-		EndpointClient endpointClient = EndpointClient.of(this.table, endpoints, pool, this.clock, this.counters,
-				this.log);
-		ItemRunner itemRunner = new ItemRunner(this.table, endpoints, pool, endpointClient, this.routing::get,
+		EndpointNotices notices = new EndpointNotices(this.table, this.log);
+		EndpointClient endpointClient = EndpointClient.of(this.table, notices, endpoints, pool, this.clock,
+				this.counters, this.log);
+		ItemRunner itemRunner = new ItemRunner(this.table, notices, endpoints, pool, endpointClient, this.routing::get,
 				this.clock, this.counters, this.log);
 		SubmissionStore submissions = SubmissionStore.of(this.store);
 		this.runner = new SubmissionRunner(settings.host(), submissions, this.table, itemRunner, this.routing::get,
@@ -222,7 +224,8 @@
 		this.directory = new SubmissionDirectory(settings.host(), submissions, this.runner, this.mesh, this.log);
 		SubmissionHandler submissionHandler = new SubmissionHandler(settings.host(), callers, submissions,
 				this.directory, this.runner, this.log);
-		StreamRelay streamRelay = new StreamRelay(this.table, endpoints, pool, this.usage, this.clock, this.log);
+		StreamRelay streamRelay = new StreamRelay(this.table, notices, endpoints, pool, this.usage, this.clock,
+				this.log);
 		this.callerRequestHandler = new CallerRequestHandler(this.routing::get, callers, endpointClient, streamRelay,
 				submissionHandler, this.callerMonitor, this.usage, this.clock, this.counters, this.log);
 		this.duties = new DutyLoop(settings, this.lease, this.store, calls, this.table, this.weightLoadScheduler,
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/CallerRequestHandler.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/CallerRequestHandler.java
@@ -17,6 +17,7 @@
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
 import org.apache.hc.core5.http.message.BasicClassicHttpResponse;
+import org.bamboorelay.core.request.RequestOrigin;
 import org.bamboorelay.core.time.Clock;
 import org.bamboorelay.core.version.KeyHash;
 import org.bamboorelay.core.version.RouteKind;
@@ -151,9 +152,10 @@
 		boolean idempotent = route.kind() == RouteKind.IDEMPOTENT
 				|| (route.kind() == RouteKind.EVENT_STREAM && route.resumable());
 		try (CallerMonitor.MonitoredRequest monitoredRequest = this.callerMonitor.monitor(responder)) {
-			ServiceRequest serviceRequest = new ServiceRequest(head.id(), head.method(), head.host(), head.path(),
-					head.forwardedHeaders(), body, workspace.isEmpty() ? null : workspace, route.service(Math.random()),
-					idempotent, route.maxAttempts(), startMillis + allowedMillis, monitoredRequest::onAbort);
+			ServiceRequest serviceRequest = new ServiceRequest(RequestOrigin.CALLER, head.id(), head.method(),
+					head.host(), head.path(), head.forwardedHeaders(), body, workspace.isEmpty() ? null : workspace,
+					route.service(Math.random()), idempotent, route.maxAttempts(), startMillis + allowedMillis,
+					monitoredRequest::onAbort);
 			if (route.kind() == RouteKind.EVENT_STREAM) {
 				this.streamRelay.relay(serviceRequest, route.goalMillis(), monitoredRequest, responder);
 				return;
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointClient.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointClient.java
@@ -51,6 +51,8 @@
 
 	private final EndpointAcquirer acquirer;
 
+	private final EndpointNotices notices;
+
 	private final EndpointProtocol protocol;
 
 	private final HttpConnectionPool pool;
@@ -61,9 +63,10 @@
 
 	private final EventLog log;
 
-	private EndpointClient(EndpointTable table, EndpointProtocol protocol, HttpConnectionPool pool, Clock clock,
-			Counters counters, EventLog log) {
+	private EndpointClient(EndpointTable table, EndpointNotices notices, EndpointProtocol protocol,
+			HttpConnectionPool pool, Clock clock, Counters counters, EventLog log) {
 		this.table = Objects.requireNonNull(table, "table");
+		this.notices = Objects.requireNonNull(notices, "notices");
 		this.protocol = Objects.requireNonNull(protocol, "protocol");
 		this.pool = Objects.requireNonNull(pool, "pool");
 		this.clock = Objects.requireNonNull(clock, "clock");
@@ -75,6 +78,7 @@
 	/**
 	 * Creates a client.
 	 * @param table the table of endpoints
+	 * @param notices records what endpoints announce in their responses
 	 * @param protocol encodes requests to endpoints and decodes their responses
 	 * @param pool the connections to endpoints
 	 * @param clock the monotonic clock of the process
@@ -82,9 +86,9 @@
 	 * @param log the log of the process
 	 * @return the client
 	 */
-	public static EndpointClient of(EndpointTable table, EndpointProtocol protocol, HttpConnectionPool pool,
-			Clock clock, Counters counters, EventLog log) {
-		return new EndpointClient(table, protocol, pool, clock, counters, log);
+	public static EndpointClient of(EndpointTable table, EndpointNotices notices, EndpointProtocol protocol,
+			HttpConnectionPool pool, Clock clock, Counters counters, EventLog log) {
+		return new EndpointClient(table, notices, protocol, pool, clock, counters, log);
 	}
 
 	/**
@@ -107,6 +111,7 @@
 				this.table.release(grant, EndpointTable.Outcome.ABANDONED);
 				return mostUncertain(new CallResult.NotRun("time-is-up", RETRY_AFTER_MILLIS), last);
 			}
+			this.counters.counter("endpoint_requests_total", "origin", request.origin().label()).inc();
 			CallResult result = attempt(request, grant, remainingMillis);
 			if (isFinal(request, result, triedEndpoints.size())) {
 				return result;
@@ -155,7 +160,7 @@
 			}
 			try (HttpExchange exchange = result.get()) {
 				EndpointResponse response = this.protocol.decodeHead(exchange.response());
-				this.table.onLeavingAnnounced(grant.id(), grant.startedAtMillis(), response.leaving());
+				this.notices.record(grant, response);
 				if (isIdMismatch(response, request.id())) {
 					exchange.abort();
 					return failedAttempt(request, grant,
--- /dev/null
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointNotices.java
@@ -0,0 +1,44 @@
+package org.bamboorelay.host.request;
+
+import java.util.Objects;
+
+import org.bamboorelay.core.process.EndpointTable;
+import org.bamboorelay.host.connection.EndpointResponse;
+import org.bamboorelay.host.process.EventLog;
+
+/**
+ * Records what endpoints announce about themselves in the heads of their responses: that
+ * they are leaving, and the request rate that they take.
+ * <p>
+ * Thread-safe.
+ */
+public final class EndpointNotices {
+
+	private final EndpointTable table;
+
+	private final EventLog log;
+
+	/**
+	 * Creates the recorder.
+	 * @param table the table of endpoints
+	 * @param log the log of the process
+	 */
+	public EndpointNotices(EndpointTable table, EventLog log) {
+		this.table = Objects.requireNonNull(table, "table");
+		this.log = Objects.requireNonNull(log, "log");
+	}
+
+	/**
+	 * Records the announcements of a response.
+	 * @param grant the grant of the request
+	 * @param response the head of the response
+	 */
+	void record(EndpointTable.Grant grant, EndpointResponse response) {
+		this.table.onLeavingAnnounced(grant.id(), grant.startedAtMillis(), response.leaving());
+		if (this.table.onRateNamed(grant, response.requestsPerSecond())) {
+			this.log.info("endpoint-rate-named", "endpoint", grant.id(), "domain", grant.domain(),
+					"requests_per_second", response.requestsPerSecond());
+		}
+	}
+
+}
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ItemRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ItemRunner.java
@@ -12,6 +12,7 @@
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.message.BasicHeader;
 import org.bamboorelay.core.process.EndpointTable;
+import org.bamboorelay.core.request.RequestOrigin;
 import org.bamboorelay.core.request.Submission;
 import org.bamboorelay.core.request.SubmissionItem;
 import org.bamboorelay.core.request.SubmissionState;
@@ -60,6 +61,8 @@
 
 	private final EndpointTable table;
 
+	private final EndpointNotices notices;
+
 	private final EndpointProtocol protocol;
 
 	private final HttpConnectionPool pool;
@@ -77,6 +80,7 @@
 	/**
 	 * Creates a runner.
 	 * @param table the table of endpoints
+	 * @param notices records what endpoints announce in their responses
 	 * @param protocol encodes requests to endpoints and decodes their responses
 	 * @param pool the connections to endpoints
 	 * @param endpointClient makes score calls
@@ -85,10 +89,11 @@
 	 * @param counters the metrics of the process
 	 * @param log the log of the process
 	 */
-	public ItemRunner(EndpointTable table, EndpointProtocol protocol, HttpConnectionPool pool,
+	public ItemRunner(EndpointTable table, EndpointNotices notices, EndpointProtocol protocol, HttpConnectionPool pool,
 			EndpointClient endpointClient, Supplier<@Nullable RoutingTable> routing, Clock clock, Counters counters,
 			EventLog log) {
 		this.table = Objects.requireNonNull(table, "table");
+		this.notices = Objects.requireNonNull(notices, "notices");
 		this.protocol = Objects.requireNonNull(protocol, "protocol");
 		this.pool = Objects.requireNonNull(pool, "pool");
 		this.endpointClient = Objects.requireNonNull(endpointClient, "endpointClient");
@@ -147,6 +152,7 @@
 		EndpointRequest call = new EndpointRequest(item.id(), "POST", submission.host(), item.path(), headers,
 				submission.workspace().isEmpty() ? null : submission.workspace(), grant.id(), remainingMillis,
 				run.after(), item.body());
+		this.counters.counter("endpoint_requests_total", "origin", RequestOrigin.ITEM.label()).inc();
 		Either<HttpFailure, HttpExchange> result = this.pool.execute(grant.address(), this.protocol.encodeRequest(call),
 				ExchangeOptions.of(true, EVENT_TIMEOUT_MILLIS)
 					.withTag(item.id())
@@ -158,7 +164,7 @@
 		}
 		try (HttpExchange exchange = result.get()) {
 			EndpointResponse response = this.protocol.decodeHead(exchange.response());
-			this.table.onLeavingAnnounced(grant.id(), grant.startedAtMillis(), response.leaving());
+			this.notices.record(grant, response);
 			if (response.isSuccess() && !item.id().equals(response.id())) {
 				exchange.abort();
 				return new RunOutcome(EndpointTable.Outcome.FAILED, false, false, "crossed-answer", 0);
@@ -242,8 +248,8 @@
 				pause(SCORE_RETRY_DELAY_MILLIS * 10);
 				continue;
 			}
-			ServiceRequest serviceRequest = new ServiceRequest(score.id(), "POST", score.host(), score.path(),
-					List.of(), score.body(), null, route.get().service(Math.random()), true, 1,
+			ServiceRequest serviceRequest = new ServiceRequest(RequestOrigin.SCORE, score.id(), "POST", score.host(),
+					score.path(), List.of(), score.body(), null, route.get().service(Math.random()), true, 1,
 					this.clock.millis() + SCORE_TIMEOUT_MILLIS, (abort) -> {
 						if (state.isEnded()) {
 							abort.run();
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ServiceRequest.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ServiceRequest.java
@@ -5,6 +5,7 @@
 import java.util.function.Consumer;
 
 import org.apache.hc.core5.http.Header;
+import org.bamboorelay.core.request.RequestOrigin;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -12,6 +13,7 @@
  * <p>
  * Immutable and thread-safe, provided that the body array is not modified.
  *
+ * @param origin where the request comes from
  * @param id the request id
  * @param method the method
  * @param host the host name that the caller addressed
@@ -26,11 +28,12 @@
  * process
  * @param onAbort receives, for each attempt, a task that aborts the attempt
  */
-public record ServiceRequest(String id, String method, String host, String path, List<Header> headers, byte[] body,
-		@Nullable String workspace, String service, boolean idempotent, int maxAttempts, long deadlineMillis,
-		Consumer<Runnable> onAbort) {
+public record ServiceRequest(RequestOrigin origin, String id, String method, String host, String path,
+		List<Header> headers, byte[] body, @Nullable String workspace, String service, boolean idempotent,
+		int maxAttempts, long deadlineMillis, Consumer<Runnable> onAbort) {
 
 	public ServiceRequest {
+		Objects.requireNonNull(origin, "origin");
 		Objects.requireNonNull(id, "id");
 		Objects.requireNonNull(service, "service");
 		Objects.requireNonNull(onAbort, "onAbort");
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/StreamRelay.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/StreamRelay.java
@@ -67,6 +67,8 @@
 
 	private final EndpointAcquirer acquirer;
 
+	private final EndpointNotices notices;
+
 	private final EndpointProtocol protocol;
 
 	private final HttpConnectionPool pool;
@@ -80,15 +82,17 @@
 	/**
 	 * Creates a relay.
 	 * @param table the table of endpoints
+	 * @param notices records what endpoints announce in their responses
 	 * @param protocol encodes requests to endpoints and decodes their responses
 	 * @param pool the connections to endpoints
 	 * @param usage counts requests by workspace
 	 * @param clock the monotonic clock of the process
 	 * @param log the log of the process
 	 */
-	public StreamRelay(EndpointTable table, EndpointProtocol protocol, HttpConnectionPool pool, UsageMeter usage,
-			Clock clock, EventLog log) {
+	public StreamRelay(EndpointTable table, EndpointNotices notices, EndpointProtocol protocol, HttpConnectionPool pool,
+			UsageMeter usage, Clock clock, EventLog log) {
 		this.table = Objects.requireNonNull(table, "table");
+		this.notices = Objects.requireNonNull(notices, "notices");
 		this.protocol = Objects.requireNonNull(protocol, "protocol");
 		this.pool = Objects.requireNonNull(pool, "pool");
 		this.usage = Objects.requireNonNull(usage, "usage");
@@ -219,7 +223,7 @@
 			}
 			HttpExchange exchange = result.get();
 			EndpointResponse endpointResponse = StreamRelay.this.protocol.decodeHead(exchange.response());
-			StreamRelay.this.table.onLeavingAnnounced(grant.id(), grant.startedAtMillis(), endpointResponse.leaving());
+			StreamRelay.this.notices.record(grant, endpointResponse);
 			if (endpointResponse.notExecuted()) {
 				exchange.close();
 				StreamRelay.this.table.release(grant, EndpointTable.Outcome.REFUSED);
--- a/bamboorelay-host/src/test/java/org/bamboorelay/host/request/SubmissionDirectoryTests.java
+++ b/bamboorelay-host/src/test/java/org/bamboorelay/host/request/SubmissionDirectoryTests.java
@@ -102,9 +102,11 @@
 		Counters counters = Counters.create();
 		HttpConnectionPool pool = new HttpConnectionPool();
 		UnusedEndpointProtocol protocol = new UnusedEndpointProtocol();
-		EndpointClient caller = EndpointClient.of(table, protocol, pool, Clock.monotonic(), counters, this.log);
-		ItemRunner items = new ItemRunner(table, protocol, pool, caller, () -> this.routes, Clock.monotonic(), counters,
+		EndpointNotices notices = new EndpointNotices(table, this.log);
+		EndpointClient caller = EndpointClient.of(table, notices, protocol, pool, Clock.monotonic(), counters,
 				this.log);
+		ItemRunner items = new ItemRunner(table, notices, protocol, pool, caller, () -> this.routes, Clock.monotonic(),
+				counters, this.log);
 		return new SubmissionRunner("host-a", SubmissionStore.of(this.inMemoryStore), table, items, () -> this.routes,
 				ItemOrder.AS_SUBMITTED, mesh(), this.executor, this.log);
 	}
