--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/HostMesh.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/HostMesh.java
@@ -169,14 +169,17 @@
 
 	/**
 	 * Starts accepting links.
-	 * @param address {@code ip:port}
+	 * @param address {@code ip:port}; port 0 binds any free port
+	 * @return the bound address, {@code ip:port}
 	 * @throws IOException if the address cannot be bound
 	 */
-	public void open(String address) throws IOException {
+	public String open(String address) throws IOException {
 		int colon = address.lastIndexOf(':');
-		this.listener = PeerListener.open(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)),
-				this.hello, this::handleMessage, (failure) -> {
+		PeerListener opened = PeerListener.open(address.substring(0, colon),
+				Integer.parseInt(address.substring(colon + 1)), this.hello, this::handleMessage, (failure) -> {
 				}, this.executor);
+		this.listener = opened;
+		return address.substring(0, colon + 1) + opened.port();
 	}
 
 	/**
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -158,6 +158,8 @@
 
 	private final String incarnation;
 
+	private volatile String peerAddress = "";
+
 	private @Nullable HttpListener frontListener;
 
 	private volatile boolean shuttingDown;
@@ -261,7 +263,7 @@
 		});
 		this.mesh.onWeightLoad(
 				(load) -> this.table.onWeightLoad(load.endpoint(), load.model(), load.version(), load.inProgress()));
-		this.mesh.open(this.settings.peerAddress());
+		this.peerAddress = this.mesh.open(this.settings.peerAddress());
 		startWatcher(this.format.routingKind(), false, true, this::onRouting, (name) -> {
 		});
 		startWatcher(this.format.endpointKind(), true, true, this::onEndpoint, this.table::remove);
@@ -374,6 +376,14 @@
 		return address.substring(0, address.lastIndexOf(':') + 1) + listener.port();
 	}
 
+	/**
+	 * Returns the live hosts.
+	 * @return this host and the others whose status was received recently
+	 */
+	public Set<String> liveHosts() {
+		return this.mesh.liveHosts();
+	}
+
 	/**
 	 * Returns the number of endpoints of a service that can accept a request now.
 	 * @param service the service
@@ -495,7 +505,7 @@
 	private void register() {
 		String key = HOSTS_KIND + "/" + this.settings.host();
 		byte[] body = CoreJson
-			.bytes(new HostRecord(this.settings.peerAddress(), this.settings.domain(), this.settings.processors()));
+			.bytes(new HostRecord(this.peerAddress, this.settings.domain(), this.settings.processors()));
 		while (!this.stopped) {
 			Either<StoreFailure, Long> created = this.store.create(key, body);
 			if (created.isRight()) {
