Keep to the request rate that an endpoint names, all hosts together

Class of fault: a limit on a shared resource that each of many clients would have to keep alone.

Change: an endpoint that named its rate needs a slot for each request. One host schedules an endpoint's slots (generic cell rate algorithm), chosen by rendezvous hashing among the hosts that can be reached, near the endpoint first, so no state is shared or kept. It schedules the rate times the share of the known hosts that it hears, so the parts of a divided deployment stay within the rate together; a host that gets no response from it keeps to the share of one host. Callers go ahead of items and score calls, which get at least each fourth slot. A request that gets no slot in time is refused at once with the time until there is one. Runs are not moved to such endpoints.

Ruled out: CreditLedger and EndpointConcurrencyLimit limit requests in flight, not a rate, and need an owner that holds the requests' credits; shares by live hosts alone leave a host one request in many seconds at 80 hosts.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerMessage.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerMessage.java
@@ -610,4 +610,43 @@
 	record WeightLoad(String endpoint, String model, long version, boolean inProgress) implements PeerMessage {
 	}
 
+	/**
+	 * Reports that an endpoint named the request rate that it takes; one-way. That the
+	 * rate ended each host learns from its own requests.
+	 *
+	 * @param endpoint the endpoint
+	 * @param startedAtMillis its start time, in milliseconds since the epoch
+	 * @param requestsPerSecond the rate for all hosts together
+	 */
+	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+	record RateNamed(String endpoint, long startedAtMillis, double requestsPerSecond) implements PeerMessage {
+	}
+
+	/**
+	 * Requests a slot for one request to an endpoint that named its rate; answered by
+	 * {@link RateSlot}.
+	 *
+	 * @param endpoint the endpoint
+	 * @param startedAtMillis its start time, in milliseconds since the epoch
+	 * @param requestsPerSecond the rate for all hosts together, as known to the sender
+	 * @param interactive whether a caller waits for the response
+	 * @param maxWaitMillis the time that the request can wait for the slot, in
+	 * milliseconds
+	 */
+	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+	record RateSlotRequest(String endpoint, long startedAtMillis, double requestsPerSecond, boolean interactive,
+			long maxWaitMillis) implements PeerMessage {
+	}
+
+	/**
+	 * Response to a {@link RateSlotRequest}.
+	 *
+	 * @param granted whether the request may be sent
+	 * @param delayMillis if granted, the time after which to send it; otherwise the time
+	 * after which a request like this one could be sent, in milliseconds
+	 */
+	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+	record RateSlot(boolean granted, long delayMillis) implements PeerMessage {
+	}
+
 }
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerProtocol.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerProtocol.java
@@ -37,7 +37,8 @@
 			PeerMessage.WithdrawnDelta.class, PeerMessage.EndpointSetOffer.class, PeerMessage.HostStatus.class,
 			PeerMessage.ResultsRequest.class, PeerMessage.ResultsResponse.class, PeerMessage.StoreRequest.class,
 			PeerMessage.StoreResponse.class, PeerMessage.TextCopy.class, PeerMessage.TextFetch.class,
-			PeerMessage.ObjectChanges.class, PeerMessage.StatusDigest.class, PeerMessage.WeightLoad.class);
+			PeerMessage.ObjectChanges.class, PeerMessage.StatusDigest.class, PeerMessage.WeightLoad.class,
+			PeerMessage.RateNamed.class, PeerMessage.RateSlotRequest.class, PeerMessage.RateSlot.class);
 
 	/**
 	 * The number of types in the first release. A process sends later types only to
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointRequirements.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointRequirements.java
@@ -3,6 +3,7 @@
 import java.util.Objects;
 import java.util.Set;
 
+import org.bamboorelay.core.request.RequestOrigin;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -10,6 +11,7 @@
  * <p>
  * Immutable and thread-safe.
  *
+ * @param origin where the request comes from
  * @param service the service
  * @param model the model; null for a plain service
  * @param minVersion the oldest weight version that may serve the request; 0 for any
@@ -18,22 +20,24 @@
  * wait in the endpoint's queue
  * @param excluded the endpoints to which the request was sent before
  */
-public record EndpointRequirements(String service, @Nullable String model, long minVersion, long affinity,
-		boolean slotsOnly, Set<String> excluded) {
+public record EndpointRequirements(RequestOrigin origin, String service, @Nullable String model, long minVersion,
+		long affinity, boolean slotsOnly, Set<String> excluded) {
 
 	public EndpointRequirements {
+		Objects.requireNonNull(origin, "origin");
 		Objects.requireNonNull(service, "service");
 		excluded = Set.copyOf(excluded);
 	}
 
 	/**
 	 * Returns the requirements of a request to a plain service.
+	 * @param origin where the request comes from
 	 * @param service the service
 	 * @param excluded the endpoints to which the request was sent before
 	 * @return the requirements
 	 */
-	public static EndpointRequirements plain(String service, Set<String> excluded) {
-		return new EndpointRequirements(service, null, 0, 0, false, excluded);
+	public static EndpointRequirements plain(RequestOrigin origin, String service, Set<String> excluded) {
+		return new EndpointRequirements(origin, service, null, 0, 0, false, excluded);
 	}
 
 }
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 
+import org.bamboorelay.core.connection.PeerMessage;
 import org.bamboorelay.core.time.Clock;
 import org.bamboorelay.core.version.ServiceRule;
 import org.jspecify.annotations.Nullable;
@@ -250,7 +251,20 @@
 	}
 
 	/**
-	 * Chooses an endpoint and counts the request there until {@link #release}.
+	 * Records the request rate that an endpoint named to another host.
+	 * @param id the endpoint
+	 * @param startedAtMillis its start time, in milliseconds since the epoch
+	 * @param requestsPerSecond the rate
+	 * @return whether the rate of the endpoint changed
+	 */
+	public synchronized boolean onRateNamedToPeer(String id, long startedAtMillis, double requestsPerSecond) {
+		return this.namedRates.onNamedToPeer(id, startedAtMillis, requestsPerSecond, this.clock.millis());
+	}
+
+	/**
+	 * Chooses an endpoint and counts the request there until {@link #release}. If the
+	 * endpoint is rate limited, the request also needs a slot, whose outcome must be
+	 * reported with {@link #onSlot} first; until then no other request is granted there.
 	 * @param requirements the requirements of the request
 	 * @return the endpoint, or null if none can accept the request now
 	 */
@@ -269,14 +283,79 @@
 				best = endpoint;
 			}
 		}
-		if (best == null) {
-			return null;
+		return (best != null) ? grant(best, now) : null;
+	}
+
+	/**
+	 * Chooses the rate-limited endpoint whose next slot comes first, as
+	 * {@link #acquire(EndpointRequirements)} does.
+	 * @param requirements the requirements of the request
+	 * @param deadlineMillis the latest time of the slot, in milliseconds of the clock of
+	 * the process
+	 * @return the endpoint, or null if no endpoint can accept the request by then
+	 */
+	public synchronized @Nullable Grant acquireNextSlot(EndpointRequirements requirements, long deadlineMillis) {
+		long now = this.clock.millis();
+		EndpointState next = null;
+		for (EndpointState endpoint : this.endpoints.values()) {
+			if (isRateLimited(endpoint) && isAvailableApartFromSlots(endpoint, requirements, now)
+					&& !endpoint.slotRequested && endpoint.nextSlotMillis(requirements) <= deadlineMillis
+					&& (next == null || endpoint.nextSlotMillis(requirements) < next.nextSlotMillis(requirements))) {
+				next = endpoint;
+			}
+		}
+		return (next != null) ? grant(next, now) : null;
+	}
+
+	/**
+	 * Handles the outcome of the request for a slot at a rate-limited endpoint. Without a
+	 * slot the grant ends.
+	 * @param grant the grant
+	 * @param requirements the requirements of the request
+	 * @param slot the slot, or the time until there is one
+	 * @return whether the request got the slot
+	 */
+	public synchronized boolean onSlot(Grant grant, EndpointRequirements requirements, PeerMessage.RateSlot slot) {
+		EndpointState endpoint = this.endpoints.get(grant.id());
+		if (endpoint != null) {
+			endpoint.slotRequested = false;
+			if (!slot.granted()) {
+				endpoint.running = Math.max(0, endpoint.running - 1);
+				endpoint.nextSlotMillis(requirements, this.clock.millis() + slot.delayMillis());
+			}
 		}
-		best.running++;
-		if (now < best.coldUntilMillis) {
-			best.nextColdRequestAtMillis = now + coldIntervalMillis(best);
+		return slot.granted();
+	}
+
+	/**
+	 * Returns whether a granted endpoint still meets the requirements of the request.
+	 * @param grant the grant
+	 * @param requirements the requirements
+	 * @return whether the endpoint is the same and eligible
+	 */
+	public synchronized boolean isStillEligible(Grant grant, EndpointRequirements requirements) {
+		EndpointState endpoint = this.endpoints.get(grant.id());
+		return endpoint != null && endpoint.entry.startedAtMillis() == grant.startedAtMillis()
+				&& isEligible(endpoint, requirements) && this.clock.millis() >= endpoint.backoffUntilMillis;
+	}
+
+	/**
+	 * Returns the time until the first slot if all eligible endpoints are rate limited.
+	 * @param requirements the requirements of the request
+	 * @return the time, in milliseconds; 0 if a slot may be free or an eligible endpoint
+	 * is not rate limited
+	 */
+	public synchronized long slotDelayMillis(EndpointRequirements requirements) {
+		long first = Long.MAX_VALUE;
+		for (EndpointState endpoint : this.endpoints.values()) {
+			if (isEligible(endpoint, requirements) && !requirements.excluded().contains(endpoint.entry.id())) {
+				if (!isRateLimited(endpoint)) {
+					return 0;
+				}
+				first = Math.min(first, endpoint.nextSlotMillis(requirements));
+			}
 		}
-		return new Grant(best.entry.id(), best.entry.address(), best.entry.domain(), best.entry.startedAtMillis(), now);
+		return (first == Long.MAX_VALUE) ? 0 : Math.max(0, first - this.clock.millis());
 	}
 
 	/**
@@ -456,7 +535,7 @@
 			.stream()
 			.anyMatch((endpoint) -> endpoint != current && endpoint.unitTime > 0
 					&& endpoint.unitTime * ratio < current.unitTime && isAvailable(endpoint, requirements, now)
-					&& now >= endpoint.coldUntilMillis);
+					&& !isRateLimited(endpoint) && now >= endpoint.coldUntilMillis);
 	}
 
 	/**
@@ -506,7 +585,27 @@
 				requirements.minVersion()) >= requirements.minVersion();
 	}
 
+	private Grant grant(EndpointState endpoint, long now) {
+		endpoint.running++;
+		if (now < endpoint.coldUntilMillis) {
+			endpoint.nextColdRequestAtMillis = now + coldIntervalMillis(endpoint);
+		}
+		EndpointEntry entry = endpoint.entry;
+		double rate = this.namedRates.rate(entry.id(), entry.startedAtMillis());
+		endpoint.slotRequested = !Double.isInfinite(rate);
+		return new Grant(entry.id(), entry.address(), entry.domain(), entry.startedAtMillis(), now, rate);
+	}
+
+	private boolean isRateLimited(EndpointState endpoint) {
+		return !Double.isInfinite(this.namedRates.rate(endpoint.entry.id(), endpoint.entry.startedAtMillis()));
+	}
+
 	private boolean isAvailable(EndpointState endpoint, EndpointRequirements requirements, long now) {
+		return isAvailableApartFromSlots(endpoint, requirements, now) && (!isRateLimited(endpoint)
+				|| (!endpoint.slotRequested && now >= endpoint.nextSlotMillis(requirements)));
+	}
+
+	private boolean isAvailableApartFromSlots(EndpointState endpoint, EndpointRequirements requirements, long now) {
 		if (!isEligible(endpoint, requirements) || now < endpoint.backoffUntilMillis
 				|| this.loading.contains(endpoint.entry.id())
 				|| requirements.excluded().contains(endpoint.entry.id())) {
@@ -604,8 +703,20 @@
 	 * @param startedAtMillis its start time, in milliseconds since the epoch
 	 * @param grantedAtMillis the time of the choice, in milliseconds of the clock of the
 	 * process
-	 */
-	public record Grant(String id, String address, String domain, long startedAtMillis, long grantedAtMillis) {
+	 * @param requestsPerSecond the rate that the endpoint takes from all hosts together;
+	 * infinite if it named none
+	 */
+	public record Grant(String id, String address, String domain, long startedAtMillis, long grantedAtMillis,
+			double requestsPerSecond) {
+
+		/**
+		 * Returns whether the request needs a slot.
+		 * @return whether the endpoint named the rate that it takes
+		 */
+		public boolean isRateLimited() {
+			return !Double.isInfinite(this.requestsPerSecond);
+		}
+
 	}
 
 	/**
@@ -648,10 +759,33 @@
 
 		private long lastResponseMillis = Long.MIN_VALUE;
 
+		/**
+		 * Whether a slot at this endpoint was requested and not yet refused or granted.
+		 */
+		private boolean slotRequested;
+
+		private long nextInteractiveSlotMillis;
+
+		private long nextBackgroundSlotMillis;
+
 		private EndpointState(EndpointEntry entry) {
 			this.entry = entry;
 		}
 
+		private long nextSlotMillis(EndpointRequirements requirements) {
+			return requirements.origin().isInteractive() ? this.nextInteractiveSlotMillis
+					: this.nextBackgroundSlotMillis;
+		}
+
+		private void nextSlotMillis(EndpointRequirements requirements, long millis) {
+			if (requirements.origin().isInteractive()) {
+				this.nextInteractiveSlotMillis = millis;
+			}
+			else {
+				this.nextBackgroundSlotMillis = millis;
+			}
+		}
+
 	}
 
 }
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/NamedRates.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/NamedRates.java
@@ -53,9 +53,10 @@
 	 * @param startedAtMillis its start time, in milliseconds since the epoch
 	 * @param requestsPerSecond the rate
 	 * @param nowMillis the time, in milliseconds
+	 * @return whether the rate of the endpoint changed
 	 */
-	void onNamedToPeer(String id, long startedAtMillis, double requestsPerSecond, long nowMillis) {
-		onResponse(id, startedAtMillis, requestsPerSecond, nowMillis, nowMillis);
+	boolean onNamedToPeer(String id, long startedAtMillis, double requestsPerSecond, long nowMillis) {
+		return onResponse(id, startedAtMillis, requestsPerSecond, nowMillis, nowMillis);
 	}
 
 	/**
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/StatusRoutes.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/StatusRoutes.java
@@ -81,6 +81,15 @@
 		return isRelay() || needsUsageCounts(host);
 	}
 
+	/**
+	 * Tells whether all hosts maintain a link to a host.
+	 * @param host the host, which may be this one
+	 * @return whether all others send it their status, however many they are
+	 */
+	public boolean isReachedByAll(String host) {
+		return this.fullMesh || this.relays.contains(host);
+	}
+
 	/**
 	 * Tells whether another host needs the complete status.
 	 * @param host the other host
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/process/EndpointTableTests.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/process/EndpointTableTests.java
@@ -5,6 +5,8 @@
 import java.util.Map;
 import java.util.Set;
 
+import org.bamboorelay.core.connection.PeerMessage;
+import org.bamboorelay.core.request.RequestOrigin;
 import org.bamboorelay.core.time.ManualClock;
 import org.bamboorelay.core.version.ServiceRule;
 import org.junit.jupiter.api.BeforeEach;
@@ -54,6 +56,33 @@
 		assertThat(granted).isBetween(1, 5);
 	}
 
+	@Test
+	void rateLimitedEndpointGetsOneRequestForASlotAtATimeAndNoneUntilTheNextSlot() {
+		this.table.put(entry("a", "zone-a", false, 0, 1));
+		EndpointTable.Grant first = this.table.acquire(requirements(0));
+		assertThat(first.isRateLimited()).isFalse();
+		assertThat(this.table.onRateNamed(first, 2)).isTrue();
+		EndpointTable.Grant limited = this.table.acquire(requirements(0));
+		assertThat(limited.requestsPerSecond()).isEqualTo(2);
+		assertThat(this.table.acquire(requirements(0))).as("while a slot is requested").isNull();
+		assertThat(this.table.onSlot(limited, requirements(0), new PeerMessage.RateSlot(false, 300))).isFalse();
+		assertThat(this.table.acquire(requirements(0))).as("before the next slot").isNull();
+		assertThat(this.table.slotDelayMillis(requirements(0))).isEqualTo(300);
+		assertThat(this.table.acquireNextSlot(requirements(0), this.clock.millis() + 299)).isNull();
+		assertThat(this.table.acquireNextSlot(requirements(0), this.clock.millis() + 300)).isNotNull();
+	}
+
+	@Test
+	void refusalForWantOfSlotsIsNotKnownWhileAnotherEndpointTakesAnyRate() {
+		this.table.put(entry("a", "zone-a", false, 0, 1));
+		EndpointTable.Grant first = this.table.acquire(requirements(0));
+		this.table.onRateNamed(first, 2);
+		this.table.onSlot(this.table.acquire(requirements(0)), requirements(0), new PeerMessage.RateSlot(false, 300));
+		this.table.put(entry("b", "zone-a", false, 0, 1));
+		assertThat(this.table.slotDelayMillis(requirements(0))).isZero();
+		assertThat(this.table.acquire(requirements(0)).id()).isEqualTo("b");
+	}
+
 	@Test
 	void endpointWithOlderWeightsThanRequiredIsNotChosen() {
 		this.table.put(entry("a", "zone-a", false, 0, 3));
@@ -191,7 +220,7 @@
 	}
 
 	private static EndpointRequirements requirements(long minVersion) {
-		return new EndpointRequirements("s", "m", minVersion, 0, true, Set.of());
+		return new EndpointRequirements(RequestOrigin.ITEM, "s", "m", minVersion, 0, true, Set.of());
 	}
 
 	private static EndpointEntry entry(String id, String domain, boolean leaving, long coldMillis, long version) {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/HostMesh.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/HostMesh.java
@@ -49,6 +49,13 @@
 	 */
 	private static final long TAKEOVER_SILENCE_MILLIS = 1_200;
 
+	/**
+	 * Time without a status after which a host is taken to be gone for good, in
+	 * milliseconds. Until then it may be serving in a part of the deployment that is cut
+	 * off.
+	 */
+	private static final long FORGET_HOST_MILLIS = 600_000;
+
 	/**
 	 * Time without a direct status after which a host that watches the store is not
 	 * relied on, in milliseconds.
@@ -272,6 +279,38 @@
 		return live;
 	}
 
+	/**
+	 * Returns the responsive hosts to which all hosts maintain a link.
+	 * @return the hosts, which may include this one; only this one if there are none
+	 */
+	public Set<String> centralHosts() {
+		StatusRoutes currentRoutes = this.routes;
+		Set<String> central = liveHosts();
+		central.removeIf((host) -> !isResponsive(host) || !currentRoutes.isReachedByAll(host));
+		return central.isEmpty() ? Set.of(this.hello.host().value()) : central;
+	}
+
+	/**
+	 * Returns the number of hosts whose status was received recently.
+	 * @return the number, including this host and hosts that are shutting down
+	 */
+	public int aliveHostCount() {
+		return 1 + (int) this.peers.values().stream().filter((peer) -> peer.statusReceived && isAlive(peer)).count();
+	}
+
+	/**
+	 * Returns the number of hosts that may be serving, although this host cannot hear all
+	 * of them.
+	 * @return the number, including this host
+	 */
+	public int knownHostCount() {
+		long now = this.clock.millis();
+		return 1 + (int) this.peers.values()
+			.stream()
+			.filter((peer) -> now - peer.lastStatusMillis < FORGET_HOST_MILLIS)
+			.count();
+	}
+
 	/**
 	 * Returns the responsive hosts with enough processor capacity to do work for others.
 	 * @return some of the responsive hosts, at least one
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/OutgoingLink.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/OutgoingLink.java
@@ -122,6 +122,10 @@
 		if (currentLink == null || !currentLink.isOpen()) {
 			return Either.left(new PeerFailure.Unreachable("no open link to " + this.host));
 		}
+		if (!currentLink.remote().supports(message.getClass())) {
+			return Either.left(new PeerFailure.Rejected("unsupported",
+					"earlier release at " + this.host + " does not know " + message.getClass().getSimpleName()));
+		}
 		return currentLink.call(message, timeoutMillis);
 	}
 
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -31,6 +31,7 @@
 import org.bamboorelay.core.process.LeaseState;
 import org.bamboorelay.core.process.WeightLoadScheduler;
 import org.bamboorelay.core.request.ItemOrder;
+import org.bamboorelay.core.request.RequestOrigin;
 import org.bamboorelay.core.store.StoreFailure;
 import org.bamboorelay.core.store.StoredObject;
 import org.bamboorelay.core.store.WatchableStore;
@@ -47,6 +48,7 @@
 import org.bamboorelay.host.request.EndpointClient;
 import org.bamboorelay.host.request.EndpointNotices;
 import org.bamboorelay.host.request.ItemRunner;
+import org.bamboorelay.host.request.RateSlots;
 import org.bamboorelay.host.request.StreamRelay;
 import org.bamboorelay.host.request.SubmissionDirectory;
 import org.bamboorelay.host.request.SubmissionHandler;
@@ -215,19 +217,29 @@
 			.contendingWhen(() -> this.clock.millis() - lastHeldMillis.get() > settings.leaseMillis()
 					&& this.mesh.dutyHolder() == null && this.mesh.mayHoldDuties());
 		this.lastHeldMillis = lastHeldMillis;
-		EndpointNotices notices = new EndpointNotices(this.table, this.log);
-		EndpointClient endpointClient = EndpointClient.of(this.table, notices, endpoints, pool, this.clock,
+		EndpointNotices notices = new EndpointNotices(this.table, this.mesh::publish, this.log);
+		RateSlots rateSlots = new RateSlots(settings.host(), this.table, this.mesh, this.clock, this.counters,
+				this.log);
+		this.mesh.register(PeerMessage.RateSlotRequest.class, rateSlots::handleRequest);
+		this.mesh.register(PeerMessage.RateNamed.class, (named) -> {
+			if (this.table.onRateNamedToPeer(named.endpoint(), named.startedAtMillis(), named.requestsPerSecond())) {
+				this.log.info("endpoint-rate-learned", "endpoint", named.endpoint(), "requests_per_second",
+						named.requestsPerSecond());
+			}
+			return new PeerMessage.Ack(true);
+		});
+		EndpointClient endpointClient = EndpointClient.of(this.table, rateSlots, notices, endpoints, pool, this.clock,
 				this.counters, this.log);
 		ItemRunner itemRunner = new ItemRunner(this.table, notices, endpoints, pool, endpointClient, this.routing::get,
 				this.clock, this.counters, this.log);
 		SubmissionStore submissions = SubmissionStore.of(this.store);
-		this.runner = new SubmissionRunner(settings.host(), submissions, this.table, itemRunner, this.routing::get,
-				ItemOrder.LONGEST_WANTED_FIRST, this.mesh, this.executor, this.log);
+		this.runner = new SubmissionRunner(settings.host(), submissions, this.table, rateSlots, itemRunner,
+				this.routing::get, ItemOrder.LONGEST_WANTED_FIRST, this.mesh, this.executor, this.log);
 		this.directory = new SubmissionDirectory(settings.host(), submissions, this.runner, this.mesh, this.log);
 		SubmissionHandler submissionHandler = new SubmissionHandler(settings.host(), callers, submissions,
 				this.directory, this.runner, this.log);
-		StreamRelay streamRelay = new StreamRelay(this.table, notices, endpoints, pool, this.usage, this.clock,
-				this.log);
+		StreamRelay streamRelay = new StreamRelay(this.table, rateSlots, notices, endpoints, pool, this.usage,
+				this.clock, this.log);
 		this.callerRequestHandler = new CallerRequestHandler(this.routing::get, callers, endpointClient, streamRelay,
 				submissionHandler, this.callerMonitor, this.usage, this.clock, this.counters, this.log);
 		this.duties = new DutyLoop(settings, this.lease, this.store, calls, this.table, this.weightLoadScheduler,
@@ -280,7 +292,7 @@
 		});
 		startWatcher(this.format.retirementKind(), false, false, this::onRetirement, (name) -> {
 		});
-		startWatcher(HOSTS_KIND, false, false, this::onHost, this.mesh::removeHost);
+		startWatcher(HOSTS_KIND, false, true, this::onHost, this.mesh::removeHost);
 		KindWatcher submissions = KindWatcher.of(this.store, SubmissionStore.RECORDS_KIND, false, true, this.directory,
 				this.mesh::isStoreWatcher, this.mesh::publish, this.log);
 		this.watchersByKind.put(SubmissionStore.RECORDS_KIND, submissions);
@@ -390,7 +402,7 @@
 	 * @return the number of endpoints
 	 */
 	public int availableEndpoints(String service) {
-		return this.table.availableCount(EndpointRequirements.plain(service, Set.of()));
+		return this.table.availableCount(EndpointRequirements.plain(RequestOrigin.CALLER, service, Set.of()));
 	}
 
 	/**
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ActiveSubmission.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ActiveSubmission.java
@@ -13,6 +13,7 @@
 import org.bamboorelay.core.process.EndpointRequirements;
 import org.bamboorelay.core.process.EndpointTable;
 import org.bamboorelay.core.request.DurableTextPolicy;
+import org.bamboorelay.core.request.RequestOrigin;
 import org.bamboorelay.core.request.ResultLog;
 import org.bamboorelay.core.request.SubmissionState;
 import org.bamboorelay.core.request.TextPart;
@@ -131,7 +132,7 @@
 	}
 
 	EndpointRequirements requirements(long affinity) {
-		return new EndpointRequirements(this.service, this.state.submission().model(),
+		return new EndpointRequirements(RequestOrigin.ITEM, this.service, this.state.submission().model(),
 				this.state.submission().minVersion(), affinity, true, Set.of());
 	}
 
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/CallerRequestHandler.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/CallerRequestHandler.java
@@ -191,7 +191,7 @@
 		}
 		else if (result instanceof CallResult.NotRun notRun) {
 			this.log.info("request-refused", "request_id", head.id(), "route", route.name(), "reason", notRun.reason(),
-					"after_ms", this.clock.millis() - startMillis);
+					"retry_after_ms", notRun.retryAfterMillis(), "after_ms", this.clock.millis() - startMillis);
 			refuse(responder, head, notRun.reason(), notRun.retryAfterMillis());
 		}
 		else if (result instanceof CallResult.Unknown unknown) {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointAcquirer.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointAcquirer.java
@@ -4,13 +4,15 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
+import io.vavr.control.Either;
 import org.bamboorelay.core.process.EndpointRequirements;
 import org.bamboorelay.core.process.EndpointTable;
+import org.bamboorelay.core.request.RequestOrigin;
 import org.bamboorelay.core.time.Clock;
-import org.jspecify.annotations.Nullable;
 
 /**
- * Acquires a slot at an endpoint, waiting until one is free.
+ * Acquires a slot at an endpoint, waiting until one is free. A request that cannot get
+ * one in time, because its endpoints limit their rate, is refused at once.
  * <p>
  * Thread-safe.
  */
@@ -22,12 +24,23 @@
 	/** Interval between two attempts to acquire a slot, in milliseconds. */
 	private static final long POLL_INTERVAL_MILLIS = 5;
 
+	/**
+	 * Retry delay reported if it is not known when an endpoint will be free, in
+	 * milliseconds.
+	 */
+	private static final long RETRY_AFTER_MILLIS = 200;
+
+	private static final CallResult.NotRun NO_ENDPOINT = new CallResult.NotRun("no-endpoint", RETRY_AFTER_MILLIS);
+
 	private final EndpointTable table;
 
+	private final RateSlots rateSlots;
+
 	private final Clock clock;
 
-	EndpointAcquirer(EndpointTable table, Clock clock) {
+	EndpointAcquirer(EndpointTable table, RateSlots rateSlots, Clock clock) {
 		this.table = Objects.requireNonNull(table, "table");
+		this.rateSlots = Objects.requireNonNull(rateSlots, "rateSlots");
 		this.clock = Objects.requireNonNull(clock, "clock");
 	}
 
@@ -44,27 +57,39 @@
 
 	/**
 	 * Waits for a free slot at an endpoint.
+	 * @param origin where the request comes from
 	 * @param service the service
 	 * @param excluded endpoints to exclude
 	 * @param waitDeadlineMillis the end of the wait, in milliseconds of the clock of the
 	 * process
-	 * @return the grant of a slot; null if none became free, or if no endpoint could ever
-	 * take the request
+	 * @return the grant of a slot, or the refusal if none becomes free in time or no
+	 * endpoint could ever take the request
 	 */
-	EndpointTable.@Nullable Grant acquire(String service, Set<String> excluded, long waitDeadlineMillis) {
-		EndpointRequirements requirements = EndpointRequirements.plain(service, excluded);
+	Either<CallResult.NotRun, EndpointTable.Grant> acquire(RequestOrigin origin, String service, Set<String> excluded,
+			long waitDeadlineMillis) {
+		EndpointRequirements requirements = EndpointRequirements.plain(origin, service, excluded);
 		while (true) {
-			EndpointTable.Grant grant = this.table.acquire(requirements);
-			if (grant != null || this.clock.millis() >= waitDeadlineMillis
-					|| this.table.eligibleCount(requirements) == 0) {
-				return grant;
+			EndpointTable.Grant grant = this.rateSlots.acquire(requirements);
+			if (grant == null && origin.isInteractive()) {
+				grant = this.rateSlots.reserve(requirements, waitDeadlineMillis);
+			}
+			if (grant != null) {
+				return Either.right(grant);
+			}
+			long now = this.clock.millis();
+			long slotDelayMillis = this.table.slotDelayMillis(requirements);
+			if (slotDelayMillis > 0 && now + slotDelayMillis > waitDeadlineMillis) {
+				return Either.left(new CallResult.NotRun("rate-limited", slotDelayMillis));
+			}
+			if (now >= waitDeadlineMillis || this.table.eligibleCount(requirements) == 0) {
+				return Either.left(NO_ENDPOINT);
 			}
 			try {
 				TimeUnit.MILLISECONDS.sleep(POLL_INTERVAL_MILLIS);
 			}
 			catch (InterruptedException ex) {
 				Thread.currentThread().interrupt();
-				return null;
+				return Either.left(NO_ENDPOINT);
 			}
 		}
 	}
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointClient.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointClient.java
@@ -17,6 +17,7 @@
 import org.bamboorelay.runtime.connection.HttpFailure;
 import org.bamboorelay.runtime.connection.HttpLimits;
 import org.bamboorelay.runtime.process.Counters;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Sends a request to the endpoints of a service until one responds. A request that is not
@@ -63,7 +64,7 @@
 
 	private final EventLog log;
 
-	private EndpointClient(EndpointTable table, EndpointNotices notices, EndpointProtocol protocol,
+	private EndpointClient(EndpointTable table, RateSlots rateSlots, EndpointNotices notices, EndpointProtocol protocol,
 			HttpConnectionPool pool, Clock clock, Counters counters, EventLog log) {
 		this.table = Objects.requireNonNull(table, "table");
 		this.notices = Objects.requireNonNull(notices, "notices");
@@ -72,12 +73,13 @@
 		this.clock = Objects.requireNonNull(clock, "clock");
 		this.counters = Objects.requireNonNull(counters, "counters");
 		this.log = Objects.requireNonNull(log, "log");
-		this.acquirer = new EndpointAcquirer(table, clock);
+		this.acquirer = new EndpointAcquirer(table, rateSlots, clock);
 	}
 
 	/**
 	 * Creates a client.
 	 * @param table the table of endpoints
+	 * @param rateSlots acquires endpoints that limit their rate
 	 * @param notices records what endpoints announce in their responses
 	 * @param protocol encodes requests to endpoints and decodes their responses
 	 * @param pool the connections to endpoints
@@ -86,9 +88,9 @@
 	 * @param log the log of the process
 	 * @return the client
 	 */
-	public static EndpointClient of(EndpointTable table, EndpointNotices notices, EndpointProtocol protocol,
-			HttpConnectionPool pool, Clock clock, Counters counters, EventLog log) {
-		return new EndpointClient(table, notices, protocol, pool, clock, counters, log);
+	public static EndpointClient of(EndpointTable table, RateSlots rateSlots, EndpointNotices notices,
+			EndpointProtocol protocol, HttpConnectionPool pool, Clock clock, Counters counters, EventLog log) {
+		return new EndpointClient(table, rateSlots, notices, protocol, pool, clock, counters, log);
 	}
 
 	/**
@@ -98,18 +100,20 @@
 	 */
 	public CallResult call(ServiceRequest request) {
 		Set<String> triedEndpoints = new HashSet<>();
-		CallResult last = new CallResult.NotRun("no-endpoint", RETRY_AFTER_MILLIS);
+		CallResult last = null;
 		long waitDeadlineMillis = this.acquirer.waitDeadline(request.deadlineMillis());
 		while (triedEndpoints.size() < request.maxAttempts()) {
-			EndpointTable.Grant grant = this.acquirer.acquire(request.service(), triedEndpoints, waitDeadlineMillis);
-			if (grant == null) {
-				return last;
+			Either<CallResult.NotRun, EndpointTable.Grant> acquired = this.acquirer.acquire(request.origin(),
+					request.service(), triedEndpoints, waitDeadlineMillis);
+			if (acquired.isLeft()) {
+				return mostUncertain(last, acquired.getLeft());
 			}
+			EndpointTable.Grant grant = acquired.get();
 			triedEndpoints.add(grant.id());
 			long remainingMillis = request.deadlineMillis() - this.clock.millis();
 			if (remainingMillis < MIN_ATTEMPT_MILLIS) {
 				this.table.release(grant, EndpointTable.Outcome.ABANDONED);
-				return mostUncertain(new CallResult.NotRun("time-is-up", RETRY_AFTER_MILLIS), last);
+				return mostUncertain(last, new CallResult.NotRun("time-is-up", RETRY_AFTER_MILLIS));
 			}
 			this.counters.counter("endpoint_requests_total", "origin", request.origin().label()).inc();
 			CallResult result = attempt(request, grant, remainingMillis);
@@ -119,7 +123,7 @@
 			this.counters.counter("endpoint_retries_total").inc();
 			last = mostUncertain(last, result);
 		}
-		return last;
+		return (last != null) ? last : new CallResult.NotRun("no-attempts", RETRY_AFTER_MILLIS);
 	}
 
 	private static boolean isFinal(ServiceRequest request, CallResult result, int attempts) {
@@ -131,8 +135,8 @@
 
 	// Once an attempt may have been executed, a later refusal must not be reported as
 	// "not executed".
-	private static CallResult mostUncertain(CallResult earlier, CallResult later) {
-		if (later instanceof CallResult.Responded) {
+	private static CallResult mostUncertain(@Nullable CallResult earlier, CallResult later) {
+		if (earlier == null || later instanceof CallResult.Responded) {
 			return later;
 		}
 		return (earlier instanceof CallResult.NotRun) ? later : earlier;
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointNotices.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointNotices.java
@@ -1,7 +1,9 @@
 package org.bamboorelay.host.request;
 
 import java.util.Objects;
+import java.util.function.Consumer;
 
+import org.bamboorelay.core.connection.PeerMessage;
 import org.bamboorelay.core.process.EndpointTable;
 import org.bamboorelay.host.connection.EndpointResponse;
 import org.bamboorelay.host.process.EventLog;
@@ -16,15 +18,19 @@
 
 	private final EndpointTable table;
 
+	private final Consumer<PeerMessage> publisher;
+
 	private final EventLog log;
 
 	/**
 	 * Creates the recorder.
 	 * @param table the table of endpoints
+	 * @param publisher sends a message to all other hosts; must not block
 	 * @param log the log of the process
 	 */
-	public EndpointNotices(EndpointTable table, EventLog log) {
+	public EndpointNotices(EndpointTable table, Consumer<PeerMessage> publisher, EventLog log) {
 		this.table = Objects.requireNonNull(table, "table");
+		this.publisher = Objects.requireNonNull(publisher, "publisher");
 		this.log = Objects.requireNonNull(log, "log");
 	}
 
@@ -38,6 +44,10 @@
 		if (this.table.onRateNamed(grant, response.requestsPerSecond())) {
 			this.log.info("endpoint-rate-named", "endpoint", grant.id(), "domain", grant.domain(),
 					"requests_per_second", response.requestsPerSecond());
+			if (!Double.isInfinite(response.requestsPerSecond())) {
+				this.publisher.accept(
+						new PeerMessage.RateNamed(grant.id(), grant.startedAtMillis(), response.requestsPerSecond()));
+			}
 		}
 	}
 
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ItemRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ItemRunner.java
@@ -56,6 +56,11 @@
 	/** Delay before a score call is retried, in milliseconds. */
 	private static final long SCORE_RETRY_DELAY_MILLIS = 20;
 
+	/**
+	 * Maximum delay before a score call that was refused is retried, in milliseconds.
+	 */
+	private static final long MAX_SCORE_RETRY_DELAY_MILLIS = 200;
+
 	/** Number of events over which the pace of an endpoint is measured. */
 	private static final int EVENTS_PER_PACE_SAMPLE = 4;
 
@@ -269,7 +274,8 @@
 					return;
 				}
 			}
-			pause(SCORE_RETRY_DELAY_MILLIS);
+			long delayMillis = (result instanceof CallResult.NotRun notRun) ? notRun.retryAfterMillis() : 0;
+			pause(Math.max(SCORE_RETRY_DELAY_MILLIS, Math.min(delayMillis, MAX_SCORE_RETRY_DELAY_MILLIS)));
 		}
 	}
 
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/StreamRelay.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/StreamRelay.java
@@ -58,7 +58,7 @@
 
 	private static final int BUFFER_BYTES = 8_192;
 
-	/** Retry delay reported if no endpoint accepted the request, in milliseconds. */
+	/** Retry delay reported if the endpoints refused the request, in milliseconds. */
 	private static final long RETRY_AFTER_MILLIS = 200;
 
 	private static final int STATUS_GATEWAY_ERROR = 502;
@@ -82,6 +82,7 @@
 	/**
 	 * Creates a relay.
 	 * @param table the table of endpoints
+	 * @param rateSlots acquires endpoints that limit their rate
 	 * @param notices records what endpoints announce in their responses
 	 * @param protocol encodes requests to endpoints and decodes their responses
 	 * @param pool the connections to endpoints
@@ -89,8 +90,8 @@
 	 * @param clock the monotonic clock of the process
 	 * @param log the log of the process
 	 */
-	public StreamRelay(EndpointTable table, EndpointNotices notices, EndpointProtocol protocol, HttpConnectionPool pool,
-			UsageMeter usage, Clock clock, EventLog log) {
+	public StreamRelay(EndpointTable table, RateSlots rateSlots, EndpointNotices notices, EndpointProtocol protocol,
+			HttpConnectionPool pool, UsageMeter usage, Clock clock, EventLog log) {
 		this.table = Objects.requireNonNull(table, "table");
 		this.notices = Objects.requireNonNull(notices, "notices");
 		this.protocol = Objects.requireNonNull(protocol, "protocol");
@@ -98,7 +99,7 @@
 		this.usage = Objects.requireNonNull(usage, "usage");
 		this.clock = Objects.requireNonNull(clock, "clock");
 		this.log = Objects.requireNonNull(log, "log");
-		this.acquirer = new EndpointAcquirer(table, clock);
+		this.acquirer = new EndpointAcquirer(table, rateSlots, clock);
 	}
 
 	/**
@@ -130,7 +131,8 @@
 			responder.send(STATUS_GATEWAY_ERROR, "text/plain", "endpoint-broke");
 		}
 		else {
-			responder.send(CallerRequestHandler.refusal("no-endpoint", RETRY_AFTER_MILLIS));
+			responder
+				.send(CallerRequestHandler.refusal(attempts.refusal.reason(), attempts.refusal.retryAfterMillis()));
 		}
 	}
 
@@ -170,6 +172,8 @@
 
 		private boolean mayHaveRun;
 
+		private CallResult.NotRun refusal = new CallResult.NotRun("endpoint-refused", RETRY_AFTER_MILLIS);
+
 		private Attempts(ServiceRequest request, long goalMillis) {
 			this.request = request;
 			this.waitDeadlineMillis = StreamRelay.this.acquirer.waitDeadline(request.deadlineMillis());
@@ -184,11 +188,13 @@
 			long slotDeadlineMillis = resuming ? StreamRelay.this.clock.millis() + this.eventTimeoutMillis
 					: this.waitDeadlineMillis;
 			while (this.triedEndpoints.size() < this.request.maxAttempts() && !monitoredRequest.isDisconnected()) {
-				EndpointTable.Grant grant = StreamRelay.this.acquirer.acquire(this.request.service(),
-						this.triedEndpoints, slotDeadlineMillis);
-				if (grant == null) {
+				Either<CallResult.NotRun, EndpointTable.Grant> acquired = StreamRelay.this.acquirer
+					.acquire(this.request.origin(), this.request.service(), this.triedEndpoints, slotDeadlineMillis);
+				if (acquired.isLeft()) {
+					this.refusal = acquired.getLeft();
 					return null;
 				}
+				EndpointTable.Grant grant = acquired.get();
 				this.triedEndpoints.add(grant.id());
 				OpenStream openStream = open(grant, afterEvent, resuming);
 				if (openStream != null) {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
@@ -89,6 +89,8 @@
 
 	private final EndpointTable table;
 
+	private final RateSlots rateSlots;
+
 	private final ItemRunner itemRunner;
 
 	private final Supplier<@Nullable RoutingTable> routing;
@@ -128,6 +130,7 @@
 	 * @param host the name of this host
 	 * @param store the submissions in the platform's store
 	 * @param table the table of endpoints
+	 * @param rateSlots acquires endpoints for items
 	 * @param itemRunner runs single items
 	 * @param routing supplies the current routes; null until they have been read
 	 * @param itemOrder the order in which items are started
@@ -135,13 +138,14 @@
 	 * @param executor the threads that run items and write pages
 	 * @param log the log of the process
 	 */
-	public SubmissionRunner(String host, SubmissionStore store, EndpointTable table, ItemRunner itemRunner,
-			Supplier<@Nullable RoutingTable> routing, ItemOrder itemOrder, HostMesh mesh, ExecutorService executor,
-			EventLog log) {
+	public SubmissionRunner(String host, SubmissionStore store, EndpointTable table, RateSlots rateSlots,
+			ItemRunner itemRunner, Supplier<@Nullable RoutingTable> routing, ItemOrder itemOrder, HostMesh mesh,
+			ExecutorService executor, EventLog log) {
 		this.mesh = Objects.requireNonNull(mesh, "mesh");
 		this.host = Objects.requireNonNull(host, "host");
 		this.store = Objects.requireNonNull(store, "store");
 		this.table = Objects.requireNonNull(table, "table");
+		this.rateSlots = Objects.requireNonNull(rateSlots, "rateSlots");
 		this.itemRunner = Objects.requireNonNull(itemRunner, "itemRunner");
 		this.routing = Objects.requireNonNull(routing, "routing");
 		this.itemOrder = Objects.requireNonNull(itemOrder, "itemOrder");
@@ -339,7 +343,7 @@
 
 	private void startItems(ActiveSubmission running, long now) {
 		while (running.state().isWaiting(now)) {
-			EndpointTable.Grant grant = this.table.acquire(running.requirements(0));
+			EndpointTable.Grant grant = this.rateSlots.acquire(running.requirements(0));
 			if (grant == null) {
 				return;
 			}
--- a/bamboorelay-host/src/test/java/org/bamboorelay/host/request/SubmissionDirectoryTests.java
+++ b/bamboorelay-host/src/test/java/org/bamboorelay/host/request/SubmissionDirectoryTests.java
@@ -102,13 +102,16 @@
 		Counters counters = Counters.create();
 		HttpConnectionPool pool = new HttpConnectionPool();
 		UnusedEndpointProtocol protocol = new UnusedEndpointProtocol();
-		EndpointNotices notices = new EndpointNotices(table, this.log);
-		EndpointClient caller = EndpointClient.of(table, notices, protocol, pool, Clock.monotonic(), counters,
+		EndpointNotices notices = new EndpointNotices(table, (message) -> {
+		}, this.log);
+		HostMesh mesh = mesh();
+		RateSlots slots = new RateSlots("host-a", table, mesh, Clock.monotonic(), counters, this.log);
+		EndpointClient caller = EndpointClient.of(table, slots, notices, protocol, pool, Clock.monotonic(), counters,
 				this.log);
 		ItemRunner items = new ItemRunner(table, notices, protocol, pool, caller, () -> this.routes, Clock.monotonic(),
 				counters, this.log);
-		return new SubmissionRunner("host-a", SubmissionStore.of(this.inMemoryStore), table, items, () -> this.routes,
-				ItemOrder.AS_SUBMITTED, mesh(), this.executor, this.log);
+		return new SubmissionRunner("host-a", SubmissionStore.of(this.inMemoryStore), table, slots, items,
+				() -> this.routes, ItemOrder.AS_SUBMITTED, mesh, this.executor, this.log);
 	}
 
 	private HostMesh mesh() {
