Log when an endpoint ends a connection under a request

The failure says now whether the peer ended the connection, and the line has a fingerprint of method, address, workspace and body.

--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointClient.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointClient.java
@@ -202,6 +202,10 @@
 			long start) {
 		this.log.info("endpoint-failed", "request_id", request.id(), "endpoint", grant.id(), "address", grant.address(),
 				"after_ms", this.clock.millis() - start, "code", failure.code(), "detail", failure.detail());
+		if (failure instanceof HttpFailure.Broken broken && broken.connectionEnded()) {
+			this.log.info("endpoint-ended-connection", "request_id", request.id(), "endpoint", grant.id(), "origin",
+					request.origin().label(), "fingerprint", request.fingerprint());
+		}
 		if (failure instanceof HttpFailure.NotSent) {
 			return new CallResult.NotRun("endpoint-unreachable", RETRY_AFTER_MILLIS);
 		}
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ServiceRequest.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ServiceRequest.java
@@ -1,5 +1,9 @@
 package org.bamboorelay.host.request;
 
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.Objects;
 import java.util.function.Consumer;
@@ -32,6 +36,8 @@
 		List<Header> headers, byte[] body, @Nullable String workspace, String service, boolean idempotent,
 		int maxAttempts, long deadlineMillis, Consumer<Runnable> onAbort) {
 
+	private static final int FINGERPRINT_BYTES = 12;
+
 	public ServiceRequest {
 		Objects.requireNonNull(origin, "origin");
 		Objects.requireNonNull(id, "id");
@@ -40,4 +46,21 @@
 		headers = List.copyOf(headers);
 	}
 
+	/**
+	 * Returns a fingerprint that repetitions of the request share, whatever their id.
+	 * @return a hash of the method, the address, the workspace and the body
+	 */
+	public String fingerprint() {
+		try {
+			MessageDigest digest = MessageDigest.getInstance("SHA-256");
+			String head = String.join("\n", this.method, String.valueOf(this.host), this.path,
+					String.valueOf(this.workspace), "");
+			digest.update(head.getBytes(StandardCharsets.UTF_8));
+			return HexFormat.of().formatHex(digest.digest(this.body), 0, FINGERPRINT_BYTES);
+		}
+		catch (NoSuchAlgorithmException ex) {
+			throw new IllegalStateException("SHA-256 is missing, which each Java platform provides", ex);
+		}
+	}
+
 }
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/BoundedConnection.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/BoundedConnection.java
@@ -2,15 +2,21 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.ConnectException;
 import java.net.Socket;
+import java.net.SocketException;
 import java.net.SocketTimeoutException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
 
+import org.apache.hc.core5.http.ConnectionClosedException;
+import org.apache.hc.core5.http.NoHttpResponseException;
+import org.apache.hc.core5.http.TruncatedChunkException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
 import org.apache.hc.core5.http.impl.io.SocketHolder;
+import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.util.Timeout;
 
 /**
@@ -43,6 +49,8 @@
 
 	private boolean probing;
 
+	private volatile boolean aborted;
+
 	BoundedConnection(Http1Config config) {
 		super(config);
 	}
@@ -81,6 +89,20 @@
 		this.deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
 	}
 
+	// Closes the connection at once.
+	void abort() {
+		this.aborted = true;
+		close(CloseMode.IMMEDIATE);
+	}
+
+	// Returns whether a failure to read means that the peer closed or reset the
+	// connection.
+	boolean wasEndedByPeer(Exception failure) {
+		return !this.aborted && (failure instanceof ConnectionClosedException
+				|| failure instanceof NoHttpResponseException || failure instanceof TruncatedChunkException
+				|| (failure instanceof SocketException && !(failure instanceof ConnectException)));
+	}
+
 	// Ends an exchange and removes its limits.
 	void endExchange() {
 		this.hasDeadline = false;
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpConnectionPool.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpConnectionPool.java
@@ -169,7 +169,7 @@
 			discard(connection);
 			return Either.left(new HttpFailure.NotSent("connection pool is closed"));
 		}
-		onConnected.accept(() -> used.close(CloseMode.IMMEDIATE));
+		onConnected.accept(used::abort);
 		long sentNanos = System.nanoTime();
 		try {
 			connection.startExchange(options, reused);
@@ -189,7 +189,8 @@
 			if (ex instanceof SocketTimeoutException && !respondedSince(address, sentNanos)) {
 				closeIdle(address);
 			}
-			return Either.left(new HttpFailure.Broken("exchange with " + address + " failed: " + ex));
+			return Either.left(new HttpFailure.Broken("exchange with " + address + " failed: " + ex,
+					connection.wasEndedByPeer(ex)));
 		}
 	}
 
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpExchange.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpExchange.java
@@ -7,7 +7,6 @@
 import io.vavr.control.Either;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.HttpEntity;
-import org.apache.hc.core5.io.CloseMode;
 
 /**
  * An HTTP exchange on a client connection. The connection returns to its pool only if the
@@ -97,9 +96,10 @@
 			return Either.right(buffer.toByteArray());
 		}
 		catch (IOException ex) {
+			boolean endedByPeer = wasEndedByPeer(ex);
 			abort();
-			return Either
-				.left(new HttpFailure.Broken("response of " + this.address + " was truncated: " + ex.getMessage()));
+			return Either.left(new HttpFailure.Broken(
+					"response of " + this.address + " was truncated: " + ex.getMessage(), endedByPeer));
 		}
 		finally {
 			this.pool.releaseBuffer(bytesRead);
@@ -123,11 +123,21 @@
 		this.connection.setDeadline(millis);
 	}
 
+	/**
+	 * Returns whether the server ended the connection.
+	 * @param ex the failure to read the response
+	 * @return whether the server closed or reset the connection before the response was
+	 * complete; false if this process did, or if a time limit passed
+	 */
+	public boolean wasEndedByPeer(IOException ex) {
+		return this.connection.wasEndedByPeer(ex);
+	}
+
 	/**
 	 * Closes the connection immediately and discards pending data.
 	 */
 	public void abort() {
-		this.connection.close(CloseMode.IMMEDIATE);
+		this.connection.abort();
 	}
 
 	@Override
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpFailure.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpFailure.java
@@ -23,8 +23,19 @@
 	 * At least one byte may have been sent, so the request may have been executed.
 	 *
 	 * @param detail human-readable description
+	 * @param connectionEnded whether the server closed or reset the connection before the
+	 * response was complete, as it does when its process ends
 	 */
-	record Broken(String detail) implements HttpFailure {
+	record Broken(String detail, boolean connectionEnded) implements HttpFailure {
+
+		/**
+		 * Creates a failure of a connection that the server did not end.
+		 * @param detail human-readable description
+		 */
+		public Broken(String detail) {
+			this(detail, false);
+		}
+
 		@Override
 		public String code() {
 			return "exchange-broken";
