Reject requests that end each endpoint that runs them

What callers saw: one request took all endpoints of a service at once, again each time it came, and callers of other requests failed meanwhile.

Cause: attempts were bounded for one request id at one host. Nothing joined the repetitions of a request, nor told an endpoint that ended from an answer that was lost. Class of fault: a retry limit kept per attempt and per client, for a fault that follows the request (a query of death).

Change: ends of endpoints count against the fingerprint of the request that ran there, at all hosts: each end is published at once, forwarded by relays, and sent on each link that opens, so hosts that started or were cut off learn it. After three ends the request is refused for an hour. Before the third, a suspect is sent only while the service can lose an endpoint and keep half, and never to an endpoint that runs another suspect. A response to the request clears it, and a response of the same start of an endpoint within a second shows that only a connection was lost, so ordinary crashes, cuts and lost answers reject nothing. Items and score calls are never counted.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerMessage.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerMessage.java
@@ -649,4 +649,27 @@
 	record RateSlot(boolean granted, long delayMillis) implements PeerMessage {
 	}
 
+	/**
+	 * Reports that an endpoint ended while it had a request of a caller; one-way.
+	 *
+	 * @param fingerprint the fingerprint that repetitions of the request share
+	 * @param endpoint the endpoint
+	 * @param startedAtMillis its start time, in milliseconds since the epoch
+	 * @param ageMillis the time since it ended, in milliseconds
+	 */
+	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+	record EndpointEnd(String fingerprint, String endpoint, long startedAtMillis,
+			long ageMillis) implements PeerMessage {
+	}
+
+	/**
+	 * Reports that a request under which endpoints had ended got a complete response;
+	 * one-way.
+	 *
+	 * @param fingerprint the fingerprint that repetitions of the request share
+	 */
+	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+	record RequestServed(String fingerprint) implements PeerMessage {
+	}
+
 }
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
@@ -381,6 +381,17 @@
 			.count();
 	}
 
+	/**
+	 * Returns whether a service could lose an endpoint and keep half of its endpoints.
+	 * @param requirements the requirements of the request; excluded endpoints count as
+	 * lost
+	 * @return whether enough endpoints can accept a request now
+	 */
+	public synchronized boolean canSpareEndpoint(EndpointRequirements requirements) {
+		int available = availableCount(requirements);
+		return available > 1 && 2 * (available - 1) >= eligibleCount(requirements);
+	}
+
 	/**
 	 * Returns whether the table has an endpoint with an address.
 	 * @param address {@code ip:port}
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/process/EndpointTableTests.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/process/EndpointTableTests.java
@@ -83,6 +83,18 @@
 		assertThat(this.table.acquire(requirements(0)).id()).isEqualTo("b");
 	}
 
+	@Test
+	void endpointIsSparedOnlyIfHalfOfTheOthersRemain() {
+		this.table.put(entry("a", "zone-a", false, 0, 1));
+		assertThat(this.table.canSpareEndpoint(requirements(0))).isFalse();
+		this.table.put(entry("b", "zone-a", false, 0, 1));
+		this.table.put(entry("c", "zone-a", false, 0, 1));
+		assertThat(this.table.canSpareEndpoint(requirements(0))).isTrue();
+		EndpointTable.Grant grant = this.table.acquire(requirements(0));
+		this.table.release(grant, EndpointTable.Outcome.FAILED);
+		assertThat(this.table.canSpareEndpoint(requirements(0))).isFalse();
+	}
+
 	@Test
 	void endpointWithOlderWeightsThanRequiredIsNotChosen() {
 		this.table.put(entry("a", "zone-a", false, 0, 3));
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/HostMesh.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/HostMesh.java
@@ -107,6 +107,8 @@
 	private volatile Consumer<PeerMessage.WeightLoad> onWeightLoad = (load) -> {
 	};
 
+	private volatile Supplier<List<? extends PeerMessage>> openingMessages = List::of;
+
 	private volatile StatusRoutes routes;
 
 	private long nextDigestMillis;
@@ -164,6 +166,25 @@
 		this.onWeightLoad = Objects.requireNonNull(listener, "listener");
 	}
 
+	/**
+	 * Sets the messages to send on each link when it was opened.
+	 * @param messages supplies the messages; must not block
+	 */
+	public void openingMessages(Supplier<List<? extends PeerMessage>> messages) {
+		this.openingMessages = Objects.requireNonNull(messages, "messages");
+	}
+
+	/**
+	 * Forwards a message that another host published, if this host is a relay. Other
+	 * hosts publish only to those to which they maintain a link.
+	 * @param message the message, which this host must not have received before
+	 */
+	public void forward(PeerMessage message) {
+		if (this.routes.isRelay()) {
+			publish(message);
+		}
+	}
+
 	/**
 	 * Registers the handler of a message type.
 	 * @param <T> the message type
@@ -487,9 +508,16 @@
 		return this.clock.millis() - peer.lastStatusMillis < HOST_TIMEOUT_MILLIS;
 	}
 
+	// The other host may have started, or may have been cut off, since it last received
+	// what this host publishes.
 	private Either<PeerFailure, PeerLink> connect(String address) {
-		return PeerLink.connect(address, this.hello, this::handleMessage, (failure) -> {
+		Either<PeerFailure, PeerLink> link = PeerLink.connect(address, this.hello, this::handleMessage, (failure) -> {
 		}, this.executor);
+		link.forEach((opened) -> this.openingMessages.get()
+			.stream()
+			.filter((message) -> opened.remote().supports(message.getClass()))
+			.forEach(opened::send));
+		return link;
 	}
 
 	private Map<String, Double> processors(Set<String> hosts) {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -29,6 +29,7 @@
 import org.bamboorelay.core.process.EndpointRequirements;
 import org.bamboorelay.core.process.EndpointTable;
 import org.bamboorelay.core.process.LeaseState;
+import org.bamboorelay.core.process.PoisonRequestDetector;
 import org.bamboorelay.core.process.WeightLoadScheduler;
 import org.bamboorelay.core.request.ItemOrder;
 import org.bamboorelay.core.request.RequestOrigin;
@@ -48,6 +49,7 @@
 import org.bamboorelay.host.request.EndpointClient;
 import org.bamboorelay.host.request.EndpointNotices;
 import org.bamboorelay.host.request.ItemRunner;
+import org.bamboorelay.host.request.PoisonGuard;
 import org.bamboorelay.host.request.RateSlots;
 import org.bamboorelay.host.request.StreamRelay;
 import org.bamboorelay.host.request.SubmissionDirectory;
@@ -130,6 +132,8 @@
 
 	private final EndpointTable table = EndpointTable.create(this.clock);
 
+	private final PoisonRequestDetector poisonRequests = PoisonRequestDetector.create(this.clock);
+
 	private final WeightLoadScheduler weightLoadScheduler = WeightLoadScheduler.of(this.clock);
 
 	private final Set<String> disabledDomains = ConcurrentHashMap.newKeySet();
@@ -217,7 +221,10 @@
 			.contendingWhen(() -> this.clock.millis() - lastHeldMillis.get() > settings.leaseMillis()
 					&& this.mesh.dutyHolder() == null && this.mesh.mayHoldDuties());
 		this.lastHeldMillis = lastHeldMillis;
-		EndpointNotices notices = new EndpointNotices(this.table, this.mesh::publish, this.log);
+		EndpointNotices notices = new EndpointNotices(this.table, this.poisonRequests, this.mesh::publish, this.log);
+		PoisonGuard poisonGuard = new PoisonGuard(this.poisonRequests, this.table, this.mesh::publish, this.counters,
+				this.log);
+		registerPoisonReports();
 		RateSlots rateSlots = new RateSlots(settings.host(), this.table, this.mesh, this.clock, this.counters,
 				this.log);
 		this.mesh.register(PeerMessage.RateSlotRequest.class, rateSlots::handleRequest);
@@ -228,8 +235,8 @@
 			}
 			return new PeerMessage.Ack(true);
 		});
-		EndpointClient endpointClient = EndpointClient.of(this.table, rateSlots, notices, endpoints, pool, this.clock,
-				this.counters, this.log);
+		EndpointClient endpointClient = EndpointClient.of(this.table, rateSlots, poisonGuard, notices, endpoints, pool,
+				this.clock, this.counters, this.log);
 		ItemRunner itemRunner = new ItemRunner(this.table, notices, endpoints, pool, endpointClient, this.routing::get,
 				this.clock, this.counters, this.log);
 		SubmissionStore submissions = SubmissionStore.of(this.store);
@@ -238,8 +245,8 @@
 		this.directory = new SubmissionDirectory(settings.host(), submissions, this.runner, this.mesh, this.log);
 		SubmissionHandler submissionHandler = new SubmissionHandler(settings.host(), callers, submissions,
 				this.directory, this.runner, this.log);
-		StreamRelay streamRelay = new StreamRelay(this.table, rateSlots, notices, endpoints, pool, this.usage,
-				this.clock, this.log);
+		StreamRelay streamRelay = new StreamRelay(this.table, rateSlots, poisonGuard, notices, endpoints, pool,
+				this.usage, this.clock, this.log);
 		this.callerRequestHandler = new CallerRequestHandler(this.routing::get, callers, endpointClient, streamRelay,
 				submissionHandler, this.callerMonitor, this.usage, this.clock, this.counters, this.log);
 		this.duties = new DutyLoop(settings, this.lease, this.store, calls, this.table, this.weightLoadScheduler,
@@ -414,6 +421,24 @@
 		return this.table.hasAddress(address);
 	}
 
+	private void registerPoisonReports() {
+		this.mesh.openingMessages(this.poisonRequests::reports);
+		this.mesh.register(PeerMessage.EndpointEnd.class, (report) -> {
+			if (this.poisonRequests.onReport(report)) {
+				this.log.info("endpoint-end-reported", "fingerprint", report.fingerprint(), "endpoint",
+						report.endpoint(), "ends", this.poisonRequests.ends(report.fingerprint()));
+				this.mesh.forward(report);
+			}
+			return new PeerMessage.Ack(true);
+		});
+		this.mesh.register(PeerMessage.RequestServed.class, (report) -> {
+			if (this.poisonRequests.onServed(report.fingerprint())) {
+				this.mesh.forward(report);
+			}
+			return new PeerMessage.Ack(true);
+		});
+	}
+
 	private int runningRequests() {
 		HttpListener listener = this.frontListener;
 		return (listener != null) ? listener.activeRequests() : 0;
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointClient.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointClient.java
@@ -52,6 +52,8 @@
 
 	private final EndpointAcquirer acquirer;
 
+	private final PoisonGuard poisonGuard;
+
 	private final EndpointNotices notices;
 
 	private final EndpointProtocol protocol;
@@ -64,9 +66,10 @@
 
 	private final EventLog log;
 
-	private EndpointClient(EndpointTable table, RateSlots rateSlots, EndpointNotices notices, EndpointProtocol protocol,
-			HttpConnectionPool pool, Clock clock, Counters counters, EventLog log) {
+	private EndpointClient(EndpointTable table, RateSlots rateSlots, PoisonGuard poisonGuard, EndpointNotices notices,
+			EndpointProtocol protocol, HttpConnectionPool pool, Clock clock, Counters counters, EventLog log) {
 		this.table = Objects.requireNonNull(table, "table");
+		this.poisonGuard = Objects.requireNonNull(poisonGuard, "poisonGuard");
 		this.notices = Objects.requireNonNull(notices, "notices");
 		this.protocol = Objects.requireNonNull(protocol, "protocol");
 		this.pool = Objects.requireNonNull(pool, "pool");
@@ -80,6 +83,7 @@
 	 * Creates a client.
 	 * @param table the table of endpoints
 	 * @param rateSlots acquires endpoints that limit their rate
+	 * @param poisonGuard refuses requests that end endpoints
 	 * @param notices records what endpoints announce in their responses
 	 * @param protocol encodes requests to endpoints and decodes their responses
 	 * @param pool the connections to endpoints
@@ -88,9 +92,10 @@
 	 * @param log the log of the process
 	 * @return the client
 	 */
-	public static EndpointClient of(EndpointTable table, RateSlots rateSlots, EndpointNotices notices,
-			EndpointProtocol protocol, HttpConnectionPool pool, Clock clock, Counters counters, EventLog log) {
-		return new EndpointClient(table, rateSlots, notices, protocol, pool, clock, counters, log);
+	public static EndpointClient of(EndpointTable table, RateSlots rateSlots, PoisonGuard poisonGuard,
+			EndpointNotices notices, EndpointProtocol protocol, HttpConnectionPool pool, Clock clock, Counters counters,
+			EventLog log) {
+		return new EndpointClient(table, rateSlots, poisonGuard, notices, protocol, pool, clock, counters, log);
 	}
 
 	/**
@@ -103,8 +108,9 @@
 		CallResult last = null;
 		long waitDeadlineMillis = this.acquirer.waitDeadline(request.deadlineMillis());
 		while (triedEndpoints.size() < request.maxAttempts()) {
-			Either<CallResult.NotRun, EndpointTable.Grant> acquired = this.acquirer.acquire(request.origin(),
-					request.service(), triedEndpoints, waitDeadlineMillis);
+			Either<CallResult.NotRun, EndpointTable.Grant> acquired = this.poisonGuard.admit(request, triedEndpoints)
+				.flatMap((excluded) -> this.acquirer.acquire(request.origin(), request.service(), excluded,
+						waitDeadlineMillis));
 			if (acquired.isLeft()) {
 				return mostUncertain(last, acquired.getLeft());
 			}
@@ -116,7 +122,9 @@
 				return mostUncertain(last, new CallResult.NotRun("time-is-up", RETRY_AFTER_MILLIS));
 			}
 			this.counters.counter("endpoint_requests_total", "origin", request.origin().label()).inc();
+			boolean suspect = this.poisonGuard.onSent(request, grant);
 			CallResult result = attempt(request, grant, remainingMillis);
+			this.poisonGuard.onDone(grant, suspect);
 			if (isFinal(request, result, triedEndpoints.size())) {
 				return result;
 			}
@@ -185,6 +193,7 @@
 							new HttpFailure.Broken("successful response without a server seal"), start);
 				}
 				outcome = EndpointTable.Outcome.SERVED;
+				this.poisonGuard.onServed(request);
 				return new CallResult.Responded(response, body.get());
 			}
 		}
@@ -203,8 +212,7 @@
 		this.log.info("endpoint-failed", "request_id", request.id(), "endpoint", grant.id(), "address", grant.address(),
 				"after_ms", this.clock.millis() - start, "code", failure.code(), "detail", failure.detail());
 		if (failure instanceof HttpFailure.Broken broken && broken.connectionEnded()) {
-			this.log.info("endpoint-ended-connection", "request_id", request.id(), "endpoint", grant.id(), "origin",
-					request.origin().label(), "fingerprint", request.fingerprint());
+			this.poisonGuard.onConnectionEnded(request, grant);
 		}
 		if (failure instanceof HttpFailure.NotSent) {
 			return new CallResult.NotRun("endpoint-unreachable", RETRY_AFTER_MILLIS);
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointNotices.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointNotices.java
@@ -5,6 +5,7 @@
 
 import org.bamboorelay.core.connection.PeerMessage;
 import org.bamboorelay.core.process.EndpointTable;
+import org.bamboorelay.core.process.PoisonRequestDetector;
 import org.bamboorelay.host.connection.EndpointResponse;
 import org.bamboorelay.host.process.EventLog;
 
@@ -18,6 +19,8 @@
 
 	private final EndpointTable table;
 
+	private final PoisonRequestDetector detector;
+
 	private final Consumer<PeerMessage> publisher;
 
 	private final EventLog log;
@@ -25,11 +28,14 @@
 	/**
 	 * Creates the recorder.
 	 * @param table the table of endpoints
+	 * @param detector learns from responses that endpoints live
 	 * @param publisher sends a message to all other hosts; must not block
 	 * @param log the log of the process
 	 */
-	public EndpointNotices(EndpointTable table, Consumer<PeerMessage> publisher, EventLog log) {
+	public EndpointNotices(EndpointTable table, PoisonRequestDetector detector, Consumer<PeerMessage> publisher,
+			EventLog log) {
 		this.table = Objects.requireNonNull(table, "table");
+		this.detector = Objects.requireNonNull(detector, "detector");
 		this.publisher = Objects.requireNonNull(publisher, "publisher");
 		this.log = Objects.requireNonNull(log, "log");
 	}
@@ -40,6 +46,7 @@
 	 * @param response the head of the response
 	 */
 	void record(EndpointTable.Grant grant, EndpointResponse response) {
+		this.detector.onSignOfLife(grant.id(), grant.startedAtMillis(), grant.grantedAtMillis());
 		this.table.onLeavingAnnounced(grant.id(), grant.startedAtMillis(), response.leaving());
 		if (this.table.onRateNamed(grant, response.requestsPerSecond())) {
 			this.log.info("endpoint-rate-named", "endpoint", grant.id(), "domain", grant.domain(),
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/StreamRelay.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/StreamRelay.java
@@ -67,6 +67,8 @@
 
 	private final EndpointAcquirer acquirer;
 
+	private final PoisonGuard poisonGuard;
+
 	private final EndpointNotices notices;
 
 	private final EndpointProtocol protocol;
@@ -83,6 +85,7 @@
 	 * Creates a relay.
 	 * @param table the table of endpoints
 	 * @param rateSlots acquires endpoints that limit their rate
+	 * @param poisonGuard refuses requests that end endpoints
 	 * @param notices records what endpoints announce in their responses
 	 * @param protocol encodes requests to endpoints and decodes their responses
 	 * @param pool the connections to endpoints
@@ -90,9 +93,10 @@
 	 * @param clock the monotonic clock of the process
 	 * @param log the log of the process
 	 */
-	public StreamRelay(EndpointTable table, RateSlots rateSlots, EndpointNotices notices, EndpointProtocol protocol,
-			HttpConnectionPool pool, UsageMeter usage, Clock clock, EventLog log) {
+	public StreamRelay(EndpointTable table, RateSlots rateSlots, PoisonGuard poisonGuard, EndpointNotices notices,
+			EndpointProtocol protocol, HttpConnectionPool pool, UsageMeter usage, Clock clock, EventLog log) {
 		this.table = Objects.requireNonNull(table, "table");
+		this.poisonGuard = Objects.requireNonNull(poisonGuard, "poisonGuard");
 		this.notices = Objects.requireNonNull(notices, "notices");
 		this.protocol = Objects.requireNonNull(protocol, "protocol");
 		this.pool = Objects.requireNonNull(pool, "pool");
@@ -188,8 +192,10 @@
 			long slotDeadlineMillis = resuming ? StreamRelay.this.clock.millis() + this.eventTimeoutMillis
 					: this.waitDeadlineMillis;
 			while (this.triedEndpoints.size() < this.request.maxAttempts() && !monitoredRequest.isDisconnected()) {
-				Either<CallResult.NotRun, EndpointTable.Grant> acquired = StreamRelay.this.acquirer
-					.acquire(this.request.origin(), this.request.service(), this.triedEndpoints, slotDeadlineMillis);
+				Either<CallResult.NotRun, EndpointTable.Grant> acquired = StreamRelay.this.poisonGuard
+					.admit(this.request, this.triedEndpoints)
+					.flatMap((excluded) -> StreamRelay.this.acquirer.acquire(this.request.origin(),
+							this.request.service(), excluded, slotDeadlineMillis));
 				if (acquired.isLeft()) {
 					this.refusal = acquired.getLeft();
 					return null;
@@ -224,6 +230,9 @@
 				this.mayHaveRun |= !(result.getLeft() instanceof HttpFailure.NotSent);
 				StreamRelay.this.log.info("stream-endpoint-failed", "request_id", this.request.id(), "endpoint",
 						grant.id(), "code", result.getLeft().code(), "detail", result.getLeft().detail());
+				if (result.getLeft() instanceof HttpFailure.Broken broken && broken.connectionEnded()) {
+					StreamRelay.this.poisonGuard.onConnectionEnded(this.request, grant);
+				}
 				StreamRelay.this.table.release(grant, EndpointTable.Outcome.FAILED);
 				return null;
 			}
@@ -293,6 +302,9 @@
 					}
 					catch (IOException ex) {
 						outcome = EndpointTable.Outcome.FAILED;
+						if (exchange.wasEndedByPeer(ex)) {
+							StreamRelay.this.poisonGuard.onConnectionEnded(this.request, openStream.grant());
+						}
 						return ex;
 					}
 					if (count < 0) {
@@ -331,6 +343,7 @@
 				out.write(framer.incompleteEvent());
 				exchange.markComplete();
 				outcome = EndpointTable.Outcome.SERVED;
+				StreamRelay.this.poisonGuard.onServed(this.request);
 				return null;
 			}
 			finally {
--- a/bamboorelay-host/src/test/java/org/bamboorelay/host/request/SubmissionDirectoryTests.java
+++ b/bamboorelay-host/src/test/java/org/bamboorelay/host/request/SubmissionDirectoryTests.java
@@ -9,6 +9,7 @@
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.bamboorelay.core.process.EndpointTable;
+import org.bamboorelay.core.process.PoisonRequestDetector;
 import org.bamboorelay.core.request.ItemOrder;
 import org.bamboorelay.core.request.Submission;
 import org.bamboorelay.core.request.SubmissionItem;
@@ -102,12 +103,15 @@
 		Counters counters = Counters.create();
 		HttpConnectionPool pool = new HttpConnectionPool();
 		UnusedEndpointProtocol protocol = new UnusedEndpointProtocol();
-		EndpointNotices notices = new EndpointNotices(table, (message) -> {
+		PoisonRequestDetector poisonRequests = PoisonRequestDetector.create(Clock.monotonic());
+		EndpointNotices notices = new EndpointNotices(table, poisonRequests, (message) -> {
 		}, this.log);
+		PoisonGuard guard = new PoisonGuard(poisonRequests, table, (message) -> {
+		}, counters, this.log);
 		HostMesh mesh = mesh();
 		RateSlots slots = new RateSlots("host-a", table, mesh, Clock.monotonic(), counters, this.log);
-		EndpointClient caller = EndpointClient.of(table, slots, notices, protocol, pool, Clock.monotonic(), counters,
-				this.log);
+		EndpointClient caller = EndpointClient.of(table, slots, guard, notices, protocol, pool, Clock.monotonic(),
+				counters, this.log);
 		ItemRunner items = new ItemRunner(table, notices, protocol, pool, caller, () -> this.routes, Clock.monotonic(),
 				counters, this.log);
 		return new SubmissionRunner("host-a", SubmissionStore.of(this.inMemoryStore), table, slots, items,
