Let a suspect run again although its service has few endpoints

A sound request whose connections to the only endpoint of a service had been lost twice was a suspect that the service could never spare an endpoint for, and was refused until it was forgotten. It waits for 10 s after the last end at most now, and is told that time. It is no longer kept from an endpoint that starts anew under its former id.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/PoisonRequestDetector.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/PoisonRequestDetector.java
@@ -48,6 +48,12 @@
 	 */
 	static final long MISSING_MILLIS = 4_000;
 
+	/**
+	 * Time after its last end for which a suspect waits until its service can spare an
+	 * endpoint, in milliseconds; a few starts of an endpoint.
+	 */
+	static final long HOLD_MILLIS = 10_000;
+
 	/** Maximum number of suspects that are remembered. */
 	private static final int MAX_SUSPECTS = 1_024;
 
@@ -108,6 +114,19 @@
 		return lastEndMillis(this.suspects.get(fingerprint)) + REJECTION_MILLIS - this.clock.millis();
 	}
 
+	/**
+	 * Returns how long a suspect whose next end would reject it still waits for the
+	 * service to spare an endpoint.
+	 * @param fingerprint the fingerprint of the request
+	 * @return the time, in milliseconds; 0 if the request needs not wait
+	 */
+	public synchronized long holdMillis(String fingerprint) {
+		if (ends(fingerprint) != ENDS_UNTIL_REJECTION - 1) {
+			return 0;
+		}
+		return Math.max(0, lastEndMillis(this.suspects.get(fingerprint)) + HOLD_MILLIS - this.clock.millis());
+	}
+
 	/**
 	 * Handles an endpoint that ended while it had a request.
 	 * @param fingerprint the fingerprint of the request
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/process/PoisonRequestDetectorTests.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/process/PoisonRequestDetectorTests.java
@@ -98,6 +98,19 @@
 		assertThat(this.detector.missingEndpoints()).isEmpty();
 	}
 
+	@Test
+	void suspectWaitsForSpareEndpointsOnlyBeforeItsLastEndAndNotForLong() {
+		end(POISON, 1);
+		assertThat(this.detector.holdMillis(POISON)).isZero();
+		end(POISON, 2);
+		this.clock.advance(1_000);
+		assertThat(this.detector.holdMillis(POISON)).isEqualTo(PoisonRequestDetector.HOLD_MILLIS - 1_000);
+		this.clock.advance(PoisonRequestDetector.HOLD_MILLIS - 1_000);
+		assertThat(this.detector.holdMillis(POISON)).isZero();
+		end(POISON, 3);
+		assertThat(this.detector.holdMillis(POISON)).isZero();
+	}
+
 	@Test
 	void endpointGetsNoSecondSuspectWhileOneRuns() {
 		this.detector.onSuspectSent("a");
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/PoisonGuard.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/PoisonGuard.java
@@ -21,12 +21,6 @@
  */
 public final class PoisonGuard {
 
-	/**
-	 * Retry delay reported while too few endpoints are left for a suspect, in
-	 * milliseconds; endpoints need a few seconds to start again.
-	 */
-	private static final long SUSPECT_RETRY_AFTER_MILLIS = 1_000;
-
 	private final PoisonRequestDetector detector;
 
 	private final EndpointTable table;
@@ -56,7 +50,8 @@
 
 	/**
 	 * Determines whether a request may be sent to an endpoint now. A suspect whose next
-	 * end would reject it waits until the service can spare an endpoint.
+	 * end would reject it waits until the service can spare an endpoint, but not for
+	 * long, as the service may have few endpoints.
 	 * @param request the request
 	 * @param triedEndpoints the endpoints to which it was sent before
 	 * @return the endpoints to exclude, or the refusal
@@ -74,13 +69,12 @@
 		if (rejectionMillis > 0) {
 			return refuse(request, fingerprint, ends, "poison-request", rejectionMillis);
 		}
-		Set<String> missing = this.detector.missingEndpoints();
-		if (ends == PoisonRequestDetector.ENDS_UNTIL_REJECTION - 1 && !this.table
-			.canSpareEndpoint(EndpointRequirements.plain(request.origin(), request.service(), missing))) {
-			return refuse(request, fingerprint, ends, "suspected-poison-request", SUSPECT_RETRY_AFTER_MILLIS);
+		long holdMillis = this.detector.holdMillis(fingerprint);
+		if (holdMillis > 0 && !this.table.canSpareEndpoint(
+				EndpointRequirements.plain(request.origin(), request.service(), this.detector.missingEndpoints()))) {
+			return refuse(request, fingerprint, ends, "suspected-poison-request", holdMillis);
 		}
 		Set<String> excluded = new HashSet<>(triedEndpoints);
-		excluded.addAll(missing);
 		excluded.addAll(this.detector.endpointsWithSuspect());
 		return Either.right(excluded);
 	}
