Do not handle a request whose head ends early

The same cause on the other side: a caller that stopped inside its head and closed its side for writing had its request handled, without the headers and the body that were still to come. Evidence: HttpListenerTests# requestWhoseHeadEndsEarlyIsNotHandled failed before (200).

--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpListener.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpListener.java
@@ -319,7 +319,7 @@
 		private final Runnable onClose;
 
 		private AbortingConnection(Http1Config config, Runnable onClose) {
-			super("http", config);
+			super("http", config, null, null, null, null, CompleteHeads.requests(), null);
 			this.onClose = onClose;
 		}
 
--- a/bamboorelay-runtime/src/test/java/org/bamboorelay/runtime/connection/HttpListenerTests.java
+++ b/bamboorelay-runtime/src/test/java/org/bamboorelay/runtime/connection/HttpListenerTests.java
@@ -5,6 +5,7 @@
 import java.net.BindException;
 import java.net.ConnectException;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -45,6 +46,38 @@
 		}
 	}
 
+	@Test
+	@Timeout(30)
+	void requestWhoseHeadEndsEarlyIsNotHandled() throws IOException {
+		Set<String> handled = ConcurrentHashMap.newKeySet();
+		HttpListener.HttpHandler handler = (request, responder) -> {
+			handled.add(request.getRequestUri());
+			responder.send(200, "text/plain", "whole");
+		};
+		String head = "POST /x HTTP/1.1\r\nHost: relay\r\nContent-Length: 1\r\n";
+		try (HttpListener listener = HttpListener.open("127.0.0.1", 0, handler, (ex) -> {
+		})) {
+			for (int length = 0; length <= head.length(); length++) {
+				try (Socket caller = new Socket("127.0.0.1", listener.port())) {
+					caller.getOutputStream().write(head.substring(0, length).getBytes(StandardCharsets.US_ASCII));
+					caller.shutdownOutput();
+					assertThat(readOrReset(caller)).as("head of " + length + " bytes").doesNotContain("200 OK");
+				}
+			}
+		}
+		assertThat(handled).isEmpty();
+	}
+
+	// Returns what the listener sent before it closed or reset the connection.
+	private static String readOrReset(Socket caller) throws IOException {
+		try {
+			return new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+		}
+		catch (SocketException ex) {
+			return "";
+		}
+	}
+
 	@Test
 	void portCanBeBoundAgainAfterListenerClosedConnections() throws IOException {
 		HttpListener.HttpHandler handler = (request, responder) -> responder.send(200, "text/plain", "whole");
