Resume a stream only with a response of the same type

Reported by operators of similar systems: after a stream broke, the answer of the next endpoint appeared in the middle of it. The response must have the media type of the first one, and a resumed stream that ends inside an event is broken.

--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/StreamRelay.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/StreamRelay.java
@@ -119,7 +119,7 @@
 	public void relay(ServiceRequest request, long goalMillis, CallerMonitor.MonitoredRequest monitoredRequest,
 			HttpListener.Responder responder) throws HttpException, IOException {
 		Attempts attempts = new Attempts(request, goalMillis);
-		OpenStream first = attempts.open(0, false, monitoredRequest);
+		OpenStream first = attempts.open(0, null, monitoredRequest);
 		if (first != null) {
 			this.usage.count((request.workspace() != null) ? request.workspace() : "", System.currentTimeMillis());
 			responder.send(callerResponse(first.endpointResponse(),
@@ -156,6 +156,20 @@
 		return response;
 	}
 
+	private static boolean canContinue(EndpointResponse first, EndpointResponse next) {
+		return next.isSuccess() && contentType(next).equalsIgnoreCase(contentType(first));
+	}
+
+	// Returns the media type without its parameters; empty if the response names none.
+	private static String contentType(EndpointResponse response) {
+		return response.forwardedHeaders()
+			.stream()
+			.filter((header) -> header.getName().equalsIgnoreCase(HttpHeaders.CONTENT_TYPE))
+			.map((header) -> header.getValue().split(";", 2)[0].trim())
+			.findFirst()
+			.orElse("");
+	}
+
 	private record OpenStream(EndpointTable.Grant grant, EndpointResponse endpointResponse, HttpExchange exchange) {
 	}
 
@@ -186,10 +200,11 @@
 		}
 
 		// Returns null if no endpoint started to respond. Once the response head was sent
-		// to the caller, only a successful response can continue the stream.
-		private @Nullable OpenStream open(long afterEvent, boolean resuming,
+		// to the caller, only a successful response of the same type can continue the
+		// stream.
+		private @Nullable OpenStream open(long afterEvent, @Nullable EndpointResponse resumed,
 				CallerMonitor.MonitoredRequest monitoredRequest) {
-			long slotDeadlineMillis = resuming ? StreamRelay.this.clock.millis() + this.eventTimeoutMillis
+			long slotDeadlineMillis = (resumed != null) ? StreamRelay.this.clock.millis() + this.eventTimeoutMillis
 					: this.waitDeadlineMillis;
 			while (this.triedEndpoints.size() < this.request.maxAttempts() && !monitoredRequest.isDisconnected()) {
 				Either<CallResult.NotRun, EndpointTable.Grant> acquired = StreamRelay.this.poisonGuard
@@ -202,7 +217,7 @@
 				}
 				EndpointTable.Grant grant = acquired.get();
 				this.triedEndpoints.add(grant.id());
-				OpenStream openStream = open(grant, afterEvent, resuming);
+				OpenStream openStream = open(grant, afterEvent, resumed);
 				if (openStream != null) {
 					return openStream;
 				}
@@ -213,7 +228,9 @@
 			return null;
 		}
 
-		private @Nullable OpenStream open(EndpointTable.Grant grant, long afterEvent, boolean resuming) {
+		private @Nullable OpenStream open(EndpointTable.Grant grant, long afterEvent,
+				@Nullable EndpointResponse resumed) {
+			boolean resuming = resumed != null;
 			long remainingMillis = Math.max(1, this.request.deadlineMillis() - StreamRelay.this.clock.millis());
 			EndpointRequest call = new EndpointRequest(this.request.id(), this.request.method(), this.request.host(),
 					this.request.path(), this.request.headers(), this.request.workspace(), grant.id(), remainingMillis,
@@ -248,7 +265,7 @@
 			boolean mismatchedId = (endpointResponse.id() != null) ? !endpointResponse.id().equals(this.request.id())
 					: endpointResponse.isSuccess();
 			if (mismatchedId || (endpointResponse.isSuccess() && endpointResponse.seal() == null)
-					|| (resuming && !endpointResponse.isSuccess())) {
+					|| (resumed != null && !canContinue(resumed, endpointResponse))) {
 				StreamRelay.this.log.info("stream-endpoint-failed", "request_id", this.request.id(), "endpoint",
 						grant.id(), "code", "wrong-answer", "status", endpointResponse.status(), "crossed",
 						mismatchedId);
@@ -278,7 +295,7 @@
 				boolean resumable = this.request.idempotent() && currentStream.endpointResponse().isSuccess()
 						&& framer.isResumable();
 				OpenStream next = (resumable && !monitoredRequest.isDisconnected())
-						? open(after, true, monitoredRequest) : null;
+						? open(after, first.endpointResponse(), monitoredRequest) : null;
 				if (next == null) {
 					throw failure;
 				}
@@ -340,6 +357,10 @@
 						return new IOException("stream without length or chunk framing ended");
 					}
 				}
+				if (lastEventBefore > 0 && framer.incompleteBytes() > 0) {
+					outcome = EndpointTable.Outcome.FAILED;
+					return new IOException("resumed stream ended inside an event");
+				}
 				out.write(framer.incompleteEvent());
 				exchange.markComplete();
 				outcome = EndpointTable.Outcome.SERVED;
