Use the usual word for endpoints that stop under a request

Only words in code, logs and pages: an endpoint crashes under a request. Three small changes beside them: relays forward a rate that they learn, so that all hosts of a large deployment know it; streams of suspects are kept apart as plain requests are; the handlers of both kinds of messages have methods of their own.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerMessage.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerMessage.java
@@ -650,20 +650,20 @@
 	}
 
 	/**
-	 * Reports that an endpoint ended while it had a request of a caller; one-way.
+	 * Reports that an endpoint crashed while it had a request of a caller; one-way.
 	 *
 	 * @param fingerprint the fingerprint that repetitions of the request share
 	 * @param endpoint the endpoint
 	 * @param startedAtMillis its start time, in milliseconds since the epoch
-	 * @param ageMillis the time since it ended, in milliseconds
+	 * @param ageMillis the time since it crashed, in milliseconds
 	 */
 	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
-	record EndpointEnd(String fingerprint, String endpoint, long startedAtMillis,
+	record EndpointCrash(String fingerprint, String endpoint, long startedAtMillis,
 			long ageMillis) implements PeerMessage {
 	}
 
 	/**
-	 * Reports that a request under which endpoints had ended got a complete response;
+	 * Reports that a request under which endpoints had crashed got a complete response;
 	 * one-way.
 	 *
 	 * @param fingerprint the fingerprint that repetitions of the request share
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerProtocol.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerProtocol.java
@@ -39,7 +39,7 @@
 			PeerMessage.StoreResponse.class, PeerMessage.TextCopy.class, PeerMessage.TextFetch.class,
 			PeerMessage.ObjectChanges.class, PeerMessage.StatusDigest.class, PeerMessage.WeightLoad.class,
 			PeerMessage.RateNamed.class, PeerMessage.RateSlotRequest.class, PeerMessage.RateSlot.class,
-			PeerMessage.EndpointEnd.class, PeerMessage.RequestServed.class);
+			PeerMessage.EndpointCrash.class, PeerMessage.RequestServed.class);
 
 	/**
 	 * The number of types in the first release. A process sends later types only to
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/PoisonRequestDetector.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/PoisonRequestDetector.java
@@ -13,43 +13,43 @@
 import org.bamboorelay.core.time.Clock;
 
 /**
- * Detects requests that end each endpoint that runs them, by the ends of endpoints under
- * all repetitions of a request at all hosts. A request is a suspect after its first end,
- * and rejected after its third. An end does not count if the same start of the endpoint
+ * Detects requests that crash each endpoint that runs them, by the crashes under all
+ * repetitions of a request at all hosts. A request is a suspect after its first crash and
+ * rejected after its third. A crash does not count if the same start of the endpoint
  * responds to a request sent shortly after it: then only a connection was lost. A
  * response to the request itself clears it, so that a sound request that was running when
- * endpoints ended for other reasons is not rejected.
+ * endpoints crashed for other reasons is not rejected.
  * <p>
  * Thread-safe; guarded by its own lock.
  */
 public final class PoisonRequestDetector {
 
-	/** Number of ends after which a request is rejected. */
-	public static final int ENDS_UNTIL_REJECTION = 3;
+	/** Number of crashes after which a request is rejected. */
+	public static final int CRASHES_UNTIL_REJECTION = 3;
 
 	/**
-	 * Time after the last end for which a request is rejected, in milliseconds. After it
-	 * the request is a suspect with one end less than that.
+	 * Time after the last crash for which a request is rejected, in milliseconds. After
+	 * it the request is a suspect with one crash less than that.
 	 */
 	static final long REJECTION_MILLIS = 3_600_000;
 
-	/** Time after its last end for which a suspect is remembered, in milliseconds. */
+	/** Time after its last crash for which a suspect is remembered, in milliseconds. */
 	static final long RETENTION_MILLIS = 2 * REJECTION_MILLIS;
 
 	/**
-	 * Time after an end in which a response shows that the endpoint lives, in
-	 * milliseconds. An endpoint that ended takes longer to start under the same id.
+	 * Time after a crash in which a response shows that the endpoint lives, in
+	 * milliseconds. An endpoint that crashed takes longer to start under the same id.
 	 */
 	static final long SIGN_OF_LIFE_MILLIS = 1_000;
 
 	/**
-	 * Time after an end for which the endpoint counts as missing, in milliseconds, as the
-	 * directory reports it later.
+	 * Time after a crash for which the endpoint counts as missing, in milliseconds, as
+	 * the directory reports it later.
 	 */
 	static final long MISSING_MILLIS = 4_000;
 
 	/**
-	 * Time after its last end for which a suspect waits until its service can spare an
+	 * Time after its last crash for which a suspect waits until its service can spare an
 	 * endpoint, in milliseconds; a few starts of an endpoint.
 	 */
 	static final long HOLD_MILLIS = 10_000;
@@ -59,7 +59,7 @@
 
 	private final Clock clock;
 
-	private final Map<String, List<End>> suspects = new LinkedHashMap<>();
+	private final Map<String, List<Crash>> suspects = new LinkedHashMap<>();
 
 	private final Map<String, Integer> runningSuspects = new HashMap<>();
 
@@ -85,21 +85,21 @@
 	}
 
 	/**
-	 * Returns the number of endpoints that ended under a request.
+	 * Returns the number of endpoints that crashed under a request.
 	 * @param fingerprint the fingerprint of the request
-	 * @return the number of ends that count against it
+	 * @return the number of crashes that count against it
 	 */
-	public synchronized int ends(String fingerprint) {
-		List<End> ends = this.suspects.get(fingerprint);
-		if (ends == null) {
+	public synchronized int crashes(String fingerprint) {
+		List<Crash> crashes = this.suspects.get(fingerprint);
+		if (crashes == null) {
 			return 0;
 		}
-		long ageMillis = this.clock.millis() - lastEndMillis(ends);
+		long ageMillis = this.clock.millis() - lastCrashMillis(crashes);
 		if (ageMillis >= RETENTION_MILLIS) {
 			this.suspects.remove(fingerprint);
 			return 0;
 		}
-		return (ageMillis >= REJECTION_MILLIS) ? Math.min(ends.size(), ENDS_UNTIL_REJECTION - 1) : ends.size();
+		return (ageMillis >= REJECTION_MILLIS) ? Math.min(crashes.size(), CRASHES_UNTIL_REJECTION - 1) : crashes.size();
 	}
 
 	/**
@@ -108,38 +108,38 @@
 	 * @return the time, in milliseconds; 0 if the request is not rejected
 	 */
 	public synchronized long rejectionMillis(String fingerprint) {
-		if (ends(fingerprint) < ENDS_UNTIL_REJECTION) {
+		if (crashes(fingerprint) < CRASHES_UNTIL_REJECTION) {
 			return 0;
 		}
-		return lastEndMillis(this.suspects.get(fingerprint)) + REJECTION_MILLIS - this.clock.millis();
+		return lastCrashMillis(this.suspects.get(fingerprint)) + REJECTION_MILLIS - this.clock.millis();
 	}
 
 	/**
-	 * Returns how long a suspect whose next end would reject it still waits for the
+	 * Returns how long a suspect whose next crash would reject it still waits for the
 	 * service to spare an endpoint.
 	 * @param fingerprint the fingerprint of the request
 	 * @return the time, in milliseconds; 0 if the request needs not wait
 	 */
 	public synchronized long holdMillis(String fingerprint) {
-		if (ends(fingerprint) != ENDS_UNTIL_REJECTION - 1) {
+		if (crashes(fingerprint) != CRASHES_UNTIL_REJECTION - 1) {
 			return 0;
 		}
-		return Math.max(0, lastEndMillis(this.suspects.get(fingerprint)) + HOLD_MILLIS - this.clock.millis());
+		return Math.max(0, lastCrashMillis(this.suspects.get(fingerprint)) + HOLD_MILLIS - this.clock.millis());
 	}
 
 	/**
-	 * Handles an endpoint that ended while it had a request.
+	 * Handles an endpoint that crashed while it had a request.
 	 * @param fingerprint the fingerprint of the request
 	 * @param endpoint the endpoint
 	 * @param startedAtMillis its start time, in milliseconds since the epoch
-	 * @return whether this end was not known
+	 * @return whether this crash was not known
 	 */
-	public synchronized boolean onEnd(String fingerprint, String endpoint, long startedAtMillis) {
-		return add(fingerprint, new End(endpoint, startedAtMillis, this.clock.millis()));
+	public synchronized boolean onCrash(String fingerprint, String endpoint, long startedAtMillis) {
+		return add(fingerprint, new Crash(endpoint, startedAtMillis, this.clock.millis()));
 	}
 
 	/**
-	 * Handles a complete response to a request, which therefore ends no endpoints.
+	 * Handles a complete response to a request, which therefore crashes no endpoints.
 	 * @param fingerprint the fingerprint of the request
 	 * @return whether it was a suspect
 	 */
@@ -159,9 +159,9 @@
 			return;
 		}
 		this.suspects.values()
-			.forEach((ends) -> ends
-				.removeIf((end) -> end.endpoint().equals(endpoint) && end.startedAtMillis() == startedAtMillis
-						&& sentMillis > end.atMillis() && sentMillis - end.atMillis() < SIGN_OF_LIFE_MILLIS));
+			.forEach((crashes) -> crashes
+				.removeIf((crash) -> crash.endpoint().equals(endpoint) && crash.startedAtMillis() == startedAtMillis
+						&& sentMillis > crash.atMillis() && sentMillis - crash.atMillis() < SIGN_OF_LIFE_MILLIS));
 		this.suspects.values().removeIf(List::isEmpty);
 	}
 
@@ -183,7 +183,7 @@
 
 	/**
 	 * Returns the endpoints that must not get another suspect. If two suspects run at an
-	 * endpoint when it ends, both are blamed.
+	 * endpoint when it crashes, both are blamed.
 	 * @return the endpoints at which a suspect of this host runs
 	 */
 	public synchronized Set<String> endpointsWithSuspect() {
@@ -191,52 +191,52 @@
 	}
 
 	/**
-	 * Returns the endpoints that ended recently under a suspect.
+	 * Returns the endpoints that crashed recently under a suspect.
 	 * @return the endpoints, which the directory may still list
 	 */
 	public synchronized Set<String> missingEndpoints() {
 		Set<String> missing = new HashSet<>();
 		long now = this.clock.millis();
 		this.suspects.values()
-			.forEach((ends) -> ends.stream()
-				.filter((end) -> now - end.atMillis() < MISSING_MILLIS)
-				.forEach((end) -> missing.add(end.endpoint())));
+			.forEach((crashes) -> crashes.stream()
+				.filter((crash) -> now - crash.atMillis() < MISSING_MILLIS)
+				.forEach((crash) -> missing.add(crash.endpoint())));
 		return missing;
 	}
 
 	/**
 	 * Returns the reports for a host that may not know the suspects.
-	 * @return a report of each end that is remembered
+	 * @return a report of each crash that is remembered
 	 */
-	public synchronized List<PeerMessage.EndpointEnd> reports() {
-		List<PeerMessage.EndpointEnd> reports = new ArrayList<>();
+	public synchronized List<PeerMessage.EndpointCrash> reports() {
+		List<PeerMessage.EndpointCrash> reports = new ArrayList<>();
 		long now = this.clock.millis();
-		this.suspects
-			.forEach((fingerprint, ends) -> ends.forEach((end) -> reports.add(new PeerMessage.EndpointEnd(fingerprint,
-					end.endpoint(), end.startedAtMillis(), now - end.atMillis()))));
+		this.suspects.forEach((fingerprint, crashes) -> crashes
+			.forEach((crash) -> reports.add(new PeerMessage.EndpointCrash(fingerprint, crash.endpoint(),
+					crash.startedAtMillis(), now - crash.atMillis()))));
 		return reports;
 	}
 
 	/**
 	 * Handles the report of another host.
 	 * @param report the report
-	 * @return whether the end was not known
+	 * @return whether the crash was not known
 	 */
-	public synchronized boolean onReport(PeerMessage.EndpointEnd report) {
+	public synchronized boolean onReport(PeerMessage.EndpointCrash report) {
 		if (report.ageMillis() >= RETENTION_MILLIS) {
 			return false;
 		}
 		return add(report.fingerprint(),
-				new End(report.endpoint(), report.startedAtMillis(), this.clock.millis() - report.ageMillis()));
+				new Crash(report.endpoint(), report.startedAtMillis(), this.clock.millis() - report.ageMillis()));
 	}
 
-	private boolean add(String fingerprint, End added) {
-		List<End> ends = this.suspects.computeIfAbsent(fingerprint, (unused) -> new ArrayList<>());
-		boolean known = ends.stream()
-			.anyMatch((end) -> end.endpoint().equals(added.endpoint())
-					&& end.startedAtMillis() == added.startedAtMillis());
+	private boolean add(String fingerprint, Crash added) {
+		List<Crash> crashes = this.suspects.computeIfAbsent(fingerprint, (unused) -> new ArrayList<>());
+		boolean known = crashes.stream()
+			.anyMatch((crash) -> crash.endpoint().equals(added.endpoint())
+					&& crash.startedAtMillis() == added.startedAtMillis());
 		if (!known) {
-			ends.add(added);
+			crashes.add(added);
 		}
 		if (this.suspects.size() > MAX_SUSPECTS) {
 			this.suspects.remove(this.suspects.keySet().iterator().next());
@@ -244,11 +244,11 @@
 		return !known;
 	}
 
-	private static long lastEndMillis(List<End> ends) {
-		return ends.stream().mapToLong(End::atMillis).max().orElse(Long.MIN_VALUE / 2);
+	private static long lastCrashMillis(List<Crash> crashes) {
+		return crashes.stream().mapToLong(Crash::atMillis).max().orElse(Long.MIN_VALUE / 2);
 	}
 
-	private record End(String endpoint, long startedAtMillis, long atMillis) {
+	private record Crash(String endpoint, long startedAtMillis, long atMillis) {
 	}
 
 }
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/process/PoisonRequestDetectorTests.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/process/PoisonRequestDetectorTests.java
@@ -28,11 +28,11 @@
 	@Test
 	void requestIsRejectedAfterThreeEndpointsEndedUnderIt() {
 		assertThat(this.detector.isEmpty()).isTrue();
-		assertThat(this.detector.onEnd(POISON, "a", 1)).isTrue();
-		assertThat(this.detector.onEnd(POISON, "a", 1)).as("same start").isFalse();
-		this.detector.onEnd(POISON, "b", 1);
+		assertThat(this.detector.onCrash(POISON, "a", 1)).isTrue();
+		assertThat(this.detector.onCrash(POISON, "a", 1)).as("same start").isFalse();
+		this.detector.onCrash(POISON, "b", 1);
 		assertThat(this.detector.rejectionMillis(POISON)).isZero();
-		this.detector.onEnd(POISON, "a", 2);
+		this.detector.onCrash(POISON, "a", 2);
 		assertThat(this.detector.rejectionMillis(POISON)).isEqualTo(PoisonRequestDetector.REJECTION_MILLIS);
 		assertThat(this.detector.rejectionMillis(SOUND)).isZero();
 	}
@@ -40,31 +40,31 @@
 	@Test
 	void servedRequestIsNotRejectedHoweverManyEndpointsEndUnderIt() {
 		for (int start = 1; start < 10; start++) {
-			this.detector.onEnd(SOUND, "a", start);
-			this.detector.onEnd(SOUND, "b", start);
+			this.detector.onCrash(SOUND, "a", start);
+			this.detector.onCrash(SOUND, "b", start);
 			assertThat(this.detector.onServed(SOUND)).isTrue();
 		}
-		assertThat(this.detector.ends(SOUND)).isZero();
+		assertThat(this.detector.crashes(SOUND)).isZero();
 		assertThat(this.detector.isEmpty()).isTrue();
 	}
 
 	@Test
 	void lostConnectionOfALivingEndpointIsNoEnd() {
-		this.detector.onEnd(SOUND, "a", 1);
+		this.detector.onCrash(SOUND, "a", 1);
 		this.detector.onSignOfLife("a", 1, this.clock.millis() - 1);
-		assertThat(this.detector.ends(SOUND)).as("request sent before").isEqualTo(1);
+		assertThat(this.detector.crashes(SOUND)).as("request sent before").isEqualTo(1);
 		this.detector.onSignOfLife("a", 2, this.clock.millis() + 100);
-		assertThat(this.detector.ends(SOUND)).as("later start").isEqualTo(1);
+		assertThat(this.detector.crashes(SOUND)).as("later start").isEqualTo(1);
 		this.detector.onSignOfLife("a", 1, this.clock.millis() + 100);
-		assertThat(this.detector.ends(SOUND)).isZero();
+		assertThat(this.detector.crashes(SOUND)).isZero();
 	}
 
 	@Test
 	void responseOfANewStartUnderTheSameIdIsNoSignOfLife() {
 		// The directory may report the new start later than its first response.
-		this.detector.onEnd(POISON, "a", 1);
+		this.detector.onCrash(POISON, "a", 1);
 		this.detector.onSignOfLife("a", 1, this.clock.millis() + 2_500);
-		assertThat(this.detector.ends(POISON)).isEqualTo(1);
+		assertThat(this.detector.crashes(POISON)).isEqualTo(1);
 	}
 
 	@Test
@@ -72,9 +72,9 @@
 		end(POISON, 5);
 		this.clock.advance(PoisonRequestDetector.REJECTION_MILLIS);
 		assertThat(this.detector.rejectionMillis(POISON)).isZero();
-		assertThat(this.detector.ends(POISON)).isEqualTo(PoisonRequestDetector.ENDS_UNTIL_REJECTION - 1);
+		assertThat(this.detector.crashes(POISON)).isEqualTo(PoisonRequestDetector.CRASHES_UNTIL_REJECTION - 1);
 		this.clock.advance(PoisonRequestDetector.RETENTION_MILLIS - PoisonRequestDetector.REJECTION_MILLIS);
-		assertThat(this.detector.ends(POISON)).isZero();
+		assertThat(this.detector.crashes(POISON)).isZero();
 		assertThat(this.detector.isEmpty()).isTrue();
 	}
 
@@ -83,7 +83,7 @@
 		end(POISON, 3);
 		this.clock.advance(60_000);
 		PoisonRequestDetector later = PoisonRequestDetector.create(this.clock);
-		for (PeerMessage.EndpointEnd report : this.detector.reports()) {
+		for (PeerMessage.EndpointCrash report : this.detector.reports()) {
 			assertThat(later.onReport(report)).isTrue();
 			assertThat(later.onReport(report)).as("repeated").isFalse();
 		}
@@ -92,7 +92,7 @@
 
 	@Test
 	void endedEndpointIsMissingUntilTheDirectoryMustKnow() {
-		this.detector.onEnd(POISON, "a", 1);
+		this.detector.onCrash(POISON, "a", 1);
 		assertThat(this.detector.missingEndpoints()).containsExactly("a");
 		this.clock.advance(PoisonRequestDetector.MISSING_MILLIS);
 		assertThat(this.detector.missingEndpoints()).isEmpty();
@@ -124,7 +124,7 @@
 	// Sound requests run beside the poison request at each host, and endpoints also end
 	// on their own.
 	@Property(tries = 100)
-	void poisonRequestEndsNoMoreEndpointsThanItTakesToRejectIt(@ForAll long seed) {
+	void poisonRequestCrashesNoMoreEndpointsThanItTakesToRejectIt(@ForAll long seed) {
 		Random random = new Random(seed);
 		List<PoisonRequestDetector> hosts = List.of(PoisonRequestDetector.create(this.clock),
 				PoisonRequestDetector.create(this.clock));
@@ -154,18 +154,18 @@
 			}
 			this.clock.advance(1_000);
 		}
-		assertThat(poisonRuns).isLessThanOrEqualTo(PoisonRequestDetector.ENDS_UNTIL_REJECTION);
+		assertThat(poisonRuns).isLessThanOrEqualTo(PoisonRequestDetector.CRASHES_UNTIL_REJECTION);
 	}
 
 	private static void report(List<PoisonRequestDetector> hosts, PoisonRequestDetector host, String request,
 			int start) {
-		host.onEnd(request, "e", start);
-		hosts.forEach((other) -> other.onReport(new PeerMessage.EndpointEnd(request, "e", start, 0)));
+		host.onCrash(request, "e", start);
+		hosts.forEach((other) -> other.onReport(new PeerMessage.EndpointCrash(request, "e", start, 0)));
 	}
 
 	private void end(String fingerprint, int count) {
 		for (int start = 1; start <= count; start++) {
-			this.detector.onEnd(fingerprint, "a", start);
+			this.detector.onCrash(fingerprint, "a", start);
 		}
 	}
 
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -227,14 +227,7 @@
 		registerPoisonReports();
 		RateSlots rateSlots = new RateSlots(settings.host(), this.table, this.mesh, this.clock, this.counters,
 				this.log);
-		this.mesh.register(PeerMessage.RateSlotRequest.class, rateSlots::handleRequest);
-		this.mesh.register(PeerMessage.RateNamed.class, (named) -> {
-			if (this.table.onRateNamedToPeer(named.endpoint(), named.startedAtMillis(), named.requestsPerSecond())) {
-				this.log.info("endpoint-rate-learned", "endpoint", named.endpoint(), "requests_per_second",
-						named.requestsPerSecond());
-			}
-			return new PeerMessage.Ack(true);
-		});
+		registerRateMessages(rateSlots);
 		EndpointClient endpointClient = EndpointClient.of(this.table, rateSlots, poisonGuard, notices, endpoints, pool,
 				this.clock, this.counters, this.log);
 		ItemRunner itemRunner = new ItemRunner(this.table, notices, endpoints, pool, endpointClient, this.routing::get,
@@ -421,12 +414,24 @@
 		return this.table.hasAddress(address);
 	}
 
+	private void registerRateMessages(RateSlots rateSlots) {
+		this.mesh.register(PeerMessage.RateSlotRequest.class, rateSlots::handleRequest);
+		this.mesh.register(PeerMessage.RateNamed.class, (named) -> {
+			if (this.table.onRateNamedToPeer(named.endpoint(), named.startedAtMillis(), named.requestsPerSecond())) {
+				this.log.info("endpoint-rate-learned", "endpoint", named.endpoint(), "requests_per_second",
+						named.requestsPerSecond());
+				this.mesh.forward(named);
+			}
+			return new PeerMessage.Ack(true);
+		});
+	}
+
 	private void registerPoisonReports() {
 		this.mesh.openingMessages(this.poisonRequests::reports);
-		this.mesh.register(PeerMessage.EndpointEnd.class, (report) -> {
+		this.mesh.register(PeerMessage.EndpointCrash.class, (report) -> {
 			if (this.poisonRequests.onReport(report)) {
-				this.log.info("endpoint-end-reported", "fingerprint", report.fingerprint(), "endpoint",
-						report.endpoint(), "ends", this.poisonRequests.ends(report.fingerprint()));
+				this.log.info("endpoint-crash-reported", "fingerprint", report.fingerprint(), "endpoint",
+						report.endpoint(), "crashes", this.poisonRequests.crashes(report.fingerprint()));
 				this.mesh.forward(report);
 			}
 			return new PeerMessage.Ack(true);
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointClient.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointClient.java
@@ -83,7 +83,7 @@
 	 * Creates a client.
 	 * @param table the table of endpoints
 	 * @param rateSlots acquires endpoints that limit their rate
-	 * @param poisonGuard refuses requests that end endpoints
+	 * @param poisonGuard refuses requests that crash endpoints
 	 * @param notices records what endpoints announce in their responses
 	 * @param protocol encodes requests to endpoints and decodes their responses
 	 * @param pool the connections to endpoints
@@ -172,7 +172,7 @@
 			}
 			try (HttpExchange exchange = result.get()) {
 				EndpointResponse response = this.protocol.decodeHead(exchange.response());
-				this.notices.record(grant, response);
+				this.notices.onResponse(grant, response);
 				if (isIdMismatch(response, request.id())) {
 					exchange.abort();
 					return failedAttempt(request, grant,
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointNotices.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointNotices.java
@@ -45,7 +45,7 @@
 	 * @param grant the grant of the request
 	 * @param response the head of the response
 	 */
-	void record(EndpointTable.Grant grant, EndpointResponse response) {
+	void onResponse(EndpointTable.Grant grant, EndpointResponse response) {
 		this.detector.onSignOfLife(grant.id(), grant.startedAtMillis(), grant.grantedAtMillis());
 		this.table.onLeavingAnnounced(grant.id(), grant.startedAtMillis(), response.leaving());
 		if (this.table.onRateNamed(grant, response.requestsPerSecond())) {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ItemRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ItemRunner.java
@@ -169,7 +169,7 @@
 		}
 		try (HttpExchange exchange = result.get()) {
 			EndpointResponse response = this.protocol.decodeHead(exchange.response());
-			this.notices.record(grant, response);
+			this.notices.onResponse(grant, response);
 			if (response.isSuccess() && !item.id().equals(response.id())) {
 				exchange.abort();
 				return new RunOutcome(EndpointTable.Outcome.FAILED, false, false, "crossed-answer", 0);
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/PoisonGuard.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/PoisonGuard.java
@@ -14,7 +14,7 @@
 import org.bamboorelay.runtime.process.Counters;
 
 /**
- * Keeps requests of callers that end endpoints from reaching further ones. Items and
+ * Keeps requests of callers that crash endpoints from reaching further ones. Items and
  * score calls are owed in any case and pass unchecked.
  * <p>
  * Thread-safe.
@@ -33,7 +33,7 @@
 
 	/**
 	 * Creates a guard.
-	 * @param detector detects requests that end endpoints
+	 * @param detector detects requests that crash endpoints
 	 * @param table the table of endpoints
 	 * @param publisher sends a message to all other hosts; must not block
 	 * @param counters the metrics of the process
@@ -50,7 +50,7 @@
 
 	/**
 	 * Determines whether a request may be sent to an endpoint now. A suspect whose next
-	 * end would reject it waits until the service can spare an endpoint, but not for
+	 * crash would reject it waits until the service can spare an endpoint, but not for
 	 * long, as the service may have few endpoints.
 	 * @param request the request
 	 * @param triedEndpoints the endpoints to which it was sent before
@@ -61,18 +61,18 @@
 			return Either.right(triedEndpoints);
 		}
 		String fingerprint = request.fingerprint();
-		int ends = this.detector.ends(fingerprint);
-		if (ends == 0) {
+		int crashes = this.detector.crashes(fingerprint);
+		if (crashes == 0) {
 			return Either.right(triedEndpoints);
 		}
 		long rejectionMillis = this.detector.rejectionMillis(fingerprint);
 		if (rejectionMillis > 0) {
-			return refuse(request, fingerprint, ends, "poison-request", rejectionMillis);
+			return refuse(request, fingerprint, crashes, "poison-request", rejectionMillis);
 		}
 		long holdMillis = this.detector.holdMillis(fingerprint);
 		if (holdMillis > 0 && !this.table.canSpareEndpoint(
 				EndpointRequirements.plain(request.origin(), request.service(), this.detector.missingEndpoints()))) {
-			return refuse(request, fingerprint, ends, "suspected-poison-request", holdMillis);
+			return refuse(request, fingerprint, crashes, "suspected-poison-request", holdMillis);
 		}
 		Set<String> excluded = new HashSet<>(triedEndpoints);
 		excluded.addAll(this.detector.endpointsWithSuspect());
@@ -87,7 +87,7 @@
 	 */
 	boolean onSent(ServiceRequest request, EndpointTable.Grant grant) {
 		boolean suspect = request.origin().isInteractive() && !this.detector.isEmpty()
-				&& this.detector.ends(request.fingerprint()) > 0;
+				&& this.detector.crashes(request.fingerprint()) > 0;
 		if (suspect) {
 			this.detector.onSuspectSent(grant.id());
 		}
@@ -115,11 +115,11 @@
 			return;
 		}
 		String fingerprint = request.fingerprint();
-		boolean added = this.detector.onEnd(fingerprint, grant.id(), grant.startedAtMillis());
-		this.log.info("endpoint-ended-under-request", "request_id", request.id(), "endpoint", grant.id(), "fingerprint",
-				fingerprint, "ends", this.detector.ends(fingerprint), "new", added);
+		boolean added = this.detector.onCrash(fingerprint, grant.id(), grant.startedAtMillis());
+		this.log.info("endpoint-crashed-under-request", "request_id", request.id(), "endpoint", grant.id(),
+				"fingerprint", fingerprint, "crashes", this.detector.crashes(fingerprint), "new", added);
 		if (added) {
-			this.publisher.accept(new PeerMessage.EndpointEnd(fingerprint, grant.id(), grant.startedAtMillis(), 0));
+			this.publisher.accept(new PeerMessage.EndpointCrash(fingerprint, grant.id(), grant.startedAtMillis(), 0));
 		}
 	}
 
@@ -138,11 +138,11 @@
 		}
 	}
 
-	private Either<CallResult.NotRun, Set<String>> refuse(ServiceRequest request, String fingerprint, int ends,
+	private Either<CallResult.NotRun, Set<String>> refuse(ServiceRequest request, String fingerprint, int crashes,
 			String reason, long retryAfterMillis) {
 		this.counters.counter("poison_requests_refused_total", "reason", reason).inc();
-		this.log.info("suspect-refused", "request_id", request.id(), "fingerprint", fingerprint, "ends", ends, "reason",
-				reason);
+		this.log.info("suspect-refused", "request_id", request.id(), "fingerprint", fingerprint, "crashes", crashes,
+				"reason", reason);
 		return Either.left(new CallResult.NotRun(reason, retryAfterMillis));
 	}
 
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/StreamRelay.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/StreamRelay.java
@@ -85,7 +85,7 @@
 	 * Creates a relay.
 	 * @param table the table of endpoints
 	 * @param rateSlots acquires endpoints that limit their rate
-	 * @param poisonGuard refuses requests that end endpoints
+	 * @param poisonGuard refuses requests that crash endpoints
 	 * @param notices records what endpoints announce in their responses
 	 * @param protocol encodes requests to endpoints and decodes their responses
 	 * @param pool the connections to endpoints
@@ -170,7 +170,8 @@
 			.orElse("");
 	}
 
-	private record OpenStream(EndpointTable.Grant grant, EndpointResponse endpointResponse, HttpExchange exchange) {
+	private record OpenStream(EndpointTable.Grant grant, EndpointResponse endpointResponse, HttpExchange exchange,
+			boolean suspect) {
 	}
 
 	/**
@@ -199,13 +200,15 @@
 					GOALS_PER_EVENT_TIMEOUT * Math.min(goalMillis, MAX_GOAL_MILLIS));
 		}
 
-		// Returns null if no endpoint started to respond. Once the response head was sent
-		// to the caller, only a successful response of the same type can continue the
-		// stream.
-		private @Nullable OpenStream open(long afterEvent, @Nullable EndpointResponse resumed,
+		// Returns null if no endpoint started to respond. The first response is null
+		// until
+		// arrived. Once its head was sent to the caller, only a successful response of
+		// the
+		// same type can continue the stream.
+		private @Nullable OpenStream open(long afterEvent, @Nullable EndpointResponse firstResponse,
 				CallerMonitor.MonitoredRequest monitoredRequest) {
-			long slotDeadlineMillis = (resumed != null) ? StreamRelay.this.clock.millis() + this.eventTimeoutMillis
-					: this.waitDeadlineMillis;
+			long slotDeadlineMillis = (firstResponse != null)
+					? StreamRelay.this.clock.millis() + this.eventTimeoutMillis : this.waitDeadlineMillis;
 			while (this.triedEndpoints.size() < this.request.maxAttempts() && !monitoredRequest.isDisconnected()) {
 				Either<CallResult.NotRun, EndpointTable.Grant> acquired = StreamRelay.this.poisonGuard
 					.admit(this.request, this.triedEndpoints)
@@ -217,10 +220,12 @@
 				}
 				EndpointTable.Grant grant = acquired.get();
 				this.triedEndpoints.add(grant.id());
-				OpenStream openStream = open(grant, afterEvent, resumed);
+				boolean suspect = StreamRelay.this.poisonGuard.onSent(this.request, grant);
+				OpenStream openStream = open(grant, afterEvent, firstResponse, suspect);
 				if (openStream != null) {
 					return openStream;
 				}
+				StreamRelay.this.poisonGuard.onDone(grant, suspect);
 				if (this.mayHaveRun && !this.request.idempotent()) {
 					return null;
 				}
@@ -229,8 +234,8 @@
 		}
 
 		private @Nullable OpenStream open(EndpointTable.Grant grant, long afterEvent,
-				@Nullable EndpointResponse resumed) {
-			boolean resuming = resumed != null;
+				@Nullable EndpointResponse firstResponse, boolean suspect) {
+			boolean resuming = firstResponse != null;
 			long remainingMillis = Math.max(1, this.request.deadlineMillis() - StreamRelay.this.clock.millis());
 			EndpointRequest call = new EndpointRequest(this.request.id(), this.request.method(), this.request.host(),
 					this.request.path(), this.request.headers(), this.request.workspace(), grant.id(), remainingMillis,
@@ -255,7 +260,7 @@
 			}
 			HttpExchange exchange = result.get();
 			EndpointResponse endpointResponse = StreamRelay.this.protocol.decodeHead(exchange.response());
-			StreamRelay.this.notices.record(grant, endpointResponse);
+			StreamRelay.this.notices.onResponse(grant, endpointResponse);
 			if (endpointResponse.notExecuted()) {
 				exchange.close();
 				StreamRelay.this.table.release(grant, EndpointTable.Outcome.REFUSED);
@@ -265,7 +270,7 @@
 			boolean mismatchedId = (endpointResponse.id() != null) ? !endpointResponse.id().equals(this.request.id())
 					: endpointResponse.isSuccess();
 			if (mismatchedId || (endpointResponse.isSuccess() && endpointResponse.seal() == null)
-					|| (resumed != null && !canContinue(resumed, endpointResponse))) {
+					|| (firstResponse != null && !canContinue(firstResponse, endpointResponse))) {
 				StreamRelay.this.log.info("stream-endpoint-failed", "request_id", this.request.id(), "endpoint",
 						grant.id(), "code", "wrong-answer", "status", endpointResponse.status(), "crossed",
 						mismatchedId);
@@ -273,7 +278,7 @@
 				StreamRelay.this.table.release(grant, EndpointTable.Outcome.FAILED);
 				return null;
 			}
-			return new OpenStream(grant, endpointResponse, exchange);
+			return new OpenStream(grant, endpointResponse, exchange, suspect);
 		}
 
 		// Writes the stream to its end, resuming it on other endpoints where possible.
@@ -368,6 +373,7 @@
 				return null;
 			}
 			finally {
+				StreamRelay.this.poisonGuard.onDone(openStream.grant(), openStream.suspect());
 				StreamRelay.this.table.release(openStream.grant(), outcome);
 			}
 		}
