--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/StreamRelay.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/StreamRelay.java
@@ -200,11 +200,9 @@
 					GOALS_PER_EVENT_TIMEOUT * Math.min(goalMillis, MAX_GOAL_MILLIS));
 		}
 
-		// Returns null if no endpoint started to respond. The first response is null
-		// until
-		// arrived. Once its head was sent to the caller, only a successful response of
-		// the
-		// same type can continue the stream.
+		// Returns null if no endpoint started to respond. Once the head of the first
+		// response was sent to the caller, only a successful response of the same type
+		// can continue the stream.
 		private @Nullable OpenStream open(long afterEvent, @Nullable EndpointResponse firstResponse,
 				CallerMonitor.MonitoredRequest monitoredRequest) {
 			long slotDeadlineMillis = (firstResponse != null)
