Forget suspects that do not come again

A single broken connection kept the detector from being empty for good, so each later request of a caller was hashed.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointRequirements.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointRequirements.java
@@ -18,7 +18,8 @@
  * @param affinity hash of the part that the request shares with others; 0 for none
  * @param slotsOnly whether the endpoint must have a free slot; otherwise the request may
  * wait in the endpoint's queue
- * @param excluded the endpoints to which the request was sent before
+ * @param excluded the endpoints that must not get the request, such as those to which it
+ * was sent before
  */
 public record EndpointRequirements(RequestOrigin origin, String service, @Nullable String model, long minVersion,
 		long affinity, boolean slotsOnly, Set<String> excluded) {
@@ -33,7 +34,7 @@
 	 * Returns the requirements of a request to a plain service.
 	 * @param origin where the request comes from
 	 * @param service the service
-	 * @param excluded the endpoints to which the request was sent before
+	 * @param excluded the endpoints that must not get the request
 	 * @return the requirements
 	 */
 	public static EndpointRequirements plain(RequestOrigin origin, String service, Set<String> excluded) {
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/PoisonRequestDetector.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/PoisonRequestDetector.java
@@ -63,6 +63,8 @@
 
 	private final Map<String, Integer> runningSuspects = new HashMap<>();
 
+	private long newestCrashMillis = Long.MIN_VALUE / 2;
+
 	private PoisonRequestDetector(Clock clock) {
 		this.clock = Objects.requireNonNull(clock, "clock");
 	}
@@ -81,6 +83,9 @@
 	 * @return whether there are none
 	 */
 	public synchronized boolean isEmpty() {
+		if (this.clock.millis() - this.newestCrashMillis >= RETENTION_MILLIS) {
+			this.suspects.clear();
+		}
 		return this.suspects.isEmpty();
 	}
 
@@ -237,6 +242,7 @@
 					&& crash.startedAtMillis() == added.startedAtMillis());
 		if (!known) {
 			crashes.add(added);
+			this.newestCrashMillis = Math.max(this.newestCrashMillis, added.atMillis());
 		}
 		if (this.suspects.size() > MAX_SUSPECTS) {
 			this.suspects.remove(this.suspects.keySet().iterator().next());
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/process/PoisonRequestDetectorTests.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/process/PoisonRequestDetectorTests.java
@@ -26,7 +26,7 @@
 	private final PoisonRequestDetector detector = PoisonRequestDetector.create(this.clock);
 
 	@Test
-	void requestIsRejectedAfterThreeEndpointsEndedUnderIt() {
+	void requestIsRejectedAfterThreeEndpointsCrashedUnderIt() {
 		assertThat(this.detector.isEmpty()).isTrue();
 		assertThat(this.detector.onCrash(POISON, "a", 1)).isTrue();
 		assertThat(this.detector.onCrash(POISON, "a", 1)).as("same start").isFalse();
@@ -38,7 +38,7 @@
 	}
 
 	@Test
-	void servedRequestIsNotRejectedHoweverManyEndpointsEndUnderIt() {
+	void servedRequestIsNotRejectedHoweverManyEndpointsCrashUnderIt() {
 		for (int start = 1; start < 10; start++) {
 			this.detector.onCrash(SOUND, "a", start);
 			this.detector.onCrash(SOUND, "b", start);
@@ -49,7 +49,7 @@
 	}
 
 	@Test
-	void lostConnectionOfALivingEndpointIsNoEnd() {
+	void lostConnectionOfALivingEndpointIsNoCrash() {
 		this.detector.onCrash(SOUND, "a", 1);
 		this.detector.onSignOfLife("a", 1, this.clock.millis() - 1);
 		assertThat(this.detector.crashes(SOUND)).as("request sent before").isEqualTo(1);
@@ -69,7 +69,7 @@
 
 	@Test
 	void rejectedRequestIsASuspectAfterItsRejectionAndForgottenLater() {
-		end(POISON, 5);
+		crash(POISON, 5);
 		this.clock.advance(PoisonRequestDetector.REJECTION_MILLIS);
 		assertThat(this.detector.rejectionMillis(POISON)).isZero();
 		assertThat(this.detector.crashes(POISON)).isEqualTo(PoisonRequestDetector.CRASHES_UNTIL_REJECTION - 1);
@@ -78,9 +78,18 @@
 		assertThat(this.detector.isEmpty()).isTrue();
 	}
 
+	@Test
+	void suspectThatDoesNotComeAgainIsForgotten() {
+		crash(POISON, 1);
+		this.clock.advance(PoisonRequestDetector.RETENTION_MILLIS - 1);
+		assertThat(this.detector.isEmpty()).isFalse();
+		this.clock.advance(1);
+		assertThat(this.detector.isEmpty()).isTrue();
+	}
+
 	@Test
 	void hostThatStartedLaterLearnsTheSuspectsWithTheirAge() {
-		end(POISON, 3);
+		crash(POISON, 3);
 		this.clock.advance(60_000);
 		PoisonRequestDetector later = PoisonRequestDetector.create(this.clock);
 		for (PeerMessage.EndpointCrash report : this.detector.reports()) {
@@ -91,7 +100,7 @@
 	}
 
 	@Test
-	void endedEndpointIsMissingUntilTheDirectoryMustKnow() {
+	void crashedEndpointIsMissingUntilTheDirectoryMustKnow() {
 		this.detector.onCrash(POISON, "a", 1);
 		assertThat(this.detector.missingEndpoints()).containsExactly("a");
 		this.clock.advance(PoisonRequestDetector.MISSING_MILLIS);
@@ -99,15 +108,15 @@
 	}
 
 	@Test
-	void suspectWaitsForSpareEndpointsOnlyBeforeItsLastEndAndNotForLong() {
-		end(POISON, 1);
+	void suspectWaitsForSpareEndpointsOnlyBeforeItsLastCrashAndNotForLong() {
+		crash(POISON, 1);
 		assertThat(this.detector.holdMillis(POISON)).isZero();
-		end(POISON, 2);
+		crash(POISON, 2);
 		this.clock.advance(1_000);
 		assertThat(this.detector.holdMillis(POISON)).isEqualTo(PoisonRequestDetector.HOLD_MILLIS - 1_000);
 		this.clock.advance(PoisonRequestDetector.HOLD_MILLIS - 1_000);
 		assertThat(this.detector.holdMillis(POISON)).isZero();
-		end(POISON, 3);
+		crash(POISON, 3);
 		assertThat(this.detector.holdMillis(POISON)).isZero();
 	}
 
@@ -121,7 +130,7 @@
 		assertThat(this.detector.endpointsWithSuspect()).isEmpty();
 	}
 
-	// Sound requests run beside the poison request at each host, and endpoints also end
+	// Sound requests run beside the poison request at each host, and endpoints also crash
 	// on their own.
 	@Property(tries = 100)
 	void poisonRequestCrashesNoMoreEndpointsThanItTakesToRejectIt(@ForAll long seed) {
@@ -143,9 +152,9 @@
 				running.add(POISON);
 				poisonRuns++;
 			}
-			boolean ends = poison || random.nextInt(10) == 0;
+			boolean crashes = poison || random.nextInt(10) == 0;
 			for (String request : running) {
-				if (ends) {
+				if (crashes) {
 					report(hosts, host, request, start);
 				}
 				else {
@@ -163,7 +172,7 @@
 		hosts.forEach((other) -> other.onReport(new PeerMessage.EndpointCrash(request, "e", start, 0)));
 	}
 
-	private void end(String fingerprint, int count) {
+	private void crash(String fingerprint, int count) {
 		for (int start = 1; start <= count; start++) {
 			this.detector.onCrash(fingerprint, "a", start);
 		}
