--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointClient.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointClient.java
@@ -122,9 +122,7 @@
 				return mostUncertain(last, new CallResult.NotRun("time-is-up", RETRY_AFTER_MILLIS));
 			}
 			this.counters.counter("endpoint_requests_total", "origin", request.origin().label()).inc();
-			boolean suspect = this.poisonGuard.onSent(request, grant);
 			CallResult result = attempt(request, grant, remainingMillis);
-			this.poisonGuard.onDone(grant, suspect);
 			if (isFinal(request, result, triedEndpoints.size())) {
 				return result;
 			}
@@ -153,6 +151,7 @@
 	private CallResult attempt(ServiceRequest request, EndpointTable.Grant grant, long remainingMillis) {
 		EndpointTable.Outcome outcome = EndpointTable.Outcome.FAILED;
 		long start = this.clock.millis();
+		boolean suspect = this.poisonGuard.onSent(request, grant);
 		try {
 			EndpointRequest call = new EndpointRequest(request.id(), request.method(), request.host(), request.path(),
 					request.headers(), request.workspace(), grant.id(), remainingMillis, 0, request.body());
@@ -198,6 +197,7 @@
 			}
 		}
 		finally {
+			this.poisonGuard.onDone(grant, suspect);
 			this.table.release(grant, outcome);
 		}
 	}
