Test that hosts of a large deployment agree on and reach central hosts

Twenty hosts, three relays: all name the same hosts as candidates for scheduling the rate of an endpoint, and each can call them.

--- a/bamboorelay-host/src/test/java/org/bamboorelay/host/connection/HostMeshTests.java
+++ b/bamboorelay-host/src/test/java/org/bamboorelay/host/connection/HostMeshTests.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
 
 import org.bamboorelay.core.connection.PeerMessage;
 import org.bamboorelay.core.version.FailureDomain;
@@ -108,6 +109,8 @@
 		assertThat(meshes.values()).allMatch((mesh) -> mesh.liveHosts().size() == MANY_HOSTS);
 		long links = meshes.values().stream().mapToLong(HostMesh::openLinks).sum();
 		assertThat(links).as("links").isLessThanOrEqualTo(2L * 3 * MANY_HOSTS);
+		assertThat(meshes.values()).allMatch((mesh) -> mesh.knownHostCount() == MANY_HOSTS);
+		assertCentralHosts(meshes);
 
 		String relay = meshes.keySet().stream().filter((host) -> meshes.get(host).isStoreWatcher()).findFirst().get();
 		meshes.remove(relay).close();
@@ -167,6 +170,21 @@
 		}
 	}
 
+	// Asserts that all hosts name the same central hosts, and that each can call them.
+	private static void assertCentralHosts(Map<String, HostMesh> meshes) {
+		Set<Set<String>> answers = meshes.values().stream().map(HostMesh::centralHosts).collect(Collectors.toSet());
+		assertThat(answers).as("central hosts").hasSize(1);
+		Set<String> central = answers.iterator().next();
+		assertThat(central).as("central hosts").hasSize(3);
+		PeerMessage.RateSlotRequest request = new PeerMessage.RateSlotRequest("e", 1, 2, true, 0);
+		PeerMessage slot = new PeerMessage.RateSlot(true, 5);
+		central.forEach((host) -> meshes.get(host).register(PeerMessage.RateSlotRequest.class, (received) -> slot));
+		meshes.forEach((caller, mesh) -> central.stream()
+			.filter((host) -> !host.equals(caller))
+			.forEach((host) -> assertThat(mesh.call(host, request, TIMEOUT_MILLIS).get()).as(caller + " calls " + host)
+				.isEqualTo(slot)));
+	}
+
 	private static int freePort() throws IOException {
 		try (ServerSocket socket = new ServerSocket(0)) {
 			return socket.getLocalPort();
