Retry score calls after 20 ms again unless rates are limited

Each refused score call waited up to 200 ms since rates are kept, also where an endpoint had just crashed or refused; it was meant for limited rates only.

--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/CallResult.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/CallResult.java
@@ -31,6 +31,10 @@
 	 * @param retryAfterMillis the delay after which the caller may retry, in milliseconds
 	 */
 	record NotRun(String reason, long retryAfterMillis) implements CallResult {
+
+		/** Reason code of a request whose endpoints all limit their rate. */
+		static final String RATE_LIMITED = "rate-limited";
+
 	}
 
 	/**
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointAcquirer.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointAcquirer.java
@@ -79,7 +79,7 @@
 			long now = this.clock.millis();
 			long slotDelayMillis = this.table.slotDelayMillis(requirements);
 			if (slotDelayMillis > 0 && now + slotDelayMillis > waitDeadlineMillis) {
-				return Either.left(new CallResult.NotRun("rate-limited", slotDelayMillis));
+				return Either.left(new CallResult.NotRun(CallResult.NotRun.RATE_LIMITED, slotDelayMillis));
 			}
 			if (now >= waitDeadlineMillis || this.table.eligibleCount(requirements) == 0) {
 				return Either.left(NO_ENDPOINT);
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ItemRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ItemRunner.java
@@ -57,9 +57,10 @@
 	private static final long SCORE_RETRY_DELAY_MILLIS = 20;
 
 	/**
-	 * Maximum delay before a score call that was refused is retried, in milliseconds.
+	 * Delay before a score call is retried if all endpoints limit their rate, in
+	 * milliseconds.
 	 */
-	private static final long MAX_SCORE_RETRY_DELAY_MILLIS = 200;
+	private static final long RATE_LIMITED_SCORE_RETRY_DELAY_MILLIS = 200;
 
 	/** Number of events over which the pace of an endpoint is measured. */
 	private static final int EVENTS_PER_PACE_SAMPLE = 4;
@@ -274,8 +275,9 @@
 					return;
 				}
 			}
-			long delayMillis = (result instanceof CallResult.NotRun notRun) ? notRun.retryAfterMillis() : 0;
-			pause(Math.max(SCORE_RETRY_DELAY_MILLIS, Math.min(delayMillis, MAX_SCORE_RETRY_DELAY_MILLIS)));
+			boolean rateLimited = result instanceof CallResult.NotRun notRun
+					&& notRun.reason().equals(CallResult.NotRun.RATE_LIMITED);
+			pause(rateLimited ? RATE_LIMITED_SCORE_RETRY_DELAY_MILLIS : SCORE_RETRY_DELAY_MILLIS);
 		}
 	}
 
