--- a/review/2/LastZone.java
+++ b/review/2/LastZone.java
@@ -50,11 +50,7 @@
 				hosts.signal(hosts.get(2), "TERM");
 			}
 			TimeUnit.MILLISECONDS.sleep(Math.max(0, end - log.millis()));
-			log.line("the time of the step is over; items begun: " + Lots.begun("lot1", engines) + " of " + ITEMS);
-			List<String> stranded = Lots.stranded("lot1", ITEMS, engines, end);
-			log.line("most items at work in the last 5 s: " + Lots.mostAtWork(engines, end) + " of "
-					+ 16 * engines.size() + " slots");
-			log.line("items not finished and at no sampler for the last 5 s: " + stranded.size());
+			boolean lost = Lots.isStepLost("lot1", ITEMS, engines, end, 16 * engines.size(), log);
 			Lots.results(host, "lot1", "key-1", log);
 			log.line("lot1 ended: status " + Lots.end(host, "lot1", "key-1"));
 
@@ -63,7 +59,7 @@
 					+ ", ready: " + Hosts.isReady(host));
 			TimeUnit.MILLISECONDS.sleep(Lots.STEP_MILLIS);
 			log.line("items of lot2 begun after 12 s: " + Lots.begun("lot2", engines) + " of 12");
-			return stranded.isEmpty();
+			return !lost;
 		}
 		finally {
 			samplers.forEach(Sampler::close);
--- a/review/4/MovedRoute.java
+++ b/review/4/MovedRoute.java
@@ -64,11 +64,7 @@
 				log.line("the samplers of engines have left");
 			}
 			TimeUnit.MILLISECONDS.sleep(Math.max(0, end - log.millis()));
-			log.line("the time of the step is over; items begun: " + Lots.begun("lot1", engines) + " of " + ITEMS);
-			List<String> stranded = Lots.stranded("lot1", ITEMS, engines, end);
-			log.line("most items at work in the last 5 s: " + Lots.mostAtWork(engines, end) + " of "
-					+ 16 * next.size() + " slots");
-			log.line("items not finished and at no sampler for the last 5 s: " + stranded.size());
+			boolean lost = Lots.isStepLost("lot1", ITEMS, engines, end, 16 * next.size(), log);
 			Lots.results(host, "lot1", "key-1", log);
 			log.line("lot1 ended: status " + Lots.end(host, "lot1", "key-1"));
 			if (trouble) {
@@ -76,7 +72,7 @@
 				TimeUnit.MILLISECONDS.sleep(4_000);
 				log.line("items of lot2 begun at engines-2: " + Lots.begun("lot2", next) + " of 12");
 			}
-			return stranded.isEmpty();
+			return !lost;
 		}
 		finally {
 			samplers.forEach(Sampler::close);
--- a/review/common/Case.java
+++ b/review/common/Case.java
@@ -43,7 +43,7 @@
 			log.line(held ? "the rule held" : "the rule was broken");
 			code = held ? 0 : 1;
 		}
-		catch (Exception ex) {
+		catch (Throwable ex) {
 			log.line("the case could not run: " + ex);
 			ex.printStackTrace();
 			code = COULD_NOT_RUN;
--- a/review/common/Lots.java
+++ b/review/common/Lots.java
@@ -95,15 +95,37 @@
 	}
 
 	/**
-	 * Returns the items that the rule LOST of batch submissions counts at the end of a step: no sampler has finished
-	 * them, and they were at no sampler for the 5 s before it.
+	 * Returns whether the rule LOST of batch submissions is broken at the end of a step: an item that no sampler has
+	 * finished was at no sampler for the 5 s before it, others had begun, and the samplers were under half full. No
+	 * case names a version of the weights.
 	 */
-	public static List<String> stranded(String id, int items, Collection<Sampler> samplers, long endMillis) {
+	public static boolean isStepLost(String id, int items, Collection<Sampler> engines, long endMillis, int slots,
+			Log log) {
+		long begun = begun(id, engines);
+		List<String> stranded = stranded(id, items, engines, endMillis);
+		long mostAtWork = mostAtWork(engines, endMillis);
+		log.line("the time of step " + id + " is over; items begun: " + begun + " of " + items);
+		log.line("items not finished and at no sampler for the last 5 s: " + stranded.size());
+		log.line("most items at work at a moment of the last 5 s: " + mostAtWork + " of " + slots + " slots");
+		return !stranded.isEmpty() && begun > 0 && 2 * mostAtWork < slots;
+	}
+
+	/** Returns how many items of a batch submission have begun at a sampler. */
+	public static long begun(String id, Collection<Sampler> engines) {
+		return engines.stream()
+			.flatMap((engine) -> engine.arrivals.stream())
+			.map((arrival) -> arrival.request)
+			.filter((request) -> request.startsWith(id + "i"))
+			.distinct()
+			.count();
+	}
+
+	private static List<String> stranded(String id, int items, Collection<Sampler> engines, long endMillis) {
 		List<String> stranded = new ArrayList<>();
 		for (int index = 0; index < items; index++) {
 			String item = itemId(id, index);
-			boolean wasAtSampler = samplers.stream()
-				.flatMap((sampler) -> sampler.arrivals.stream())
+			boolean wasAtSampler = engines.stream()
+				.flatMap((engine) -> engine.arrivals.stream())
 				.anyMatch((arrival) -> arrival.request.equals(item)
 						&& (arrival.finished || arrival.endMillis > endMillis - STRANDED_MILLIS));
 			if (!wasAtSampler) {
@@ -113,24 +135,13 @@
 		return stranded;
 	}
 
-	/** Returns how many items of a batch submission have begun at a sampler. */
-	public static long begun(String id, Collection<Sampler> samplers) {
-		return samplers.stream()
-			.flatMap((sampler) -> sampler.arrivals.stream())
-			.map((arrival) -> arrival.request)
-			.filter((request) -> request.startsWith(id + "i"))
-			.distinct()
-			.count();
-	}
-
-	/** Returns the largest number of items at work at the same time in the 5 s before a moment. */
-	public static long mostAtWork(Collection<Sampler> samplers, long endMillis) {
+	private static long mostAtWork(Collection<Sampler> engines, long endMillis) {
 		long most = 0;
 		for (long at = endMillis - STRANDED_MILLIS; at <= endMillis; at += 50) {
 			long moment = at;
 			most = Math.max(most,
-					samplers.stream()
-						.flatMap((sampler) -> sampler.arrivals.stream())
+					engines.stream()
+						.flatMap((engine) -> engine.arrivals.stream())
 						.filter((arrival) -> arrival.path.startsWith("/items/") && arrival.atMillis <= moment
 								&& arrival.endMillis > moment)
 						.count());
