Limit the texts of items in events, characters and memory

Callers on kept connections got no answer because the host that had passed their requests on ran out of memory: an endpoint answered an item with events that had no end, and the host kept them all. The submission moved to another host, which ended as well.

Cause: ItemRunner renews its deadline with each event, and neither it nor SubmissionState and ItemText limited the number of events, the length of a text or the memory of all texts. The copies of texts on the successor host had no limit in bytes either.

Now an item has at most as many events as its request allows output tokens, a text at most 500,000 characters, and all texts of a process a quarter of the heap. A text that exceeds a limit is discarded and its endpoint backed off. Copies on other hosts have a budget too, and messages with texts a maximum size.

Ruled out: bytes kept by the reader of the stream, which keeps one line.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/request/DurableTextPolicy.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/request/DurableTextPolicy.java
@@ -36,13 +36,13 @@
 	 */
 	public static List<TextPart> select(List<TextPart> texts) {
 		List<TextPart> selected = new ArrayList<>();
-		int characters = 0;
+		long characters = 0;
 		List<TextPart> longestFirst = texts.stream()
 			.filter((text) -> text.events().size() >= MIN_EVENTS)
 			.sorted(Comparator.comparingInt((TextPart text) -> -text.events().size()).thenComparing(TextPart::item))
 			.toList();
 		for (TextPart text : longestFirst) {
-			characters += text.events().stream().mapToInt(String::length).sum();
+			characters += text.characters();
 			if (characters > MAX_CHARACTERS) {
 				break;
 			}
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/request/ItemText.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/request/ItemText.java
@@ -12,10 +12,56 @@
  */
 public final class ItemText {
 
+	/**
+	 * Maximum length of a text, in characters: a result is listed in one object of the
+	 * store, which has a maximum size.
+	 */
+	public static final int MAX_CHARACTERS = 500_000;
+
+	/**
+	 * Heap memory that an event occupies in addition to its characters, in bytes: the
+	 * headers of its string and of its version, and the references to them.
+	 */
+	static final int EVENT_OVERHEAD_BYTES = 80;
+
+	/**
+	 * Heap memory for a character, in bytes: in the event and in the output, or once with
+	 * characters outside Latin-1.
+	 */
+	private static final int BYTES_PER_CHARACTER = 2;
+
 	private final List<String> events = new ArrayList<>();
 
 	private final List<Long> versions = new ArrayList<>();
 
+	private long characters;
+
+	/**
+	 * Returns the heap memory that an event occupies in a text.
+	 * @param data the data of the event
+	 * @return the number of bytes
+	 */
+	static long sizeBytes(String data) {
+		return EVENT_OVERHEAD_BYTES + (long) BYTES_PER_CHARACTER * data.length();
+	}
+
+	/**
+	 * Returns the heap memory that the text occupies.
+	 * @return the number of bytes
+	 */
+	public long sizeBytes() {
+		return (long) EVENT_OVERHEAD_BYTES * this.events.size() + BYTES_PER_CHARACTER * this.characters;
+	}
+
+	/**
+	 * Returns whether the text would be longer than its maximum length.
+	 * @param data the data of the next event
+	 * @return whether the event must not be appended
+	 */
+	public boolean wouldExceedLimit(String data) {
+		return this.characters + data.length() > MAX_CHARACTERS;
+	}
+
 	/**
 	 * Returns the number of the last event.
 	 * @return the number; 0 if there are no events
@@ -53,6 +99,7 @@
 		}
 		this.events.add(data);
 		this.versions.add(version);
+		this.characters += data.length();
 		return true;
 	}
 
@@ -88,6 +135,7 @@
 	public void clear() {
 		this.events.clear();
 		this.versions.clear();
+		this.characters = 0;
 	}
 
 	/**
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/request/ReplicatedTexts.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/request/ReplicatedTexts.java
@@ -9,7 +9,8 @@
 /**
  * Copies of the texts that other hosts generate. A host that takes over a submission
  * continues from these copies instead of generating the texts again. The oldest
- * submissions are evicted first.
+ * submissions are evicted first, if there are too many or their texts occupy too much
+ * memory.
  * <p>
  * Thread-safe; guarded by its own lock.
  */
@@ -18,8 +19,26 @@
 	/** Maximum number of submissions whose texts are kept. */
 	private static final int MAX_SUBMISSIONS = 8;
 
+	private final long maxBytes;
+
 	private final Map<String, Map<String, ItemText>> submissions = new LinkedHashMap<>();
 
+	private ReplicatedTexts(long maxBytes) {
+		this.maxBytes = maxBytes;
+	}
+
+	/**
+	 * Creates an empty store.
+	 * @param maxBytes the maximum heap memory for the texts, in bytes
+	 * @return the store
+	 */
+	public static ReplicatedTexts of(long maxBytes) {
+		if (maxBytes < 0) {
+			throw new IllegalArgumentException("maxBytes must not be negative: " + maxBytes);
+		}
+		return new ReplicatedTexts(maxBytes);
+	}
+
 	/**
 	 * Merges parts of texts into the copies.
 	 * @param submission the id of the submission
@@ -28,7 +47,7 @@
 	public synchronized void add(String submission, List<TextPart> parts) {
 		Map<String, ItemText> texts = this.submissions.computeIfAbsent(submission, (unused) -> new HashMap<>());
 		parts.forEach((part) -> texts.computeIfAbsent(part.item(), (unused) -> new ItemText()).merge(part));
-		while (this.submissions.size() > MAX_SUBMISSIONS) {
+		while (this.submissions.size() > MAX_SUBMISSIONS || sizeBytes() > this.maxBytes) {
 			this.submissions.remove(this.submissions.keySet().iterator().next());
 		}
 	}
@@ -48,6 +67,14 @@
 		return parts;
 	}
 
+	private long sizeBytes() {
+		return this.submissions.values()
+			.stream()
+			.flatMap((texts) -> texts.values().stream())
+			.mapToLong(ItemText::sizeBytes)
+			.sum();
+	}
+
 	/**
 	 * Discards the texts of a submission.
 	 * @param submission the id of the submission
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/request/SubmissionState.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/request/SubmissionState.java
@@ -1,6 +1,7 @@
 package org.bamboorelay.core.request;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -8,6 +9,7 @@
 import java.util.Objects;
 import java.util.Set;
 
+import org.bamboorelay.core.process.MemoryBudget;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -34,6 +36,8 @@
 
 	private final List<Integer> order;
 
+	private final MemoryBudget textMemory;
+
 	private final Map<String, Item> items = new HashMap<>();
 
 	private final List<ItemResult> results = new ArrayList<>();
@@ -41,13 +45,14 @@
 	private boolean ended;
 
 	private SubmissionState(Submission submission, int maxAttempts, boolean singleVersion, long acceptedMillis,
-			long maxAgeMillis, List<Integer> order) {
+			long maxAgeMillis, List<Integer> order, MemoryBudget textMemory) {
 		this.submission = submission;
 		this.maxAttempts = maxAttempts;
 		this.singleVersion = singleVersion;
 		this.acceptedMillis = acceptedMillis;
 		this.expiryMillis = (maxAgeMillis > Long.MAX_VALUE / 2) ? Long.MAX_VALUE : acceptedMillis + maxAgeMillis;
 		this.order = order;
+		this.textMemory = textMemory;
 		submission.items().forEach((item) -> this.items.put(item.id(), new Item(item)));
 	}
 
@@ -62,16 +67,18 @@
 	 * milliseconds
 	 * @param order the order in which items start
 	 * @param resubmittedIds the ids of items that an earlier submission contained too
+	 * @param textMemory the memory for the texts of all submissions of the process; the
+	 * part that this submission reserved is released by {@link #end}
 	 * @return the state
 	 */
 	public static SubmissionState of(Submission submission, int maxAttempts, boolean singleVersion, long acceptedMillis,
-			long maxAgeMillis, ItemOrder order, Set<String> resubmittedIds) {
+			long maxAgeMillis, ItemOrder order, Set<String> resubmittedIds, MemoryBudget textMemory) {
 		Objects.requireNonNull(submission, "submission");
 		if (maxAttempts < 1) {
 			throw new IllegalArgumentException("maxAttempts must be positive: " + maxAttempts);
 		}
 		return new SubmissionState(submission, maxAttempts, singleVersion, acceptedMillis, maxAgeMillis,
-				order.startOrder(submission, resubmittedIds));
+				order.startOrder(submission, resubmittedIds), Objects.requireNonNull(textMemory, "textMemory"));
 	}
 
 	/**
@@ -100,6 +107,7 @@
 			Item item = this.items.get(result.id());
 			if (item != null) {
 				item.state = State.LISTED;
+				clearText(item);
 				this.results.removeIf((waiting) -> waiting.id().equals(result.id()));
 			}
 		}
@@ -136,17 +144,34 @@
 	}
 
 	/**
-	 * Records an event of a run.
+	 * Records an event of a run. Unless the event was appended, the run has to be
+	 * aborted.
 	 * @param id the id of the item
 	 * @param number the number of the event
 	 * @param data the data of the event
 	 * @param version the weight version that generated it
-	 * @return false if the event does not continue the text, in which case the run has to
-	 * be aborted
+	 * @return whether the event was appended; if the text has become too large, it is
+	 * discarded, as an endpoint that does not end it cannot be trusted
 	 */
-	public synchronized boolean onEvent(String id, long number, String data, long version) {
+	public synchronized EventOutcome onEvent(String id, long number, String data, long version) {
 		Item item = item(id);
-		return item.state == State.RUNNING && item.text.append(number, data, version);
+		if (this.ended || item.state != State.RUNNING || number != item.text.lastEvent() + 1) {
+			return EventOutcome.NOT_NEXT;
+		}
+		if (item.text.wouldExceedLimit(data) || !reserveText(item, ItemText.sizeBytes(data))) {
+			clearText(item);
+			return EventOutcome.TOO_LARGE;
+		}
+		item.text.append(number, data, version);
+		return EventOutcome.APPENDED;
+	}
+
+	/**
+	 * Discards the text of an item, which is generated again from its first event.
+	 * @param id the id of the item
+	 */
+	public synchronized void discardText(String id) {
+		clearText(item(id));
 	}
 
 	/**
@@ -161,7 +186,7 @@
 			return false;
 		}
 		if (item.text.lastEvent() == 0 || !item.text.isWithin(this.submission.minVersion(), this.singleVersion)) {
-			item.text.clear();
+			clearText(item);
 			item.state = State.WAITING;
 			return false;
 		}
@@ -211,7 +236,7 @@
 		item.state = State.WAITING;
 		item.notBeforeMillis = nowMillis + RETRY_DELAY_MILLIS;
 		if (!item.text.isWithin(this.submission.minVersion(), this.singleVersion)) {
-			item.text.clear();
+			clearText(item);
 		}
 		if (endpointFailed && ++item.failures >= this.maxAttempts) {
 			giveUp(item);
@@ -244,10 +269,14 @@
 	}
 
 	/**
-	 * Ends the submission. No further items start.
+	 * Ends the submission. No further items start, and the memory reserved for texts is
+	 * released, as the state is about to be discarded.
 	 */
 	public synchronized void end() {
-		this.ended = true;
+		if (!this.ended) {
+			this.ended = true;
+			this.textMemory.release(this.items.values().stream().mapToLong((item) -> item.text.sizeBytes()).sum());
+		}
 	}
 
 	/**
@@ -299,17 +328,27 @@
 	 * Returns the events that are missing from a copy of the texts.
 	 * @param copiedEvents the number of the last event of each item in the copy; updated
 	 * to the state of the copy once the result is added to it
+	 * @param maxCharacters the maximum amount of text, exceeded only by the part of one
+	 * item; what does not fit remains missing
 	 * @return the missing events of the items without a listed result
 	 */
-	public synchronized List<TextPart> partsMissingFrom(Map<String, Long> copiedEvents) {
+	public synchronized List<TextPart> partsMissingFrom(Map<String, Long> copiedEvents, long maxCharacters) {
 		List<TextPart> parts = new ArrayList<>();
-		this.items.forEach((id, item) -> {
+		long characters = 0;
+		for (Map.Entry<String, Item> entry : this.items.entrySet()) {
+			String id = entry.getKey();
+			Item item = entry.getValue();
 			long last = item.text.lastEvent();
 			if (item.state != State.LISTED && last != copiedEvents.getOrDefault(id, 0L)) {
-				parts.add(item.text.partAfter(id, copiedEvents.getOrDefault(id, 0L)));
+				TextPart part = item.text.partAfter(id, copiedEvents.getOrDefault(id, 0L));
+				characters += part.characters();
+				if (!parts.isEmpty() && characters > maxCharacters) {
+					break;
+				}
+				parts.add(part);
 				copiedEvents.put(id, last);
 			}
-		});
+		}
 		return parts;
 	}
 
@@ -320,10 +359,11 @@
 	public synchronized void preload(List<TextPart> parts) {
 		for (TextPart part : parts) {
 			Item item = this.items.get(part.item());
-			if (item != null && item.state == State.WAITING && item.text.lastEvent() == 0 && part.after() == 0) {
+			if (item != null && item.state == State.WAITING && item.text.lastEvent() == 0 && part.after() == 0
+					&& this.textMemory.reserve(part.sizeBytes())) {
 				item.text.merge(part);
 				if (!item.text.isWithin(this.submission.minVersion(), this.singleVersion)) {
-					item.text.clear();
+					clearText(item);
 				}
 			}
 		}
@@ -358,6 +398,30 @@
 		return !this.ended && item(id).state == State.RUNNING;
 	}
 
+	// Discards the largest texts of waiting items, which can be generated again, if the
+	// memory for texts is exhausted.
+	private boolean reserveText(Item growing, long bytes) {
+		while (!this.textMemory.reserve(bytes)) {
+			Item largest = this.items.values()
+				.stream()
+				.filter((item) -> item == growing || item.state == State.WAITING)
+				.max(Comparator.comparingLong((Item item) -> item.text.sizeBytes()))
+				.orElse(growing);
+			if (largest == growing || largest.text.sizeBytes() == 0) {
+				return false;
+			}
+			clearText(largest);
+		}
+		return true;
+	}
+
+	private void clearText(Item item) {
+		if (!this.ended) {
+			this.textMemory.release(item.text.sizeBytes());
+		}
+		item.text.clear();
+	}
+
 	private void finish(Item item, @Nullable String score) {
 		item.state = State.FINISHED;
 		this.results.add(new ItemResult(item.item.id(), true, item.text.output(), item.text.versions(), score));
@@ -386,6 +450,22 @@
 	public record Run(SubmissionItem item, long after) {
 	}
 
+	/**
+	 * What became of an event.
+	 */
+	public enum EventOutcome {
+
+		/** The event was appended to the text. */
+		APPENDED,
+
+		/** The event does not continue the text, or the item no longer runs. */
+		NOT_NEXT,
+
+		/** The text exceeds its limits and was discarded. */
+		TOO_LARGE
+
+	}
+
 	private enum State {
 
 		WAITING, RUNNING, SCORING, FINISHED, LISTED
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/request/TextPart.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/request/TextPart.java
@@ -26,4 +26,20 @@
 		}
 	}
 
+	/**
+	 * Returns the amount of text.
+	 * @return the number of characters of all events
+	 */
+	long characters() {
+		return this.events.stream().mapToLong(String::length).sum();
+	}
+
+	/**
+	 * Returns the heap memory that the events occupy in a text.
+	 * @return the number of bytes
+	 */
+	long sizeBytes() {
+		return this.events.stream().mapToLong(ItemText::sizeBytes).sum();
+	}
+
 }
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/request/SubmissionStateTests.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/request/SubmissionStateTests.java
@@ -10,6 +10,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
+import org.bamboorelay.core.process.MemoryBudget;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -29,7 +30,7 @@
 		plan.onEvent("i0", 2, "b", 1);
 		plan.onInterrupted("i0", false, 0);
 		assertThat(plan.startNext(1_000).after()).isEqualTo(2);
-		assertThat(plan.onEvent("i0", 3, "c", 2)).isTrue();
+		assertThat(plan.onEvent("i0", 3, "c", 2)).isEqualTo(SubmissionState.EventOutcome.APPENDED);
 		plan.onGenerated("i0");
 		plan.onScored("i0", "seal");
 		assertThat(plan.unlistedResults())
@@ -41,9 +42,9 @@
 		// A missing or duplicate event would produce a sample that no engine generated.
 		SubmissionState plan = plan(1, items(1), 3);
 		plan.startNext(0);
-		assertThat(plan.onEvent("i0", 2, "b", 1)).isFalse();
-		assertThat(plan.onEvent("i0", 1, "a", 1)).isTrue();
-		assertThat(plan.onEvent("i0", 1, "a", 1)).isFalse();
+		assertThat(plan.onEvent("i0", 2, "b", 1)).isEqualTo(SubmissionState.EventOutcome.NOT_NEXT);
+		assertThat(plan.onEvent("i0", 1, "a", 1)).isEqualTo(SubmissionState.EventOutcome.APPENDED);
+		assertThat(plan.onEvent("i0", 1, "a", 1)).isEqualTo(SubmissionState.EventOutcome.NOT_NEXT);
 	}
 
 	@Test
@@ -96,20 +97,104 @@
 		first.startNext(0);
 		first.onEvent("i0", 1, "a", 1);
 		Map<String, Long> copied = new HashMap<>();
-		ReplicatedTexts copies = new ReplicatedTexts();
-		copies.add("s", first.partsMissingFrom(copied));
+		ReplicatedTexts copies = ReplicatedTexts.of(1_000_000);
+		copies.add("s", first.partsMissingFrom(copied, Long.MAX_VALUE));
 		first.onEvent("i0", 2, "b", 1);
-		copies.add("s", first.partsMissingFrom(copied));
-		assertThat(first.partsMissingFrom(copied)).isEmpty();
+		copies.add("s", first.partsMissingFrom(copied, Long.MAX_VALUE));
+		assertThat(first.partsMissingFrom(copied, Long.MAX_VALUE)).isEmpty();
 		SubmissionState second = plan(1, items(2), 3);
 		second.preload(copies.textsOf("s"));
 		assertThat(second.startNext(0)).isEqualTo(new SubmissionState.Run(items(2).get(0), 2));
 	}
 
+	@Test
+	void textWithoutEndIsDiscarded() {
+		// A host kept all events of an endpoint that sent them without end, until it ran
+		// out of memory.
+		SubmissionState plan = plan(1, items(1), 3);
+		plan.startNext(0);
+		String data = "x".repeat(1_000);
+		long events = ItemText.MAX_CHARACTERS / data.length();
+		for (long number = 1; number <= events; number++) {
+			assertThat(plan.onEvent("i0", number, data, 1)).isEqualTo(SubmissionState.EventOutcome.APPENDED);
+		}
+		assertThat(plan.onEvent("i0", events + 1, data, 1)).isEqualTo(SubmissionState.EventOutcome.TOO_LARGE);
+		plan.onInterrupted("i0", false, 0);
+		assertThat(plan.startNext(1_000)).isEqualTo(new SubmissionState.Run(items(1).get(0), 0));
+	}
+
+	@Test
+	void waitingTextsAreDiscardedWhenTheMemoryForTextsIsExhausted() {
+		MemoryBudget memory = MemoryBudget.of(4 * ItemText.sizeBytes("x".repeat(1_000)));
+		SubmissionState plan = plan(1, items(2), 3, memory);
+		plan.startNext(0);
+		plan.startNext(0);
+		for (int number = 1; number <= 3; number++) {
+			plan.onEvent("i0", number, "x".repeat(1_000), 1);
+		}
+		plan.onInterrupted("i0", false, 0);
+		for (int number = 1; number <= 4; number++) {
+			assertThat(plan.onEvent("i1", number, "x".repeat(1_000), 1)).as("event %s", number)
+				.isEqualTo(SubmissionState.EventOutcome.APPENDED);
+		}
+		assertThat(plan.startNext(1_000).after()).isZero();
+		assertThat(plan.onEvent("i1", 5, "x".repeat(1_000), 1)).isEqualTo(SubmissionState.EventOutcome.TOO_LARGE);
+		assertThat(plan.eventCount("i1")).isZero();
+		assertThat(memory.reservedBytes()).isZero();
+	}
+
+	@Property(tries = 200)
+	void reservedMemoryIsThatOfTheTexts(@ForAll List<@IntRange(min = 0, max = 17) Integer> steps) {
+		MemoryBudget memory = MemoryBudget.of(10 * ItemText.sizeBytes("text"));
+		SubmissionState plan = plan(2, items(3), 2, memory);
+		for (int step : steps) {
+			String id = "i" + step % 3;
+			switch (step / 3) {
+				case 0 -> plan.startNext(Long.MAX_VALUE);
+				case 1 -> plan.onEvent(id, plan.eventCount(id) + 1, "text", 2);
+				case 2 -> plan.onInterrupted(id, step % 2 == 0, 0);
+				case 3 -> plan.onGenerated(id);
+				case 4 -> plan.onScored(id, "seal");
+				default -> plan.onListed(plan.unlistedResults());
+			}
+			long events = plan.eventCount("i0") + plan.eventCount("i1") + plan.eventCount("i2");
+			assertThat(memory.reservedBytes()).isEqualTo(events * ItemText.sizeBytes("text"));
+		}
+		plan.end();
+		plan.onListed(plan.unlistedResults());
+		plan.end();
+		assertThat(memory.reservedBytes()).isZero();
+	}
+
+	@Test
+	void replicatedTextsOccupyLimitedMemory() {
+		ReplicatedTexts copies = ReplicatedTexts.of(3 * ItemText.sizeBytes("text"));
+		copies.add("s1", List.of(new TextPart("i0", 0, List.of("text", "text"), List.of(1L, 1L))));
+		copies.add("s2", List.of(new TextPart("i0", 0, List.of("text", "text"), List.of(1L, 1L))));
+		assertThat(copies.textsOf("s1")).isEmpty();
+		assertThat(copies.textsOf("s2")).hasSize(1);
+		copies.add("s3", List.of(new TextPart("i0", 0, List.of("text".repeat(100)), List.of(1L))));
+		assertThat(copies.textsOf("s2")).isEmpty();
+		assertThat(copies.textsOf("s3")).isEmpty();
+	}
+
+	@Test
+	void textsAreCopiedInPartsOfLimitedSize() {
+		SubmissionState plan = plan(1, items(3), 3);
+		for (int index = 0; index < 3; index++) {
+			plan.startNext(0);
+			plan.onEvent("i" + index, 1, "text", 1);
+		}
+		Map<String, Long> copied = new HashMap<>();
+		assertThat(plan.partsMissingFrom(copied, 8)).hasSize(2);
+		assertThat(plan.partsMissingFrom(copied, 3)).hasSize(1);
+		assertThat(plan.partsMissingFrom(copied, 8)).isEmpty();
+	}
+
 	@Test
 	void itemsAreGivenUpAtTheMaximumAge() {
 		SubmissionState plan = SubmissionState.of(submission(1, items(1)), 3, false, 1_000, 500, ItemOrder.AS_SUBMITTED,
-				Set.of());
+				Set.of(), MemoryBudget.unlimited());
 		plan.expire(1_499);
 		assertThat(plan.unlistedResults()).isEmpty();
 		plan.expire(1_500);
@@ -136,7 +221,7 @@
 		List<SubmissionItem> items = List.of(item("a1", "a", 1), item("b1", "b", 1), item("a2", "a", 1),
 				item("b2", "b", 1));
 		SubmissionState plan = SubmissionState.of(new Submission("s", "w", "h", "/p/1", "m", 0, 1, 1, items), 3, false,
-				0, Long.MAX_VALUE, ItemOrder.AS_SUBMITTED, Set.of());
+				0, Long.MAX_VALUE, ItemOrder.AS_SUBMITTED, Set.of(), MemoryBudget.unlimited());
 		items.forEach((item) -> plan.startNext(0));
 		complete(plan, "a1");
 		complete(plan, "b1");
@@ -174,8 +259,13 @@
 	}
 
 	private static SubmissionState plan(long minVersion, List<SubmissionItem> items, int maxAttempts) {
+		return plan(minVersion, items, maxAttempts, MemoryBudget.unlimited());
+	}
+
+	private static SubmissionState plan(long minVersion, List<SubmissionItem> items, int maxAttempts,
+			MemoryBudget textMemory) {
 		return SubmissionState.of(submission(minVersion, items), maxAttempts, false, 0, Long.MAX_VALUE,
-				ItemOrder.AS_SUBMITTED, Set.of());
+				ItemOrder.AS_SUBMITTED, Set.of(), textMemory);
 	}
 
 	private static Submission submission(long minVersion, List<SubmissionItem> items) {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/EndpointProtocol.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/EndpointProtocol.java
@@ -1,5 +1,7 @@
 package org.bamboorelay.host.connection;
 
+import java.util.Map;
+
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 
@@ -32,4 +34,12 @@
 	 */
 	long parseVersionLine(String line);
 
+	/**
+	 * Returns the maximum number of tokens that the response to a request may have. An
+	 * event of the response carries at least one token.
+	 * @param headers the headers of the request
+	 * @return the number; {@link Long#MAX_VALUE} if the request names none
+	 */
+	long maxOutputTokens(Map<String, String> headers);
+
 }
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ActiveSubmission.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ActiveSubmission.java
@@ -42,6 +42,13 @@
 
 	private static final int MAX_MIGRATIONS_PER_ITEM = 2;
 
+	/**
+	 * Maximum amount of text in one message to another host, in characters; several such
+	 * messages fit into the memory of a host, and one with a text of maximum length into
+	 * a frame.
+	 */
+	private static final long MAX_REPLICATED_CHARACTERS = 500_000;
+
 	private final SubmissionState state;
 
 	private final ResultLog results;
@@ -187,7 +194,7 @@
 
 	// Stores the long partial texts if they have grown since the last write.
 	synchronized Option<StoreFailure> storeTexts(SubmissionStore store) {
-		List<TextPart> texts = DurableTextPolicy.select(this.state.partsMissingFrom(new HashMap<>()));
+		List<TextPart> texts = DurableTextPolicy.select(this.state.partsMissingFrom(new HashMap<>(), Long.MAX_VALUE));
 		long eventCount = texts.stream().mapToLong((text) -> text.events().size()).sum();
 		if (this.stopped || texts.isEmpty() || eventCount == this.storedEventCount) {
 			return Option.none();
@@ -204,14 +211,14 @@
 		return Option.some(written.getLeft());
 	}
 
-	// Returns the texts not yet copied to the successor host. A host other than that of
-	// the previous call is assumed to have no copies.
+	// Returns texts not yet copied to the successor host, as many as fit into a message.
+	// A host other than that of the previous call is assumed to have no copies.
 	synchronized List<TextPart> unreplicatedParts(String host) {
 		if (!host.equals(this.replicaHost)) {
 			this.replicaHost = host;
 			this.replicatedEvents.clear();
 		}
-		return this.state.partsMissingFrom(this.replicatedEvents);
+		return this.state.partsMissingFrom(this.replicatedEvents, MAX_REPLICATED_CHARACTERS);
 	}
 
 	// Makes the next replication start from scratch, as the last message may have been
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ItemRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ItemRunner.java
@@ -198,13 +198,30 @@
 		long paceStartMillis = this.clock.millis();
 		int events = 0;
 		String model = active.state().submission().model();
+		long maxEvents = this.protocol.maxOutputTokens(item.headers());
 		try {
 			EventStreamReader reader = EventStreamReader.of(exchange.body(), this.protocol::parseVersionLine,
 					response.weightVersion());
 			long version = 0;
 			exchange.setDeadline(EVENT_TIMEOUT_MILLIS);
 			for (EventStreamReader.Event event = reader.next(); event != null; event = reader.next()) {
-				if (!active.state().onEvent(item.id(), event.id(), event.data(), event.version())) {
+				if (event.id() > maxEvents) {
+					// A faulty endpoint may generate without end, so none of its events
+					// is
+					// kept.
+					active.state().discardText(item.id());
+					exchange.abort();
+					return new RunOutcome(EndpointTable.Outcome.FAILED, false, false, "too-many-events", events,
+							"event " + event.id() + " of at most " + maxEvents);
+				}
+				SubmissionState.EventOutcome outcome = active.state()
+					.onEvent(item.id(), event.id(), event.data(), event.version());
+				if (outcome == SubmissionState.EventOutcome.TOO_LARGE) {
+					exchange.abort();
+					return new RunOutcome(EndpointTable.Outcome.FAILED, false, false, "text-too-large", events,
+							"event " + event.id() + " of " + event.data().length() + " characters");
+				}
+				if (outcome != SubmissionState.EventOutcome.APPENDED) {
 					exchange.abort();
 					return new RunOutcome(EndpointTable.Outcome.ABANDONED, false, false, "not-next-event", events);
 				}
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
@@ -19,6 +19,7 @@
 import io.vavr.control.Option;
 import org.bamboorelay.core.connection.PeerMessage;
 import org.bamboorelay.core.process.EndpointTable;
+import org.bamboorelay.core.process.MemoryBudget;
 import org.bamboorelay.core.request.DurableTextPolicy;
 import org.bamboorelay.core.request.ItemOrder;
 import org.bamboorelay.core.request.PageWritePolicy;
@@ -83,6 +84,18 @@
 	 */
 	private static final int MAX_REMEMBERED_ITEMS = 4_096;
 
+	/**
+	 * Divisor of the maximum heap size that gives the memory for the texts of the
+	 * submissions that this host runs.
+	 */
+	private static final long TEXT_MEMORY_DIVISOR = 4;
+
+	/**
+	 * Divisor of the maximum heap size that gives the memory for the texts replicated to
+	 * this host.
+	 */
+	private static final long REPLICATED_TEXT_MEMORY_DIVISOR = 8;
+
 	private final String host;
 
 	private final SubmissionStore store;
@@ -109,7 +122,10 @@
 
 	private final HostMesh mesh;
 
-	private final ReplicatedTexts replicatedTexts = new ReplicatedTexts();
+	private final MemoryBudget textMemory = MemoryBudget.of(Runtime.getRuntime().maxMemory() / TEXT_MEMORY_DIVISOR);
+
+	private final ReplicatedTexts replicatedTexts = ReplicatedTexts
+		.of(Runtime.getRuntime().maxMemory() / REPLICATED_TEXT_MEMORY_DIVISOR);
 
 	private volatile Function<String, Option<String>> successorFinder = (id) -> Option.none();
 
@@ -526,7 +542,7 @@
 			SubmissionStore.VersionedTexts texts) {
 		Set<String> resubmittedItems = findResubmittedItems(submission);
 		SubmissionState state = SubmissionState.of(submission, route.maxAttempts(), route.singleVersion(),
-				record.acceptedMillis(), route.maxAgeMillis(), this.itemOrder, resubmittedItems);
+				record.acceptedMillis(), route.maxAgeMillis(), this.itemOrder, resubmittedItems, this.textMemory);
 		state.onListed(results.resultsFrom(0));
 		state.preload(texts.texts());
 		long deadline = (route.maxAgeMillis() > Long.MAX_VALUE / 2) ? record.acceptedMillis() + 60_000
@@ -534,11 +550,14 @@
 		ActiveSubmission running = new ActiveSubmission(state, results, route.service(Math.random()), deadline,
 				texts.version(), System.currentTimeMillis());
 		boolean added = this.activeSubmissions.putIfAbsent(submission.id(), running) == null;
-		if (added && !this.ownershipCheck.test(submission.id())) {
+		if (!added) {
+			running.stop();
+		}
+		else if (!this.ownershipCheck.test(submission.id())) {
 			// It was ended or changed its owner while its items were read.
 			stop(submission.id(), "not-wanted");
 		}
-		else if (added) {
+		else {
 			this.log.info("submission-started", "submission", submission.id(), "items", submission.items().size(),
 					"model", submission.model(), "step", submission.step(), "min_version", submission.minVersion(),
 					"wanted_groups", submission.wantedGroups(), "carried", resubmittedItems.size(), "host", this.host);
--- a/bamboorelay-host/src/test/java/org/bamboorelay/host/request/SubmissionDirectoryTests.java
+++ b/bamboorelay-host/src/test/java/org/bamboorelay/host/request/SubmissionDirectoryTests.java
@@ -147,6 +147,11 @@
 			return 0;
 		}
 
+		@Override
+		public long maxOutputTokens(Map<String, String> headers) {
+			throw new UnsupportedOperationException();
+		}
+
 	}
 
 }
