Run items in the last failure domain while the store answers

Trainers lost steps: after the hosts of all other failure domains had been removed, the remaining host accepted submissions and started none of their items, though all engines were free.

Cause: DomainCutOff takes the silence of all other domains for isolation whatever the store does, and HostProcess suspends items while a domain is isolated and discards the records that it reads meanwhile. Hosts that have left stay silent for good.

A domain is isolated now only if the store does not answer either: with the store, a host learns which submissions were ended, as always. Hosts that announced that they leave are not missed. Log lines tell when a domain counts as isolated, and what it hears.

Ruled out: records that cannot be read; they were read each second.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/DomainCutOff.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/DomainCutOff.java
@@ -36,6 +36,8 @@
 
 	private boolean isolated;
 
+	private boolean storeAnswering = true;
+
 	private DomainCutOff(Clock clock) {
 		this.clock = Objects.requireNonNull(clock, "clock");
 	}
@@ -60,6 +62,7 @@
 	public synchronized boolean observe(long silenceMillis, long lastStoreResponseMillis) {
 		long now = this.clock.millis();
 		this.isolated = silenceMillis >= ISOLATION_MILLIS;
+		this.storeAnswering = now - lastStoreResponseMillis < PROBE_INTERVAL_MILLIS + PROBE_TIMEOUT_MILLIS;
 		if (silenceMillis < SUSPICION_MILLIS) {
 			this.unansweredProbeMillis = NONE;
 			this.nextProbeMillis = now;
@@ -86,6 +89,16 @@
 		return this.isolated;
 	}
 
+	/**
+	 * Returns whether the store answered the latest probe in time, which is sent while no
+	 * other domain is heard.
+	 * @return whether this host can read from the store what the other domains would tell
+	 * it
+	 */
+	public synchronized boolean isStoreAnswering() {
+		return this.storeAnswering;
+	}
+
 	/**
 	 * Returns whether the domain reaches neither the other domains nor the store.
 	 * @return whether the domain is cut off
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/process/DomainCutOffTests.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/process/DomainCutOffTests.java
@@ -30,6 +30,7 @@
 			noticedMillis = this.cutOff.isCutOff() ? this.now.get() : 0;
 		}
 		assertThat(noticedMillis - cutMillis).isBetween(DomainCutOff.ISOLATION_MILLIS, 1_500L);
+		assertThat(this.cutOff.isStoreAnswering()).isFalse();
 	}
 
 	@Test
@@ -44,6 +45,7 @@
 			assertThat(this.cutOff.isCutOff()).isFalse();
 		}
 		assertThat(this.cutOff.isIsolated()).isTrue();
+		assertThat(this.cutOff.isStoreAnswering()).isTrue();
 	}
 
 	@Test
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/HostMesh.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/HostMesh.java
@@ -386,6 +386,17 @@
 			.orElse(0);
 	}
 
+	/**
+	 * Returns whether the hosts of all other failure domains have left as planned.
+	 * @return whether each of them that was ever heard announced that it is leaving
+	 */
+	public boolean haveOutsideHostsLeft() {
+		return this.peers.values()
+			.stream()
+			.filter((peer) -> peer.statusReceived && !peer.domain.equals(this.hello.domain().value()))
+			.allMatch((peer) -> peer.leaving);
+	}
+
 	/**
 	 * Returns whether this host watches the platform's store itself. A host that receives
 	 * statuses from too few of the watching hosts watches the store too.
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -172,6 +172,8 @@
 
 	private volatile boolean domainCutOff;
 
+	private boolean loggedIsolated;
+
 	private final DomainIsolation isolation = DomainIsolation.of(this.clock);
 
 	private final DomainCutOff cutOff = DomainCutOff.of(this.clock);
@@ -236,6 +238,7 @@
 		this.runner = new SubmissionRunner(settings.host(), submissions, this.table, rateSlots, itemRunner,
 				this.routing::get, ItemOrder.LONGEST_WANTED_FIRST, this.mesh, this.executor, this.log);
 		this.directory = new SubmissionDirectory(settings.host(), submissions, this.runner, this.mesh, this.log);
+		this.directory.onSilentOwner(this.isolation::onSilentHostActive);
 		SubmissionHandler submissionHandler = new SubmissionHandler(settings.host(), callers, submissions,
 				this.directory, this.runner, this.log);
 		StreamRelay streamRelay = new StreamRelay(this.table, rateSlots, poisonGuard, notices, endpoints, pool,
@@ -586,11 +589,12 @@
 		this.table.silentDomains(this.mesh.silentDomains());
 		if (now >= this.nextTakeoverMillis) {
 			this.nextTakeoverMillis = now + TAKEOVER_INTERVAL_MILLIS;
-			if (!this.cutOff.isIsolated() && this.isolation.areRecordsStale()) {
+			if (!isIsolated() && this.isolation.areRecordsStale()) {
 				// Submissions may have been ended while this domain was isolated.
 				confirmRunning();
 			}
-			if (isReady() && this.store.isDirectlyReachable() && this.isolation.mayTakeOver()) {
+			if (isReady() && this.store.isDirectlyReachable()
+					&& this.isolation.mayTakeOver(this.lease.isHeld() || this.mesh.dutyHolder() != null)) {
 				this.directory.takeOver();
 			}
 		}
@@ -606,10 +610,16 @@
 		if (this.cutOff.observe(this.mesh.outsideSilenceMillis(), this.store.lastResponseMillis())) {
 			this.executor.execute(() -> this.store.probe(DutyLoop.LEASE_KEY));
 		}
-		this.isolation.observe(this.cutOff.isIsolated());
-		if (this.cutOff.isIsolated()) {
+		boolean isolated = isIsolated();
+		this.isolation.observe(isolated, this.cutOff.isIsolated() && !this.mesh.haveOutsideHostsLeft());
+		if (isolated) {
 			this.runner.suspend(true);
 		}
+		if (isolated != this.loggedIsolated) {
+			this.loggedIsolated = isolated;
+			this.log.warn(isolated ? "domain-isolated" : "domain-not-isolated", "domain", this.settings.domain(),
+					"silent_ms", this.mesh.outsideSilenceMillis(), "store_answering", this.cutOff.isStoreAnswering());
+		}
 		boolean nowCutOff = this.cutOff.isCutOff();
 		if (nowCutOff != this.domainCutOff) {
 			this.domainCutOff = nowCutOff;
@@ -618,13 +628,18 @@
 		}
 	}
 
+	// A domain that reaches the store learns there what the silent domains would tell it.
+	private boolean isIsolated() {
+		return this.cutOff.isIsolated() && !this.cutOff.isStoreAnswering();
+	}
+
 	private void confirmRunning() {
 		if (!this.confirmationInProgress.compareAndSet(false, true)) {
 			return;
 		}
 		this.executor.execute(() -> {
 			try {
-				boolean wasIsolated = this.cutOff.isIsolated();
+				boolean wasIsolated = isIsolated();
 				if (this.directory.confirmRunning()) {
 					this.isolation.onRecordsRead(wasIsolated);
 					this.runner.suspend(this.isolation.areRecordsStale());
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionDirectory.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionDirectory.java
@@ -67,6 +67,9 @@
 
 	private final Map<String, ResultLog> resultCache = new ConcurrentHashMap<>();
 
+	private volatile Runnable onSilentOwner = () -> {
+	};
+
 	/**
 	 * Creates an empty directory.
 	 * @param host the name of this host
@@ -87,6 +90,15 @@
 		runner.storeOwnershipCheck(this::confirmOwnership);
 	}
 
+	/**
+	 * Sets the listener that is called when a host that is not responsive took over a
+	 * submission.
+	 * @param listener the listener; must not block
+	 */
+	public void onSilentOwner(Runnable listener) {
+		this.onSilentOwner = Objects.requireNonNull(listener, "listener");
+	}
+
 	@Override
 	public void changed(String name, StoredObject object) {
 		Option<SubmissionStore.VersionedRecord> read = SubmissionStore.decode(object);
@@ -111,9 +123,14 @@
 	 * @param found the record with its version
 	 */
 	public void update(String id, SubmissionStore.VersionedRecord found) {
+		SubmissionStore.VersionedRecord previous = this.records.get(id);
 		SubmissionStore.VersionedRecord newest = this.records.merge(id, found,
 				(known, next) -> (next.version() >= known.version()) ? next : known);
 		SubmissionRecord record = newest.record();
+		if (previous != null && !record.owner().equals(previous.record().owner())
+				&& !this.mesh.isResponsive(record.owner())) {
+			this.onSilentOwner.run();
+		}
 		if (record.ended()) {
 			this.runner.discardTexts(id);
 			this.runner.stop(id, "ended");
--- a/bamboorelay-host/src/test/java/org/bamboorelay/host/connection/HostMeshTests.java
+++ b/bamboorelay-host/src/test/java/org/bamboorelay/host/connection/HostMeshTests.java
@@ -135,6 +135,20 @@
 		assertThat(this.mesh.liveHosts()).containsExactly("host-a", "host-b");
 	}
 
+	@Test
+	void hostsThatAnnouncedTheirLeaveAreNotMissed() throws IOException {
+		HostMesh other = linkedMesh();
+		assertThat(this.mesh.haveOutsideHostsLeft()).isFalse();
+		PeerMessage.HostStatus leaving = new PeerMessage.HostStatus(true, false, 0, true, Map.of(), List.of(), Map.of(),
+				Map.of(), Map.of(), Map.of());
+		other.sendStatus(() -> leaving);
+		awaitCondition(this.mesh::haveOutsideHostsLeft, TIMEOUT_MILLIS);
+		assertThat(this.mesh.haveOutsideHostsLeft()).isTrue();
+		other.sendStatus(() -> IDLE);
+		awaitCondition(() -> !this.mesh.haveOutsideHostsLeft(), TIMEOUT_MILLIS);
+		assertThat(this.mesh.haveOutsideHostsLeft()).as("after a restart").isFalse();
+	}
+
 	@Test
 	void weightLoadReachesOtherHosts() throws IOException {
 		PeerMessage.WeightLoad load = new PeerMessage.WeightLoad("engine-1", "m", 4, false);
