Run the items of a submission at the service of the route in force

Trainers lost steps: after the operator had moved the route of submissions to another service and taken the endpoints of the former one away, items of a submission that was under way never began, while the endpoints of the new service were idle.

Cause: SubmissionRunner.activate chose the service once, and ActiveSubmission kept it. For the same reason items whose route had been removed still began at the former service; and a host that resumed a submission while its route was missing never looked again.

Each pass that starts items now looks up the route in force. The share of a split route is drawn once for a submission. Without a route no item begins, and the submission waits for one.

Ruled out: endpoints that count as unsuitable; a submission sent after the change runs at them.

--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ActiveSubmission.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ActiveSubmission.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Supplier;
 
 import io.vavr.control.Either;
 import io.vavr.control.Option;
@@ -53,7 +54,7 @@
 
 	private final ResultLog results;
 
-	private final String service;
+	private final Supplier<Option<String>> service;
 
 	private final long deadlineMillis;
 
@@ -84,7 +85,9 @@
 
 	private volatile boolean stopped;
 
-	ActiveSubmission(SubmissionState state, ResultLog results, String service, long deadlineMillis,
+	// The service is that of the routes in force, which may move to another one while the
+	// submission runs.
+	ActiveSubmission(SubmissionState state, ResultLog results, Supplier<Option<String>> service, long deadlineMillis,
 			long storedTextsVersion, long nowMillis) {
 		this.state = Objects.requireNonNull(state, "state");
 		this.results = Objects.requireNonNull(results, "results");
@@ -138,9 +141,11 @@
 		this.pageRetryMillis = millis;
 	}
 
-	EndpointRequirements requirements(long affinity) {
-		return new EndpointRequirements(RequestOrigin.ITEM, this.service, this.state.submission().model(),
-				this.state.submission().minVersion(), affinity, true, Set.of());
+	// Returns what an endpoint for an item has to meet, or none if no route leads to a
+	// service.
+	Option<EndpointRequirements> requirements() {
+		return service().map((name) -> new EndpointRequirements(RequestOrigin.ITEM, name,
+				this.state.submission().model(), this.state.submission().minVersion(), 0, true, Set.of()));
 	}
 
 	void onRunStarted(String item, String endpoint, Runnable abort) {
@@ -164,11 +169,15 @@
 	// when the training step ends, move to the fastest endpoint. The number of migrations
 	// of a run is limited so that it does not bounce between endpoints.
 	void migrateSlowRuns(EndpointTable table, boolean itemsWaiting) {
+		requirements().forEach((requirements) -> migrateSlowRuns(table, requirements, itemsWaiting));
+	}
+
+	private void migrateSlowRuns(EndpointTable table, EndpointRequirements requirements, boolean itemsWaiting) {
 		this.runningItems.forEach((item, run) -> {
 			int migrations = this.migrationCounts.getOrDefault(item, 0);
 			boolean isLong = this.state.eventCount(item) >= LONG_RUN_EVENTS;
 			double ratio = (itemsWaiting || !isLong) ? SLOW_PACE_RATIO : LONG_RUN_PACE_RATIO;
-			if (migrations < MAX_MIGRATIONS_PER_ITEM && table.isWorthMoving(run.endpoint(), requirements(0), ratio)) {
+			if (migrations < MAX_MIGRATIONS_PER_ITEM && table.isWorthMoving(run.endpoint(), requirements, ratio)) {
 				this.migrationCounts.put(item, migrations + 1);
 				this.migratingItems.add(item);
 				run.abort().run();
@@ -233,8 +242,9 @@
 		List.copyOf(this.runningItems.values()).forEach((run) -> run.abort().run());
 	}
 
-	String service() {
-		return this.service;
+	// Returns the service that runs the items, or none while they have no route.
+	Option<String> service() {
+		return this.service.get();
 	}
 
 	int runCount() {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
@@ -18,6 +18,7 @@
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import org.bamboorelay.core.connection.PeerMessage;
+import org.bamboorelay.core.process.EndpointRequirements;
 import org.bamboorelay.core.process.EndpointTable;
 import org.bamboorelay.core.process.MemoryBudget;
 import org.bamboorelay.core.request.DurableTextPolicy;
@@ -78,6 +79,11 @@
 	/** Delay before a failed store call is retried, in milliseconds. */
 	private static final long STORE_RETRY_DELAY_MILLIS = 150;
 
+	/**
+	 * Interval at which a submission without a route looks for one, in milliseconds.
+	 */
+	private static final long ROUTE_POLL_INTERVAL_MILLIS = 500;
+
 	/**
 	 * Number of item ids of earlier submissions that are remembered to recognize
 	 * resubmitted items; the set is cleared when it exceeds this number.
@@ -285,7 +291,8 @@
 	public Map<String, Integer> demand() {
 		Map<String, Integer> demand = new HashMap<>();
 		this.activeSubmissions.values()
-			.forEach((running) -> demand.merge(running.service(), running.state().unfinishedCount(), Integer::sum));
+			.forEach((running) -> running.service()
+				.forEach((service) -> demand.merge(service, running.state().unfinishedCount(), Integer::sum)));
 		return demand;
 	}
 
@@ -358,8 +365,9 @@
 	}
 
 	private void startItems(ActiveSubmission running, long now) {
-		while (running.state().isWaiting(now)) {
-			EndpointTable.Grant grant = this.rateSlots.acquire(running.requirements(0));
+		Option<EndpointRequirements> requirements = running.requirements();
+		while (requirements.isDefined() && running.state().isWaiting(now)) {
+			EndpointTable.Grant grant = this.rateSlots.acquire(requirements.get());
 			if (grant == null) {
 				return;
 			}
@@ -510,22 +518,34 @@
 
 	private void load(String id, SubmissionRecord record) {
 		ResultLog results = new ResultLog();
+		boolean routeMissing = false;
 		while (!this.closed && !this.draining) {
+			Option<RouteRule> route = route(record);
+			if (route.isEmpty()) {
+				// A later version of the configuration may add the route again.
+				if (!this.ownershipCheck.test(id)) {
+					return;
+				}
+				if (!routeMissing) {
+					routeMissing = true;
+					this.log.warn("submission-without-route", "submission", id, "host", record.host(), "path",
+							record.path());
+				}
+				await(ROUTE_POLL_INTERVAL_MILLIS);
+				continue;
+			}
 			Either<StoreFailure, Option<Submission>> submission = this.store.submission(id);
 			Either<StoreFailure, Integer> pages = submission.flatMap((unused) -> this.store.readPages(id, results));
 			// The record that triggered the load may be outdated, from before a network
 			// partition.
 			Either<StoreFailure, Boolean> confirmed = pages.flatMap((unused) -> this.storeOwnershipCheck.apply(id));
-			RoutingTable currentRouting = this.routing.get();
 			if (confirmed.isRight() && !confirmed.get()) {
 				this.log.info("submission-not-resumed", "submission", id, "reason", "record-is-old");
 				return;
 			}
-			if (confirmed.isRight() && currentRouting != null) {
-				Option<RouteRule> route = currentRouting.route(record.host(), record.path());
-				if (submission.get().isEmpty() || route.isEmpty()) {
-					this.log.warn("submission-not-resumed", "submission", id, "items_found",
-							submission.get().isDefined(), "route_found", route.isDefined());
+			if (confirmed.isRight()) {
+				if (submission.get().isEmpty()) {
+					this.log.warn("submission-not-resumed", "submission", id, "reason", "no-items");
 					return;
 				}
 				SubmissionStore.VersionedTexts texts = recoverTexts(id, record);
@@ -538,6 +558,11 @@
 		}
 	}
 
+	private Option<RouteRule> route(SubmissionRecord record) {
+		RoutingTable currentRouting = this.routing.get();
+		return (currentRouting != null) ? currentRouting.route(record.host(), record.path()) : Option.none();
+	}
+
 	private void activate(Submission submission, SubmissionRecord record, RouteRule route, ResultLog results,
 			SubmissionStore.VersionedTexts texts) {
 		Set<String> resubmittedItems = findResubmittedItems(submission);
@@ -547,8 +572,13 @@
 		state.preload(texts.texts());
 		long deadline = (route.maxAgeMillis() > Long.MAX_VALUE / 2) ? record.acceptedMillis() + 60_000
 				: record.acceptedMillis() + route.maxAgeMillis();
-		ActiveSubmission running = new ActiveSubmission(state, results, route.service(Math.random()), deadline,
-				texts.version(), System.currentTimeMillis());
+		// All items of a submission get the same share of a split route, so that they
+		// share
+		// the cached parts of their prompts.
+		double share = Math.random();
+		ActiveSubmission running = new ActiveSubmission(state, results,
+				() -> route(record).map((current) -> current.service(share)), deadline, texts.version(),
+				System.currentTimeMillis());
 		boolean added = this.activeSubmissions.putIfAbsent(submission.id(), running) == null;
 		if (!added) {
 			running.stop();
--- a/bamboorelay-host/src/test/java/org/bamboorelay/host/request/ActiveSubmissionTests.java
+++ b/bamboorelay-host/src/test/java/org/bamboorelay/host/request/ActiveSubmissionTests.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Set;
 
+import io.vavr.control.Option;
 import org.bamboorelay.core.process.MemoryBudget;
 import org.bamboorelay.core.request.ItemOrder;
 import org.bamboorelay.core.request.ResultLog;
@@ -76,7 +77,8 @@
 				List.of(new SubmissionItem("i0", "/i", Map.of(), new byte[0], 1, "g", 1, null)));
 		SubmissionState state = SubmissionState.of(submission, 3, false, 0, Long.MAX_VALUE, ItemOrder.AS_SUBMITTED,
 				Set.of(), MemoryBudget.unlimited());
-		return new ActiveSubmission(state, new ResultLog(), "engines", Long.MAX_VALUE, storedTextsVersion, 0);
+		return new ActiveSubmission(state, new ResultLog(), () -> Option.some("engines"), Long.MAX_VALUE,
+				storedTextsVersion, 0);
 	}
 
 }
--- a/bamboorelay-host/src/test/java/org/bamboorelay/host/request/SubmissionDirectoryTests.java
+++ b/bamboorelay-host/src/test/java/org/bamboorelay/host/request/SubmissionDirectoryTests.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
@@ -30,6 +31,7 @@
 import org.bamboorelay.runtime.process.Counters;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -47,10 +49,12 @@
 
 	private final InMemoryStore inMemoryStore = new InMemoryStore();
 
-	private final RoutingTable routes = RoutingTable.of(1, List
+	private volatile RoutingTable routes = RoutingTable.of(1, List
 		.of(RouteRule.builder("in", "example", "/in/").kind(RouteKind.SUBMISSION, false).share("engines", 1).build()),
 			List.of(), Map.of(), true, new CallerLimits(1_000, 1_000, 1_000, 1_000));
 
+	private final AtomicInteger routeReads = new AtomicInteger();
+
 	private final SubmissionRunner runner = runner();
 
 	private final SubmissionDirectory directory = new SubmissionDirectory("host-a",
@@ -87,6 +91,25 @@
 		assertThat(this.runner.runningSubmissions()).as("after an older record").isEmpty();
 	}
 
+	@Test
+	@Timeout(30)
+	void submissionStartsOnceItsRouteIsAdded() throws InterruptedException {
+		// A host that resumed a submission while its route was removed never ran it, even
+		// after the route had been added again.
+		RoutingTable withRoute = this.routes;
+		this.routes = RoutingTable.of(2, List.of(), List.of(), Map.of(), true, withRoute.limits());
+		this.inMemoryStore.put("submissions/s1", RECORD, 3);
+		this.inMemoryStore.put("submission-bodies/s1", submission(), 1);
+		this.directory.update("s1", new SubmissionStore.VersionedRecord(RECORD, 3));
+		while (this.routeReads.get() == 0) {
+			Thread.onSpinWait();
+		}
+		assertThat(this.runner.runningSubmissions()).isEmpty();
+		this.routes = withRoute;
+		stop();
+		assertThat(this.runner.runningSubmissions()).containsExactly("s1");
+	}
+
 	@Test
 	void endSucceedsOnceStoreConfirmsIt() {
 		this.inMemoryStore.put("submissions/s1", RECORD, 3);
@@ -98,6 +121,12 @@
 		assertThat(this.directory.end("s1").isRight()).as("repeated").isTrue();
 	}
 
+	private RoutingTable readRoutes() {
+		RoutingTable current = this.routes;
+		this.routeReads.incrementAndGet();
+		return current;
+	}
+
 	private SubmissionRunner runner() {
 		EndpointTable table = EndpointTable.create(Clock.monotonic());
 		Counters counters = Counters.create();
@@ -115,7 +144,7 @@
 		ItemRunner items = new ItemRunner(table, notices, protocol, pool, caller, () -> this.routes, Clock.monotonic(),
 				counters, this.log);
 		return new SubmissionRunner("host-a", SubmissionStore.of(this.inMemoryStore), table, slots, items,
-				() -> this.routes, ItemOrder.AS_SUBMITTED, mesh, this.executor, this.log);
+				this::readRoutes, ItemOrder.AS_SUBMITTED, mesh, this.executor, this.log);
 	}
 
 	private HostMesh mesh() {
