Let requests run until shortly before the kill signal

Callers lost requests at a planned stop: the host ended 5.8 s after SIGTERM and cut everything that it had passed on, though the kill signal comes after 8 s and the requests would have been complete in time.

Cause: HostProcess.shutDown let the listener wait for 0.8 of the grace period less one second for listing results, counted from the end of the steps before it, however short they were.

The end of the process is fixed when the signal arrives now: 200 ms before the kill signal. A host without requests still ends at once.

Ruled out: requests that count as ended too early, and connections closed with the listening socket; all were cut at the limit and none before.

--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -101,8 +101,11 @@
 	 */
 	private static final long LISTING_TIMEOUT_MILLIS = 1_000;
 
-	/** Share of the grace period until the kill signal that running requests may use. */
-	private static final double DRAIN_GRACE_SHARE = 0.8;
+	/**
+	 * Time before the kill signal at which a process that shuts down ends, in
+	 * milliseconds.
+	 */
+	private static final long SHUTDOWN_MARGIN_MILLIS = 200;
 
 	/**
 	 * Time without requests after which the listener for callers closes during shutdown,
@@ -332,13 +335,15 @@
 
 	/**
 	 * Shuts down gracefully: refuses new requests of callers, releases the duties, hands
-	 * submissions over to other hosts, and lets running requests complete.
+	 * submissions over to other hosts, and lets running requests complete until shortly
+	 * before the kill signal.
 	 */
 	public void shutDown() {
 		if (this.shuttingDown) {
 			return;
 		}
 		this.shuttingDown = true;
+		long deadlineMillis = this.clock.millis() + this.settings.graceMillis() - SHUTDOWN_MARGIN_MILLIS;
 		this.log.info("process-leaving", "running", runningRequests(), "submissions",
 				this.runner.runningSubmissions().size());
 		try {
@@ -351,9 +356,7 @@
 			this.directory.handOver();
 			this.runner.close();
 			if (listener != null) {
-				long drainTimeoutMillis = (long) (this.settings.graceMillis() * DRAIN_GRACE_SHARE)
-						- LISTING_TIMEOUT_MILLIS;
-				listener.drain(DRAIN_IDLE_MILLIS, Math.max(DRAIN_IDLE_MILLIS, drainTimeoutMillis));
+				listener.drain(DRAIN_IDLE_MILLIS, Math.max(0, deadlineMillis - this.clock.millis()));
 			}
 		}
 		catch (InterruptedException ex) {
