Refuse requests that may outlive a host that shuts down

An operator reported, and it happens here: in a planned stop, requests that came late in the grace period were passed on, and cut with no answer when the process ended; among them requests that may not be repeated.

Cause: a host that shuts down accepted each request that reached it, whatever the time left.

A request that may not end in time is refused at once with 503, Retry-After and Connection: close. What is accepted has a deadline 100 ms before the end, so that a plain request is answered in any case.

Ruled out: refusing everything after the signal. New callers come until the host is out of rotation, and most of their requests take milliseconds.

--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -33,6 +33,7 @@
 import org.bamboorelay.core.process.WeightLoadScheduler;
 import org.bamboorelay.core.request.ItemOrder;
 import org.bamboorelay.core.request.RequestOrigin;
+import org.bamboorelay.core.request.ShutdownAdmission;
 import org.bamboorelay.core.store.StoreFailure;
 import org.bamboorelay.core.store.StoredObject;
 import org.bamboorelay.core.store.WatchableStore;
@@ -107,6 +108,12 @@
 	 */
 	private static final long SHUTDOWN_MARGIN_MILLIS = 200;
 
+	/**
+	 * Time before the end of a process that shuts down by which the last requests are
+	 * answered, in milliseconds.
+	 */
+	private static final long ANSWER_MARGIN_MILLIS = 100;
+
 	/**
 	 * Time without requests after which the listener for callers closes during shutdown,
 	 * in milliseconds.
@@ -183,6 +190,8 @@
 
 	private volatile boolean stopped;
 
+	private final ShutdownAdmission shutdownAdmission = ShutdownAdmission.of(this.clock);
+
 	private final AtomicBoolean confirmationInProgress = new AtomicBoolean();
 
 	private long nextTakeoverMillis;
@@ -247,7 +256,8 @@
 		StreamRelay streamRelay = new StreamRelay(this.table, rateSlots, poisonGuard, notices, endpoints, pool,
 				this.usage, this.clock, this.log);
 		this.callerRequestHandler = new CallerRequestHandler(this.routing::get, callers, endpointClient, streamRelay,
-				submissionHandler, this.callerMonitor, this.usage, this.clock, this.counters, this.log);
+				submissionHandler, this.callerMonitor, this.usage, this.shutdownAdmission, this.clock, this.counters,
+				this.log);
 		this.duties = new DutyLoop(settings, this.lease, this.store, calls, this.table, this.weightLoadScheduler,
 				this.usage, this.runner::demand, this.mesh::publish, this.executor, this.counters, this.log);
 	}
@@ -344,6 +354,7 @@
 		}
 		this.shuttingDown = true;
 		long deadlineMillis = this.clock.millis() + this.settings.graceMillis() - SHUTDOWN_MARGIN_MILLIS;
+		this.shutdownAdmission.begin(deadlineMillis - ANSWER_MARGIN_MILLIS);
 		this.log.info("process-leaving", "running", runningRequests(), "submissions",
 				this.runner.runningSubmissions().size());
 		try {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/CallerRequestHandler.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/CallerRequestHandler.java
@@ -18,6 +18,7 @@
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
 import org.apache.hc.core5.http.message.BasicClassicHttpResponse;
 import org.bamboorelay.core.request.RequestOrigin;
+import org.bamboorelay.core.request.ShutdownAdmission;
 import org.bamboorelay.core.time.Clock;
 import org.bamboorelay.core.version.KeyHash;
 import org.bamboorelay.core.version.RouteKind;
@@ -51,6 +52,21 @@
 	 */
 	private static final long STARTING_RETRY_AFTER_MILLIS = 500;
 
+	/**
+	 * Retry delay reported while this host shuts down, in milliseconds; other hosts can
+	 * be asked at once.
+	 */
+	private static final long LEAVING_RETRY_AFTER_MILLIS = 50;
+
+	/**
+	 * Longest time that a call on a submission takes, in milliseconds: the wait for
+	 * results or for the store, and a call to the store.
+	 */
+	private static final long SUBMISSION_CALL_MILLIS = 3_000;
+
+	/** Name under which the durations of calls on submissions are recorded. */
+	private static final String SUBMISSION_CALLS = "";
+
 	/**
 	 * Maximum time for a request, in milliseconds; also applies if the caller sets no
 	 * deadline.
@@ -71,6 +87,8 @@
 
 	private final UsageMeter usageMeter;
 
+	private final ShutdownAdmission shutdownAdmission;
+
 	private final Clock clock;
 
 	private final Counters counters;
@@ -86,13 +104,15 @@
 	 * @param submissionHandler handles submissions
 	 * @param callerMonitor detects callers that disconnect
 	 * @param usageMeter counts requests by workspace
+	 * @param shutdownAdmission decides which requests are accepted during a shutdown
 	 * @param clock the monotonic clock of the process
 	 * @param counters the metrics of the process
 	 * @param log the log of the process
 	 */
 	public CallerRequestHandler(Supplier<@Nullable RoutingTable> routing, CallerProtocol protocol,
 			EndpointClient endpointClient, StreamRelay streamRelay, SubmissionHandler submissionHandler,
-			CallerMonitor callerMonitor, UsageMeter usageMeter, Clock clock, Counters counters, EventLog log) {
+			CallerMonitor callerMonitor, UsageMeter usageMeter, ShutdownAdmission shutdownAdmission, Clock clock,
+			Counters counters, EventLog log) {
 		this.routing = Objects.requireNonNull(routing, "routing");
 		this.protocol = Objects.requireNonNull(protocol, "protocol");
 		this.endpointClient = Objects.requireNonNull(endpointClient, "endpointClient");
@@ -100,6 +120,7 @@
 		this.submissionHandler = Objects.requireNonNull(submissionHandler, "submissionHandler");
 		this.callerMonitor = Objects.requireNonNull(callerMonitor, "callerMonitor");
 		this.usageMeter = Objects.requireNonNull(usageMeter, "usageMeter");
+		this.shutdownAdmission = Objects.requireNonNull(shutdownAdmission, "shutdownAdmission");
 		this.clock = Objects.requireNonNull(clock, "clock");
 		this.counters = Objects.requireNonNull(counters, "counters");
 		this.log = Objects.requireNonNull(log, "log");
@@ -126,7 +147,10 @@
 				reject(responder, head, 401, "unknown-key", table);
 				return;
 			}
-			this.submissionHandler.handleCall(submissionCall, head, workspace.get(), responder);
+			if (isAdmitted(head, SUBMISSION_CALLS, SUBMISSION_CALL_MILLIS, responder)) {
+				this.submissionHandler.handleCall(submissionCall, head, workspace.get(), responder);
+				this.shutdownAdmission.onServed(SUBMISSION_CALLS, this.clock.millis() - startMillis);
+			}
 			return;
 		}
 		Option<RouteRule> route = table.route(head.host(), head.path());
@@ -140,24 +164,42 @@
 			return;
 		}
 		if (route.get().kind() == RouteKind.SUBMISSION) {
-			this.submissionHandler.accept(head, workspace.get(), route.get(), body, responder);
+			if (isAdmitted(head, SUBMISSION_CALLS, SUBMISSION_CALL_MILLIS, responder)) {
+				this.submissionHandler.accept(head, workspace.get(), route.get(), body, responder);
+				this.shutdownAdmission.onServed(SUBMISSION_CALLS, this.clock.millis() - startMillis);
+			}
 			return;
 		}
-		relay(head, route.get(), workspace.get(), body, startMillis, responder);
+		long allowedMillis = Math.min(Math.min(head.remainingMillis(), route.get().timeoutMillis()),
+				MAX_REQUEST_MILLIS);
+		if (isAdmitted(head, route.get().name(), allowedMillis, responder)) {
+			relay(head, route.get(), workspace.get(), body, startMillis, allowedMillis, responder);
+		}
+	}
+
+	private boolean isAdmitted(CallerRequest head, String route, long allowedMillis, HttpListener.Responder responder)
+			throws HttpException, IOException {
+		if (this.shutdownAdmission.admits(route, allowedMillis)) {
+			return true;
+		}
+		refuse(responder, head, "leaving", LEAVING_RETRY_AFTER_MILLIS);
+		return false;
 	}
 
 	private void relay(CallerRequest head, RouteRule route, String workspace, byte[] body, long startMillis,
-			HttpListener.Responder responder) throws HttpException, IOException {
-		long allowedMillis = Math.min(Math.min(head.remainingMillis(), route.timeoutMillis()), MAX_REQUEST_MILLIS);
+			long allowedMillis, HttpListener.Responder responder) throws HttpException, IOException {
+		long deadlineMillis = Math.min(startMillis + allowedMillis, this.shutdownAdmission.endMillis());
 		boolean idempotent = route.kind() == RouteKind.IDEMPOTENT
 				|| (route.kind() == RouteKind.EVENT_STREAM && route.resumable());
 		try (CallerMonitor.MonitoredRequest monitoredRequest = this.callerMonitor.monitor(responder)) {
 			ServiceRequest serviceRequest = new ServiceRequest(RequestOrigin.CALLER, head.id(), head.method(),
 					head.host(), head.path(), head.forwardedHeaders(), body, workspace.isEmpty() ? null : workspace,
-					route.service(Math.random()), idempotent, route.maxAttempts(), startMillis + allowedMillis,
+					route.service(Math.random()), idempotent, route.maxAttempts(), deadlineMillis,
 					monitoredRequest::onAbort);
 			if (route.kind() == RouteKind.EVENT_STREAM) {
-				this.streamRelay.relay(serviceRequest, route.goalMillis(), monitoredRequest, responder);
+				if (this.streamRelay.relay(serviceRequest, route.goalMillis(), monitoredRequest, responder)) {
+					this.shutdownAdmission.onServed(route.name(), this.clock.millis() - startMillis);
+				}
 				return;
 			}
 			long sentMillis = System.currentTimeMillis();
@@ -166,6 +208,9 @@
 			if (!(result instanceof CallResult.NotRun)) {
 				this.usageMeter.count(workspace, sentMillis);
 			}
+			if (result instanceof CallResult.Responded) {
+				this.shutdownAdmission.onServed(route.name(), this.clock.millis() - startMillis);
+			}
 			if (!callerDisconnected) {
 				sendResult(head, route, result, startMillis, responder);
 			}
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/StreamRelay.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/StreamRelay.java
@@ -113,10 +113,11 @@
 	 * @param goalMillis the latency goal of the first event, in milliseconds
 	 * @param monitoredRequest monitors the caller
 	 * @param responder the responder of the request
+	 * @return whether the response of an endpoint was relayed to its end
 	 * @throws HttpException if the response violates the HTTP protocol
 	 * @throws IOException if a connection breaks
 	 */
-	public void relay(ServiceRequest request, long goalMillis, CallerMonitor.MonitoredRequest monitoredRequest,
+	public boolean relay(ServiceRequest request, long goalMillis, CallerMonitor.MonitoredRequest monitoredRequest,
 			HttpListener.Responder responder) throws HttpException, IOException {
 		Attempts attempts = new Attempts(request, goalMillis);
 		OpenStream first = attempts.open(0, null, monitoredRequest);
@@ -124,10 +125,10 @@
 			this.usage.count((request.workspace() != null) ? request.workspace() : "", System.currentTimeMillis());
 			responder.send(callerResponse(first.endpointResponse(),
 					(out) -> attempts.writeStream(first, monitoredRequest, out)));
-			return;
+			return true;
 		}
 		if (monitoredRequest.end()) {
-			return;
+			return false;
 		}
 		this.log.info("stream-refused", "request_id", request.id(), "tried", attempts.triedEndpoints.size(),
 				"may_have_run", attempts.mayHaveRun);
@@ -138,6 +139,7 @@
 			responder
 				.send(CallerRequestHandler.refusal(attempts.refusal.reason(), attempts.refusal.retryAfterMillis()));
 		}
+		return false;
 	}
 
 	private static ClassicHttpResponse callerResponse(EndpointResponse endpointResponse,
