Limit the memory of all events in progress

An operator reported, and it happens here: an endpoint sent bytes that were no answer, without end, the host kept them until it ran out of memory, and requests of other callers ended with it.

Cause: the limit of 1 MB applied to each event of a stream, and the relay kept the bytes of an event twice. 60 streams with an event that does not end fill the heap of 96 MB. Plain bodies have a limit for all of them, and heads one of their own; they hold.

Streams now reserve the memory of the event in progress from the budget of plain bodies, with HttpExchange.retain. Parts up to 16 kB are not counted, so that small answers still arrive when the budget is used up.

Ruled out: endless heads and plain bodies (HostMemoryTests, both hold on the former code).

--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EventFramer.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EventFramer.java
@@ -15,7 +15,16 @@
 
 	private static final String ID_FIELD = "id:";
 
-	private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
+	/**
+	 * Length up to which a line is kept, in bytes: more than that of a line with a
+	 * numeric id.
+	 */
+	private static final int MAX_LINE_BYTES = 64;
+
+	/** Size up to which the buffer is kept for the next event, in bytes. */
+	private static final int KEPT_BYTES = 16_384;
+
+	private ByteArrayOutputStream pending = new ByteArrayOutputStream();
 
 	private final ByteArrayOutputStream line = new ByteArrayOutputStream();
 
@@ -43,7 +52,7 @@
 			if (value == '\n') {
 				endLine(complete);
 			}
-			else if (value != '\r') {
+			else if (value != '\r' && this.line.size() < MAX_LINE_BYTES) {
 				this.line.write(value);
 			}
 		}
@@ -96,19 +105,26 @@
 	 * the last complete one.
 	 */
 	void discardIncomplete() {
-		this.pending.reset();
+		resetPending();
 		this.line.reset();
 		this.hasField = false;
 		this.firstEventId = 0;
 	}
 
+	private void resetPending() {
+		if (this.pending.size() > KEPT_BYTES) {
+			this.pending = new ByteArrayOutputStream();
+		}
+		this.pending.reset();
+	}
+
 	private void endLine(ByteArrayOutputStream complete) {
 		String text = this.line.toString(StandardCharsets.UTF_8);
 		this.line.reset();
 		if (text.isEmpty()) {
 			if (this.hasField) {
 				complete.writeBytes(this.pending.toByteArray());
-				this.pending.reset();
+				resetPending();
 				this.hasField = false;
 				this.eventCount++;
 				this.lastEventId = this.eventId;
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EventStreamReader.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EventStreamReader.java
@@ -6,14 +6,15 @@
 import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Objects;
+import java.util.function.LongPredicate;
 import java.util.function.ToLongFunction;
 
 import org.jspecify.annotations.Nullable;
 
 /**
  * Reads events with numeric ids from the event stream of an endpoint. An incomplete event
- * at the end of the stream is ignored; an event that exceeds the size limit fails the
- * stream.
+ * at the end of the stream is ignored; an event that exceeds the size limit, or the
+ * memory for events, fails the stream.
  * <p>
  * Not thread-safe.
  */
@@ -25,19 +26,35 @@
 	 */
 	static final int MAX_EVENT_BYTES = 1_048_576;
 
+	/** Interval at which memory is reserved for an event in progress, in bytes. */
+	private static final int RESERVATION_BYTES = 4_096;
+
+	/**
+	 * Memory for a byte of an event in progress, in bytes: in the buffer of its line, and
+	 * in the text.
+	 */
+	private static final int BYTES_PER_EVENT_BYTE = 2;
+
+	/** Size up to which the buffer for lines is kept for the next event, in bytes. */
+	private static final int KEPT_LINE_BYTES = 8_192;
+
 	private final InputStream in;
 
 	private final ToLongFunction<String> versionParser;
 
-	private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+	private final LongPredicate memory;
+
+	private ByteArrayOutputStream line = new ByteArrayOutputStream();
 
 	private long version;
 
 	private int eventBytes;
 
-	private EventStreamReader(InputStream in, ToLongFunction<String> versionParser, long version) {
+	private EventStreamReader(InputStream in, ToLongFunction<String> versionParser, LongPredicate memory,
+			long version) {
 		this.in = in;
 		this.versionParser = versionParser;
+		this.memory = memory;
 		this.version = version;
 	}
 
@@ -46,12 +63,16 @@
 	 * @param body the body of the response
 	 * @param versionParser parses the weight version from a line; returns 0 for other
 	 * lines
+	 * @param memory reserves the memory for the event in progress, in bytes, instead of
+	 * that reserved last, and returns whether this is permitted
 	 * @param version the weight version of the first events
 	 * @return the reader
 	 */
-	public static EventStreamReader of(InputStream body, ToLongFunction<String> versionParser, long version) {
+	public static EventStreamReader of(InputStream body, ToLongFunction<String> versionParser, LongPredicate memory,
+			long version) {
 		Objects.requireNonNull(versionParser, "versionParser");
-		return new EventStreamReader(new BufferedInputStream(body), versionParser, version);
+		Objects.requireNonNull(memory, "memory");
+		return new EventStreamReader(new BufferedInputStream(body), versionParser, memory, version);
 	}
 
 	/**
@@ -63,7 +84,7 @@
 	public @Nullable Event next() throws IOException {
 		long number = -1;
 		StringBuilder data = null;
-		this.eventBytes = 0;
+		startEvent();
 		while (true) {
 			String line = readLine();
 			if (line == null) {
@@ -90,6 +111,16 @@
 		}
 	}
 
+	private void startEvent() {
+		if (this.eventBytes >= RESERVATION_BYTES) {
+			this.memory.test(0);
+			if (this.line.size() > KEPT_LINE_BYTES) {
+				this.line = new ByteArrayOutputStream();
+			}
+		}
+		this.eventBytes = 0;
+	}
+
 	// Returns null at the end of the stream; an unterminated last line is ignored.
 	private @Nullable String readLine() throws IOException {
 		this.line.reset();
@@ -101,6 +132,11 @@
 			if (++this.eventBytes > MAX_EVENT_BYTES) {
 				throw new IOException("event exceeds the limit of " + MAX_EVENT_BYTES + " bytes");
 			}
+			if (this.eventBytes % RESERVATION_BYTES == 0
+					&& !this.memory.test((long) BYTES_PER_EVENT_BYTE * this.eventBytes)) {
+				throw new IOException(
+						"event of " + this.eventBytes + " bytes or more exceeds the memory for all responses");
+			}
 			if (value == '\n') {
 				return this.line.toString(StandardCharsets.UTF_8);
 			}
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ItemRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ItemRunner.java
@@ -201,7 +201,7 @@
 		long maxEvents = this.protocol.maxOutputTokens(item.headers());
 		try {
 			EventStreamReader reader = EventStreamReader.of(exchange.body(), this.protocol::parseVersionLine,
-					response.weightVersion());
+					exchange::retain, response.weightVersion());
 			long version = 0;
 			exchange.setDeadline(EVENT_TIMEOUT_MILLIS);
 			for (EventStreamReader.Event event = reader.next(); event != null; event = reader.next()) {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/StreamRelay.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/StreamRelay.java
@@ -343,6 +343,11 @@
 						return new IOException(
 								"event exceeds the limit of " + EventStreamReader.MAX_EVENT_BYTES + " bytes");
 					}
+					if (!exchange.retain(framer.incompleteBytes())) {
+						outcome = EndpointTable.Outcome.FAILED;
+						return new IOException("event of " + framer.incompleteBytes()
+								+ " bytes or more exceeds the memory for all responses");
+					}
 					if (completeEvents.length > 0) {
 						exchange.setDeadline(this.eventTimeoutMillis);
 						out.write(completeEvents);
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpConnectionPool.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpConnectionPool.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 
 import io.vavr.control.Either;
@@ -27,6 +26,7 @@
 import org.apache.hc.core5.http.protocol.RequestConnControl;
 import org.apache.hc.core5.http.protocol.RequestContent;
 import org.apache.hc.core5.io.CloseMode;
+import org.bamboorelay.core.process.MemoryBudget;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -94,9 +94,7 @@
 
 	private final boolean keepAliveProbes;
 
-	private final long maxBufferedBytes;
-
-	private final AtomicLong bufferedBytes = new AtomicLong();
+	private final MemoryBudget responseMemory;
 
 	private volatile boolean closed;
 
@@ -110,7 +108,7 @@
 
 	HttpConnectionPool(boolean keepAliveProbes, long maxBufferedBytes) {
 		this.keepAliveProbes = keepAliveProbes;
-		this.maxBufferedBytes = maxBufferedBytes;
+		this.responseMemory = MemoryBudget.of(maxBufferedBytes);
 	}
 
 	/**
@@ -209,14 +207,9 @@
 		});
 	}
 
-	// Reserves buffer memory and returns whether the limit permits it. The bytes count as
-	// reserved in either case, so the caller must release them.
-	boolean reserveBuffer(int bytes) {
-		return this.bufferedBytes.addAndGet(bytes) <= this.maxBufferedBytes;
-	}
-
-	void releaseBuffer(long bytes) {
-		this.bufferedBytes.addAndGet(-bytes);
+	// Returns the memory for the parts of all responses that are kept.
+	MemoryBudget responseMemory() {
+		return this.responseMemory;
 	}
 
 	void discard(BoundedConnection connection) {
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpExchange.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpExchange.java
@@ -19,6 +19,12 @@
 
 	private static final int CHUNK_BYTES = 8_192;
 
+	/**
+	 * Size up to which a response is not counted, in bytes, so that small responses are
+	 * received while large ones use up the memory for responses.
+	 */
+	private static final int UNCOUNTED_BYTES = 16_384;
+
 	private final HttpConnectionPool pool;
 
 	private final String address;
@@ -33,6 +39,8 @@
 
 	private boolean closed;
 
+	private long reservedBytes;
+
 	HttpExchange(HttpConnectionPool pool, String address, BoundedConnection connection, ClassicHttpResponse response,
 			boolean keepAlive) {
 		this.pool = pool;
@@ -84,7 +92,7 @@
 			byte[] chunk = new byte[CHUNK_BYTES];
 			for (int count = body.read(chunk); count >= 0; count = body.read(chunk)) {
 				bytesRead += count;
-				if (!this.pool.reserveBuffer(count) || bytesRead > maxBytes) {
+				if (!retain(bytesRead) || bytesRead > maxBytes) {
 					this.reusable = false;
 					abort();
 					return Either.left(new HttpFailure.ResponseTooLarge("response of " + this.address + " exceeds "
@@ -101,9 +109,25 @@
 			return Either.left(new HttpFailure.Broken(
 					"response of " + this.address + " was truncated: " + ex.getMessage(), endedByPeer));
 		}
-		finally {
-			this.pool.releaseBuffer(bytesRead);
+	}
+
+	/**
+	 * Reserves memory for the part of the response that the caller of this class keeps.
+	 * It is released when the exchange is closed.
+	 * @param bytes the size of the part, in bytes; replaces that of the last call
+	 * @return whether the limit for all responses permits it; if not, the last
+	 * reservation remains
+	 */
+	public boolean retain(long bytes) {
+		long countedBytes = (bytes > UNCOUNTED_BYTES) ? bytes : 0;
+		if (countedBytes <= this.reservedBytes) {
+			this.pool.responseMemory().release(this.reservedBytes - countedBytes);
+		}
+		else if (!this.pool.responseMemory().reserve(countedBytes - this.reservedBytes)) {
+			return false;
 		}
+		this.reservedBytes = countedBytes;
+		return true;
 	}
 
 	/**
@@ -146,6 +170,7 @@
 			return;
 		}
 		this.closed = true;
+		retain(0);
 		if (this.reusable && this.connection.isOpen()) {
 			this.pool.release(this.address, this.connection);
 		}
--- a/bamboorelay-runtime/src/test/java/org/bamboorelay/runtime/connection/HttpConnectionPoolTests.java
+++ b/bamboorelay-runtime/src/test/java/org/bamboorelay/runtime/connection/HttpConnectionPoolTests.java
@@ -144,6 +144,31 @@
 		}
 	}
 
+	@Test
+	void retainedPartsShareMemoryLimit() throws IOException {
+		// Events in progress were limited one by one, but not together.
+		try (HttpConnectionPool small = new HttpConnectionPool(false, 50_000);
+				RawServer server = new RawServer((request, out) -> write(out, answer("body")));
+				HttpExchange first = get(small, server)) {
+			try (HttpExchange second = get(small, server)) {
+				assertThat(first.retain(30_000)).isTrue();
+				assertThat(second.retain(20_000)).isTrue();
+				assertThat(second.retain(30_000)).as("beyond the limit").isFalse();
+				assertThat(second.retain(20_000)).as("the reservation before").isTrue();
+				assertThat(first.retain(10_000)).isTrue();
+				assertThat(second.retain(50_000)).as("after a part was discarded").isTrue();
+				try (HttpExchange third = get(small, server)) {
+					assertThat(third.readFully(1_000).get()).as("a small response").hasSize(4);
+				}
+			}
+			assertThat(first.retain(50_000)).as("after the other exchange was closed").isTrue();
+		}
+	}
+
+	private static HttpExchange get(HttpConnectionPool pool, RawServer server) {
+		return pool.execute(server.address(), new BasicClassicHttpRequest("GET", "/"), true, READ_TIMEOUT_MILLIS).get();
+	}
+
 	@Test
 	void slowResponseSucceedsIfDeadlineIsExtended() throws IOException {
 		try (RawServer server = new RawServer((request, out) -> {
