--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/version/KindWatcher.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/version/KindWatcher.java
@@ -77,6 +77,12 @@
 	 */
 	private static final long EXPIRED_RETENTION_MILLIS = 2_200;
 
+	/**
+	 * Maximum number of messages with relayed changes that wait to be applied. If more
+	 * arrive, the oldest ones are dropped, and the objects are listed again.
+	 */
+	private static final int MAX_RELAYED_MESSAGES = 1_000;
+
 	private static final byte[] EMPTY_BODY = "{}".getBytes(StandardCharsets.UTF_8);
 
 	private final WatchableStore store;
@@ -93,7 +99,8 @@
 
 	private final Consumer<PeerMessage.ObjectChanges> publisher;
 
-	private final BlockingQueue<PeerMessage.ObjectChanges> relayedChanges = new LinkedBlockingQueue<>();
+	private final BlockingQueue<PeerMessage.ObjectChanges> relayedChanges = new LinkedBlockingQueue<>(
+			MAX_RELAYED_MESSAGES);
 
 	private final EventLog log;
 
@@ -172,7 +179,9 @@
 	 * @param message the changes
 	 */
 	public void onChanges(PeerMessage.ObjectChanges message) {
-		this.relayedChanges.add(message);
+		while (!this.relayedChanges.offer(message)) {
+			this.relayedChanges.poll();
+		}
 	}
 
 	@Override
