Probe the store only if it has not answered recently

A host that hears no other domain probes the store each 500 ms. The last domain of a deployment would do so for good, though its lease, watches and records show that the store answers; each call is billed.

A probe is sent only if the store has not answered a call within the last 500 ms. DomainCutOffTests still sees a cut noticed within 1.5 s.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/DomainCutOff.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/DomainCutOff.java
@@ -71,7 +71,8 @@
 		if (lastStoreResponseMillis >= this.unansweredProbeMillis) {
 			this.unansweredProbeMillis = NONE;
 		}
-		if (now < this.nextProbeMillis) {
+		boolean respondedRecently = now - lastStoreResponseMillis < PROBE_INTERVAL_MILLIS;
+		if (now < this.nextProbeMillis || respondedRecently) {
 			return false;
 		}
 		this.nextProbeMillis = now + PROBE_INTERVAL_MILLIS;
