Limit messages with texts by their memory, and allow events without tokens

Texts that one host fetches from another had no limit: beyond the maximum size of a frame, encoding fails on the thread that reads the link. The limit in characters for copied texts did not count the overhead of short events. Both have one limit in bytes of memory now, which is more than the size of the message; the longest texts are fetched first.

An item may have eight events more than output tokens, in case an endpoint marks the end of a text by an event of its own.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/request/ReplicatedTexts.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/request/ReplicatedTexts.java
@@ -1,6 +1,7 @@
 package org.bamboorelay.core.request;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -53,17 +54,28 @@
 	}
 
 	/**
-	 * Returns the texts of a submission.
+	 * Returns texts of a submission, the longest first.
 	 * @param submission the id of the submission
-	 * @return the known text of each item, from its first event
+	 * @param maxBytes the maximum heap memory of the result, exceeded only by a single
+	 * text
+	 * @return the known texts that fit, each from its first event
 	 */
-	public synchronized List<TextPart> textsOf(String submission) {
+	public synchronized List<TextPart> textsOf(String submission, long maxBytes) {
 		List<TextPart> parts = new ArrayList<>();
-		this.submissions.getOrDefault(submission, Map.of()).forEach((item, text) -> {
-			if (text.lastEvent() > 0) {
-				parts.add(text.partAfter(item, 0));
+		long bytes = 0;
+		List<Map.Entry<String, ItemText>> longestFirst = this.submissions.getOrDefault(submission, Map.of())
+			.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue().lastEvent() > 0)
+			.sorted(Comparator.comparingLong((Map.Entry<String, ItemText> entry) -> -entry.getValue().lastEvent()))
+			.toList();
+		for (Map.Entry<String, ItemText> entry : longestFirst) {
+			bytes += entry.getValue().sizeBytes();
+			if (!parts.isEmpty() && bytes > maxBytes) {
+				break;
 			}
-		});
+			parts.add(entry.getValue().partAfter(entry.getKey(), 0));
+		}
 		return parts;
 	}
 
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/request/SubmissionState.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/request/SubmissionState.java
@@ -328,21 +328,21 @@
 	 * Returns the events that are missing from a copy of the texts.
 	 * @param copiedEvents the number of the last event of each item in the copy; updated
 	 * to the state of the copy once the result is added to it
-	 * @param maxCharacters the maximum amount of text, exceeded only by the part of one
-	 * item; what does not fit remains missing
+	 * @param maxBytes the maximum heap memory of the result, exceeded only by the part of
+	 * one item; what does not fit remains missing
 	 * @return the missing events of the items without a listed result
 	 */
-	public synchronized List<TextPart> partsMissingFrom(Map<String, Long> copiedEvents, long maxCharacters) {
+	public synchronized List<TextPart> partsMissingFrom(Map<String, Long> copiedEvents, long maxBytes) {
 		List<TextPart> parts = new ArrayList<>();
-		long characters = 0;
+		long bytes = 0;
 		for (Map.Entry<String, Item> entry : this.items.entrySet()) {
 			String id = entry.getKey();
 			Item item = entry.getValue();
 			long last = item.text.lastEvent();
 			if (item.state != State.LISTED && last != copiedEvents.getOrDefault(id, 0L)) {
 				TextPart part = item.text.partAfter(id, copiedEvents.getOrDefault(id, 0L));
-				characters += part.characters();
-				if (!parts.isEmpty() && characters > maxCharacters) {
+				bytes += part.sizeBytes();
+				if (!parts.isEmpty() && bytes > maxBytes) {
 					break;
 				}
 				parts.add(part);
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/EndpointProtocol.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/EndpointProtocol.java
@@ -35,8 +35,7 @@
 	long parseVersionLine(String line);
 
 	/**
-	 * Returns the maximum number of tokens that the response to a request may have. An
-	 * event of the response carries at least one token.
+	 * Returns the maximum number of tokens that the response to a request may have.
 	 * @param headers the headers of the request
 	 * @return the number; {@link Long#MAX_VALUE} if the request names none
 	 */
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ActiveSubmission.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ActiveSubmission.java
@@ -44,11 +44,10 @@
 	private static final int MAX_MIGRATIONS_PER_ITEM = 2;
 
 	/**
-	 * Maximum amount of text in one message to another host, in characters; several such
-	 * messages fit into the memory of a host, and one with a text of maximum length into
-	 * a frame.
+	 * Maximum heap memory of the texts in one message to another host, in bytes; the
+	 * message is smaller, and fits into a frame.
 	 */
-	private static final long MAX_REPLICATED_CHARACTERS = 500_000;
+	static final long MAX_REPLICATED_BYTES = 2_000_000;
 
 	private final SubmissionState state;
 
@@ -227,7 +226,7 @@
 			this.replicaHost = host;
 			this.replicatedEvents.clear();
 		}
-		return this.state.partsMissingFrom(this.replicatedEvents, MAX_REPLICATED_CHARACTERS);
+		return this.state.partsMissingFrom(this.replicatedEvents, MAX_REPLICATED_BYTES);
 	}
 
 	// Makes the next replication start from scratch, as the last message may have been
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ItemRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ItemRunner.java
@@ -62,6 +62,12 @@
 	 */
 	private static final long RATE_LIMITED_SCORE_RETRY_DELAY_MILLIS = 200;
 
+	/**
+	 * Maximum number of events that carry no token, such as one that marks the end of the
+	 * text.
+	 */
+	private static final int MAX_EVENTS_WITHOUT_TOKENS = 8;
+
 	/** Number of events over which the pace of an endpoint is measured. */
 	private static final int EVENTS_PER_PACE_SAMPLE = 4;
 
@@ -198,7 +204,7 @@
 		long paceStartMillis = this.clock.millis();
 		int events = 0;
 		String model = active.state().submission().model();
-		long maxEvents = this.protocol.maxOutputTokens(item.headers());
+		long maxEvents = maxEvents(item);
 		try {
 			EventStreamReader reader = EventStreamReader.of(exchange.body(), this.protocol::parseVersionLine,
 					exchange::retain, response.weightVersion());
@@ -206,9 +212,7 @@
 			exchange.setDeadline(EVENT_TIMEOUT_MILLIS);
 			for (EventStreamReader.Event event = reader.next(); event != null; event = reader.next()) {
 				if (event.id() > maxEvents) {
-					// A faulty endpoint may generate without end, so none of its events
-					// is
-					// kept.
+					// The endpoint is faulty, so none of its events can be trusted.
 					active.state().discardText(item.id());
 					exchange.abort();
 					return new RunOutcome(EndpointTable.Outcome.FAILED, false, false, "too-many-events", events,
@@ -259,6 +263,12 @@
 		}
 	}
 
+	private long maxEvents(SubmissionItem item) {
+		long maxTokens = this.protocol.maxOutputTokens(item.headers());
+		return (maxTokens > Long.MAX_VALUE - MAX_EVENTS_WITHOUT_TOKENS) ? Long.MAX_VALUE
+				: maxTokens + MAX_EVENTS_WITHOUT_TOKENS;
+	}
+
 	private void score(SubmissionState state, SubmissionItem item) {
 		SubmissionItem.ScoreCall score = Objects.requireNonNull(item.score());
 		int failures = 0;
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
@@ -474,8 +474,8 @@
 	 * @return the texts
 	 */
 	public PeerMessage handleTextFetch(PeerMessage.TextFetch message) {
-		return new PeerMessage.TextCopy(message.submission(),
-				CoreJson.bytes(this.replicatedTexts.textsOf(message.submission())));
+		return new PeerMessage.TextCopy(message.submission(), CoreJson
+			.bytes(this.replicatedTexts.textsOf(message.submission(), ActiveSubmission.MAX_REPLICATED_BYTES)));
 	}
 
 	/**
@@ -503,7 +503,7 @@
 	}
 
 	private List<TextPart> replicatedTexts(String id) {
-		List<TextPart> ownTexts = this.replicatedTexts.textsOf(id);
+		List<TextPart> ownTexts = this.replicatedTexts.textsOf(id, Long.MAX_VALUE);
 		Option<String> host = this.successorFinder.apply(id);
 		if (!ownTexts.isEmpty() || host.isEmpty()) {
 			return ownTexts;
