--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/DomainCutOff.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/DomainCutOff.java
@@ -34,7 +34,7 @@
 
 	private long unansweredProbeMillis = NONE;
 
-	private boolean isolated;
+	private boolean outsideSilent;
 
 	private boolean storeAnswering = true;
 
@@ -61,7 +61,7 @@
 	 */
 	public synchronized boolean observe(long silenceMillis, long lastStoreResponseMillis) {
 		long now = this.clock.millis();
-		this.isolated = silenceMillis >= ISOLATION_MILLIS;
+		this.outsideSilent = silenceMillis >= ISOLATION_MILLIS;
 		this.storeAnswering = now - lastStoreResponseMillis < PROBE_INTERVAL_MILLIS + PROBE_TIMEOUT_MILLIS;
 		if (silenceMillis < SUSPICION_MILLIS) {
 			this.unansweredProbeMillis = NONE;
@@ -84,10 +84,10 @@
 
 	/**
 	 * Returns whether no other failure domain is heard.
-	 * @return whether the domain is isolated
+	 * @return whether all other domains are silent
 	 */
-	public synchronized boolean isIsolated() {
-		return this.isolated;
+	public synchronized boolean isOutsideSilent() {
+		return this.outsideSilent;
 	}
 
 	/**
@@ -105,7 +105,7 @@
 	 * @return whether the domain is cut off
 	 */
 	public synchronized boolean isCutOff() {
-		return this.isolated && this.unansweredProbeMillis != NONE
+		return this.outsideSilent && this.unansweredProbeMillis != NONE
 				&& this.clock.millis() - this.unansweredProbeMillis >= PROBE_TIMEOUT_MILLIS;
 	}
 
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/process/DomainCutOffTests.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/process/DomainCutOffTests.java
@@ -44,7 +44,7 @@
 			}
 			assertThat(this.cutOff.isCutOff()).isFalse();
 		}
-		assertThat(this.cutOff.isIsolated()).isTrue();
+		assertThat(this.cutOff.isOutsideSilent()).isTrue();
 		assertThat(this.cutOff.isStoreAnswering()).isTrue();
 	}
 
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -625,7 +625,7 @@
 			this.executor.execute(() -> this.store.probe(DutyLoop.LEASE_KEY));
 		}
 		boolean isolated = isIsolated();
-		this.isolation.observe(isolated, this.cutOff.isIsolated() && !this.mesh.haveOutsideHostsLeft());
+		this.isolation.observe(isolated, this.cutOff.isOutsideSilent() && !this.mesh.haveOutsideHostsLeft());
 		if (isolated) {
 			this.runner.suspend(true);
 		}
@@ -644,7 +644,7 @@
 
 	// A domain that reaches the store learns there what the silent domains would tell it.
 	private boolean isIsolated() {
-		return this.cutOff.isIsolated() && !this.cutOff.isStoreAnswering();
+		return this.cutOff.isOutsideSilent() && !this.cutOff.isStoreAnswering();
 	}
 
 	private void confirmRunning() {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
@@ -23,6 +23,7 @@
 import org.bamboorelay.core.process.MemoryBudget;
 import org.bamboorelay.core.request.DurableTextPolicy;
 import org.bamboorelay.core.request.ItemOrder;
+import org.bamboorelay.core.request.ItemText;
 import org.bamboorelay.core.request.PageWritePolicy;
 import org.bamboorelay.core.request.ReplicatedTexts;
 import org.bamboorelay.core.request.ResultLog;
@@ -54,7 +55,7 @@
 	 * Maximum amount of text in one page, in characters; well below the maximum size of a
 	 * value in the store.
 	 */
-	private static final int MAX_PAGE_CHARACTERS = 500_000;
+	private static final int MAX_PAGE_CHARACTERS = ItemText.MAX_CHARACTERS;
 
 	/** Interval between two passes over waiting items and results, in milliseconds. */
 	private static final long PASS_INTERVAL_MILLIS = 20;
@@ -572,9 +573,7 @@
 		state.preload(texts.texts());
 		long deadline = (route.maxAgeMillis() > Long.MAX_VALUE / 2) ? record.acceptedMillis() + 60_000
 				: record.acceptedMillis() + route.maxAgeMillis();
-		// All items of a submission get the same share of a split route, so that they
-		// share
-		// the cached parts of their prompts.
+		// The items share the cached parts of their prompts, so they stay together.
 		double share = Math.random();
 		ActiveSubmission running = new ActiveSubmission(state, results,
 				() -> route(record).map((current) -> current.service(share)), deadline, texts.version(),
