Accept late streams in a planned stop by their own limit only

Callers saw streams cut that they had sent late in the grace period of a planned stop.

Cause: a host that shuts down accepts a request if one and a half times the longest recent request of its route fits into the time left. A plain request that runs longer is answered with 504 in time; a stream that has begun is cut when the process ends.

From 3 s after the signal, a stream is accepted only if its own limit ends before the process does, and else refused at once with 503. Refusing all streams from the signal on was ruled out: in the first seconds they come from callers that don't know of the stop yet, and most are short.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/request/ShutdownAdmission.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/request/ShutdownAdmission.java
@@ -25,6 +25,12 @@
 	 */
 	private static final double DECAY_FACTOR = 0.98;
 
+	/**
+	 * Time after the start of the shutdown in which the duration of streams is estimated,
+	 * in milliseconds. Callers that come later have been told to go to another host.
+	 */
+	private static final long STREAM_ESTIMATE_MILLIS = 3_000;
+
 	/** Maximum number of routes whose durations are kept. */
 	private static final int MAX_ROUTES = 1_024;
 
@@ -39,6 +45,8 @@
 
 	};
 
+	private long startMillis;
+
 	private long endMillis = Long.MAX_VALUE;
 
 	private ShutdownAdmission(Clock clock) {
@@ -70,6 +78,7 @@
 	 * @param endMillis the time at which the process ends, in milliseconds of the clock
 	 */
 	public synchronized void begin(long endMillis) {
+		this.startMillis = this.clock.millis();
 		this.endMillis = endMillis;
 	}
 
@@ -83,7 +92,22 @@
 	}
 
 	/**
-	 * Returns whether to accept a request.
+	 * Returns whether to accept a stream. A stream that has begun can only be cut when
+	 * the process ends, so a late one is not accepted by an estimate.
+	 * @param route the name of its route
+	 * @param allowedMillis the maximum duration of the stream, in milliseconds
+	 * @return whether the stream is expected to end before the process does
+	 */
+	public synchronized boolean admitsStream(String route, long allowedMillis) {
+		if (this.endMillis != Long.MAX_VALUE && this.clock.millis() - this.startMillis >= STREAM_ESTIMATE_MILLIS) {
+			return allowedMillis <= this.endMillis - this.clock.millis();
+		}
+		return admits(route, allowedMillis);
+	}
+
+	/**
+	 * Returns whether to accept a request that is answered in any case when the process
+	 * ends.
 	 * @param route the name of its route
 	 * @param allowedMillis the maximum duration of the request, in milliseconds
 	 * @return whether the request is expected to end before the process does
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/request/ShutdownAdmissionTests.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/request/ShutdownAdmissionTests.java
@@ -38,6 +38,20 @@
 		assertThat(this.admission.admits("quick", 1)).as("after the end").isFalse();
 	}
 
+	@Test
+	void lateStreamsAreNotAcceptedByAnEstimate() {
+		// A stream that ran longer than the recent ones of its route was cut.
+		this.admission.onServed("stream", 30);
+		assertThat(this.admission.admitsStream("stream", 10_000)).isTrue();
+		this.admission.begin(this.clock.millis() + 7_800);
+		this.clock.advance(2_900);
+		assertThat(this.admission.admitsStream("stream", 10_000)).as("by an estimate").isTrue();
+		this.clock.advance(200);
+		assertThat(this.admission.admitsStream("stream", 10_000)).isFalse();
+		assertThat(this.admission.admitsStream("stream", 4_700)).as("with a limit before the end").isTrue();
+		assertThat(this.admission.admits("stream", 10_000)).as("other requests").isTrue();
+	}
+
 	@Test
 	void durationsFollowThePresentLoad() {
 		this.admission.onServed("route", 3_000);
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/CallerRequestHandler.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/CallerRequestHandler.java
@@ -147,7 +147,8 @@
 				reject(responder, head, 401, "unknown-key", table);
 				return;
 			}
-			if (isAdmitted(head, SUBMISSION_CALLS, SUBMISSION_CALL_MILLIS, responder)) {
+			if (refuseUnless(this.shutdownAdmission.admits(SUBMISSION_CALLS, SUBMISSION_CALL_MILLIS), head,
+					responder)) {
 				this.submissionHandler.handleCall(submissionCall, head, workspace.get(), responder);
 				this.shutdownAdmission.onServed(SUBMISSION_CALLS, this.clock.millis() - startMillis);
 			}
@@ -164,7 +165,8 @@
 			return;
 		}
 		if (route.get().kind() == RouteKind.SUBMISSION) {
-			if (isAdmitted(head, SUBMISSION_CALLS, SUBMISSION_CALL_MILLIS, responder)) {
+			if (refuseUnless(this.shutdownAdmission.admits(SUBMISSION_CALLS, SUBMISSION_CALL_MILLIS), head,
+					responder)) {
 				this.submissionHandler.accept(head, workspace.get(), route.get(), body, responder);
 				this.shutdownAdmission.onServed(SUBMISSION_CALLS, this.clock.millis() - startMillis);
 			}
@@ -172,18 +174,20 @@
 		}
 		long allowedMillis = Math.min(Math.min(head.remainingMillis(), route.get().timeoutMillis()),
 				MAX_REQUEST_MILLIS);
-		if (isAdmitted(head, route.get().name(), allowedMillis, responder)) {
+		boolean admitted = (route.get().kind() == RouteKind.EVENT_STREAM)
+				? this.shutdownAdmission.admitsStream(route.get().name(), allowedMillis)
+				: this.shutdownAdmission.admits(route.get().name(), allowedMillis);
+		if (refuseUnless(admitted, head, responder)) {
 			relay(head, route.get(), workspace.get(), body, startMillis, allowedMillis, responder);
 		}
 	}
 
-	private boolean isAdmitted(CallerRequest head, String route, long allowedMillis, HttpListener.Responder responder)
+	private boolean refuseUnless(boolean admitted, CallerRequest head, HttpListener.Responder responder)
 			throws HttpException, IOException {
-		if (this.shutdownAdmission.admits(route, allowedMillis)) {
-			return true;
+		if (!admitted) {
+			refuse(responder, head, "leaving", LEAVING_RETRY_AFTER_MILLIS);
 		}
-		refuse(responder, head, "leaving", LEAVING_RETRY_AFTER_MILLIS);
-		return false;
+		return admitted;
 	}
 
 	private void relay(CallerRequest head, RouteRule route, String workspace, byte[] body, long startMillis,
