Watch from the revision of the first page of a list

A host did not learn of an endpoint that registered while the host read a list of several pages, and kept using one that left meanwhile, until it listed again for another reason.

Cause: each page shows the store as it is when that page is read, and the watch began at the revision of the last one. A change of an earlier page was neither in the list nor in the watch.

The watch begins at the revision of the first page now; changes that a later page shows already are ignored by their versions. Ruled out, by a thread dump and the log of the host in which it was seen: the watch fails, or the host is still busy with the list.

KindWatcherTests.changeOfAnObjectWhosePageWasReadIsNotMissed failed on the code before (revision 3 instead of 2) and passes.

--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/version/KindWatcher.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/version/KindWatcher.java
@@ -275,22 +275,26 @@
 		return true;
 	}
 
+	// Returns the revision of the first page, as objects of a page may change while the
+	// following pages are read.
 	private Either<StoreFailure, Long> list() {
 		Map<String, StoredObject> found = new HashMap<>();
 		String after = "";
+		long firstRevision = 0;
 		while (true) {
 			Either<StoreFailure, WatchableStore.Page> page = this.store.listPage(this.kind, after);
 			if (page.isLeft()) {
 				return Either.left(page.getLeft());
 			}
 			onStoreSuccess();
+			firstRevision = after.isEmpty() ? page.get().revision() : firstRevision;
 			for (StoredObject object : page.get().objects()) {
 				found.put(object.key(), object);
 				after = object.key().substring(object.key().indexOf('/') + 1);
 			}
 			if (!page.get().more() || page.get().objects().isEmpty()) {
-				reconcile(found, page.get().revision());
-				return Either.right(page.get().revision());
+				reconcile(found, firstRevision);
+				return Either.right(firstRevision);
 			}
 		}
 	}
--- a/bamboorelay-host/src/test/java/org/bamboorelay/host/version/KindWatcherTests.java
+++ b/bamboorelay-host/src/test/java/org/bamboorelay/host/version/KindWatcherTests.java
@@ -2,7 +2,6 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
@@ -117,6 +116,20 @@
 		awaitCondition(() -> this.seen.contains("a@7"));
 	}
 
+	@Test
+	void changeOfAnObjectWhosePageWasReadIsNotMissed() {
+		// An endpoint that came while the last page was read was unknown until the next
+		// listing, as the watch began at the revision of that page.
+		this.store.maxPageObjects(1);
+		this.store.put("a", 1);
+		this.store.put("b", 2);
+		this.store.beforePage("a", () -> this.store.put("a", 3));
+		startWatcher();
+		awaitCondition(() -> this.store.lastSince() > 0);
+		assertThat(this.seen).containsExactly("a@1", "b@2");
+		assertThat(this.store.lastSince()).isEqualTo(2);
+	}
+
 	private void startWatcher() {
 		Thread thread = new Thread(this.watcher);
 		thread.setDaemon(true);
@@ -140,8 +153,17 @@
 
 		private final Deque<Either<StoreFailure, Changes>> responses = new ArrayDeque<>();
 
+		private int maxPageObjects = Integer.MAX_VALUE;
+
+		private String triggeringPage = "";
+
+		private Runnable beforePage = () -> {
+		};
+
 		private int listCalls;
 
+		private long lastSince;
+
 		private long revision = 1;
 
 		static StoredObject object(String name, long version) {
@@ -162,6 +184,21 @@
 			notifyAll();
 		}
 
+		synchronized void maxPageObjects(int count) {
+			this.maxPageObjects = count;
+		}
+
+		// Runs an action before the page after an object is listed.
+		synchronized void beforePage(String after, Runnable action) {
+			this.triggeringPage = after;
+			this.beforePage = action;
+		}
+
+		// Returns the revision from which the last watch call started, or 0.
+		synchronized long lastSince() {
+			return this.lastSince;
+		}
+
 		synchronized int listCalls() {
 			return this.listCalls;
 		}
@@ -169,11 +206,21 @@
 		@Override
 		public synchronized Either<StoreFailure, Page> listPage(String kind, String after) {
 			this.listCalls++;
-			return Either.right(new Page(new ArrayList<>(this.objects.values()), false, this.revision));
+			if (!after.isEmpty() && after.equals(this.triggeringPage)) {
+				this.beforePage.run();
+			}
+			List<StoredObject> following = this.objects.entrySet()
+				.stream()
+				.filter((entry) -> entry.getKey().compareTo(after) > 0)
+				.map(Map.Entry::getValue)
+				.toList();
+			int count = Math.min(this.maxPageObjects, following.size());
+			return Either.right(new Page(following.subList(0, count), count < following.size(), this.revision));
 		}
 
 		@Override
 		public synchronized Either<StoreFailure, Changes> awaitChanges(String kind, long since, long waitMillis) {
+			this.lastSince = since;
 			while (this.responses.isEmpty()) {
 				try {
 					wait();
