Apply lists of the store page by page

A host that started ended (OutOfMemoryError, code 70), each time anew, while another writer kept 120 entries of the maximum size among those of the endpoints.

Cause: KindWatcher kept all objects of a list until the last page was read, and a response was parsed into one tree, which occupies many times its length.

Objects that are gone are removed after the last page, as before.

OddEntryTests.hostsFollowTheOthersBesideManyLargeEntries failed on (the process ended with OutOfMemoryError) and passes.

--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/version/KindWatcher.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/version/KindWatcher.java
@@ -3,9 +3,11 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -275,10 +277,12 @@
 		return true;
 	}
 
-	// Returns the revision of the first page, as objects of a page may change while the
-	// following pages are read.
+	// Applies each page before the next one is read, as all objects together may occupy
+	// more memory than the process has. Returns the revision of the first page, as
+	// objects
+	// of a page may change while the following pages are read.
 	private Either<StoreFailure, Long> list() {
-		Map<String, StoredObject> found = new HashMap<>();
+		Set<String> found = new HashSet<>();
 		String after = "";
 		long firstRevision = 0;
 		while (true) {
@@ -288,36 +292,44 @@
 			}
 			onStoreSuccess();
 			firstRevision = after.isEmpty() ? page.get().revision() : firstRevision;
+			List<PeerMessage.RelayedObject> missedChanges = new ArrayList<>();
 			for (StoredObject object : page.get().objects()) {
-				found.put(object.key(), object);
+				found.add(object.key());
 				after = object.key().substring(object.key().indexOf('/') + 1);
+				Long known = this.versions.get(object.key());
+				if (known == null || known < object.version()) {
+					missedChanges
+						.add(new PeerMessage.RelayedObject(object.key(), object.version(), object.body(), false));
+					apply(object, false);
+				}
 			}
-			if (!page.get().more() || page.get().objects().isEmpty()) {
-				reconcile(found, firstRevision);
+			boolean complete = !page.get().more() || page.get().objects().isEmpty();
+			if (complete) {
+				missedChanges.addAll(removeMissing(found));
+			}
+			relayMissedChanges(missedChanges, complete ? firstRevision : 0);
+			if (complete) {
 				return Either.right(firstRevision);
 			}
 		}
 	}
 
-	// Changes that the watch missed before it failed are relayed too, as the listening
-	// hosts relied on that watch.
-	private void reconcile(Map<String, StoredObject> found, long listRevision) {
-		List<PeerMessage.RelayedObject> missedChanges = new ArrayList<>();
+	private List<PeerMessage.RelayedObject> removeMissing(Set<String> found) {
+		List<PeerMessage.RelayedObject> removedObjects = new ArrayList<>();
 		Map.copyOf(this.versions).forEach((key, version) -> {
-			if (!found.containsKey(key)) {
-				missedChanges.add(new PeerMessage.RelayedObject(key, version, EMPTY_BODY, true));
+			if (!found.contains(key)) {
+				removedObjects.add(new PeerMessage.RelayedObject(key, version, EMPTY_BODY, true));
 				remove(key);
 			}
 		});
-		for (StoredObject object : found.values()) {
-			Long known = this.versions.get(object.key());
-			if (known == null || known < object.version()) {
-				missedChanges.add(new PeerMessage.RelayedObject(object.key(), object.version(), object.body(), false));
-				apply(object, false);
-			}
-		}
+		return removedObjects;
+	}
+
+	// Changes that the watch missed before it failed are relayed too, as the listening
+	// hosts relied on that watch.
+	private void relayMissedChanges(List<PeerMessage.RelayedObject> missedChanges, long completeRevision) {
 		if (this.revision > 0 && !missedChanges.isEmpty()) {
-			this.publisher.accept(new PeerMessage.ObjectChanges(this.kind, 0, listRevision, missedChanges));
+			this.publisher.accept(new PeerMessage.ObjectChanges(this.kind, 0, completeRevision, missedChanges));
 		}
 	}
 
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/request/Json.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/request/Json.java
@@ -2,10 +2,14 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
 
+import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vavr.control.Either;
 import org.bamboorelay.core.version.CoreJson;
 
@@ -56,11 +60,8 @@
 			}
 			return Either.right(value);
 		}
-		catch (JsonProcessingException ex) {
-			return Either.left(new JsonFailure(ex.getOriginalMessage()));
-		}
 		catch (IOException ex) {
-			return Either.left(new JsonFailure(String.valueOf(ex.getMessage())));
+			return Either.left(failure(ex));
 		}
 	}
 
@@ -73,4 +74,41 @@
 		return read(body, JsonNode.class);
 	}
 
+	/**
+	 * Parses an object with an array of many elements. The tree of an element may occupy
+	 * many times its length in memory, so the elements are parsed one after the other.
+	 * @param body the JSON text in UTF-8
+	 * @param array the name of the array
+	 * @param consumer receives each element of the array
+	 * @return the other properties of the object, or a failure that describes the error
+	 * in the body; elements before the error have been passed to the consumer
+	 */
+	public static Either<JsonFailure, JsonNode> forEachElement(byte[] body, String array, Consumer<JsonNode> consumer) {
+		ObjectNode others = MAPPER.createObjectNode();
+		try (JsonParser parser = MAPPER.createParser(body)) {
+			if (parser.nextToken() != JsonToken.START_OBJECT) {
+				return Either.left(new JsonFailure("the value is not an object"));
+			}
+			for (String name = parser.nextFieldName(); name != null; name = parser.nextFieldName()) {
+				if (parser.nextToken() == JsonToken.START_ARRAY && name.equals(array)) {
+					while (parser.nextToken() != JsonToken.END_ARRAY) {
+						consumer.accept(MAPPER.readTree(parser));
+					}
+				}
+				else {
+					others.set(name, MAPPER.readTree(parser));
+				}
+			}
+			return Either.right(others);
+		}
+		catch (IOException ex) {
+			return Either.left(failure(ex));
+		}
+	}
+
+	private static JsonFailure failure(IOException ex) {
+		return new JsonFailure((ex instanceof JsonProcessingException processing) ? processing.getOriginalMessage()
+				: String.valueOf(ex.getMessage()));
+	}
+
 }
