--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/version/KindWatcher.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/version/KindWatcher.java
@@ -277,9 +277,9 @@
 		return true;
 	}
 
-	// Applies each page before the next one is read, as all objects may occupy more memory
-	// than the process has. Returns the revision of the first page, as its objects may
-	// change while the following pages are read.
+	// Applies each page before the next one is read, as all objects may occupy too much
+	// memory. Returns the revision of the first page, as its objects may change while the
+	// following pages are read.
 	private Either<StoreFailure, Long> list() {
 		Set<String> found = new HashSet<>();
 		String after = "";
