Keep a link open after a message that is too large

What was seen: a host whose link to a peer had been given a message over the 4 MB of a frame sent nothing on that link any more, statuses included. The encoder's exception ended the task that sends, and the link stayed marked as busy. A response that was too large ended the call in a time-out, and on the reading thread it would have ended that thread.

Cause: PeerCodec refuses such a message with an exception that no caller expected.

PeerLink now reports the failure TooLarge, OutgoingLink logs peer-message-dropped and goes on, and a call whose response is too large is rejected at once. Receivers of changes notice the gap and list again.

Both tests failed before: no message within 10 s, no rejection within 5 s (NoResponse). They pass now, with all of HostMeshTests, KindWatcherTests and PeerCodecTests. Ruled out: the queue's limit of 200 messages, which was not reached. No run with entries and two hosts was made.

--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/OutgoingLink.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/OutgoingLink.java
@@ -192,6 +192,13 @@
 		}
 	}
 
+	// Receivers of changes notice the gap in the revisions and list the objects.
+	private void logIfTooLarge(@Nullable PeerFailure failure) {
+		if (failure instanceof PeerFailure.TooLarge) {
+			this.log.warn("peer-message-dropped", "peer", this.host, "reason", failure.detail());
+		}
+	}
+
 	private void sendQueued() {
 		while (true) {
 			PeerMessage next = this.outbound.poll();
@@ -199,7 +206,7 @@
 			// A process of an earlier release closes the link if it receives a later
 			// type.
 			if (next != null && currentLink != null && currentLink.remote().supports(next.getClass())) {
-				currentLink.send(next);
+				logIfTooLarge(currentLink.send(next));
 			}
 			if (next == null) {
 				this.sending.set(false);
--- a/bamboorelay-host/src/test/java/org/bamboorelay/host/connection/HostMeshTests.java
+++ b/bamboorelay-host/src/test/java/org/bamboorelay/host/connection/HostMeshTests.java
@@ -5,9 +5,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
@@ -18,9 +20,11 @@
 import java.util.stream.Collectors;
 
 import org.bamboorelay.core.connection.PeerMessage;
+import org.bamboorelay.core.connection.PeerProtocol;
 import org.bamboorelay.core.version.FailureDomain;
 import org.bamboorelay.core.version.HostId;
 import org.bamboorelay.host.process.EventLog;
+import org.bamboorelay.runtime.connection.PeerFailure;
 import org.bamboorelay.runtime.connection.PeerLink;
 import org.bamboorelay.runtime.connection.PeerListener;
 import org.junit.jupiter.api.AfterEach;
@@ -160,6 +164,38 @@
 		assertThat(received).containsExactly(load);
 	}
 
+	// Changes of large objects exceeded the frame limit, and the link never sent anything
+	// again.
+	@Test
+	void messageThatIsTooLargeDoesNotSilenceItsLink() throws IOException {
+		PeerMessage.ObjectChanges tooLarge = changes(PeerProtocol.MAX_FRAME_BYTES);
+		PeerMessage.ObjectChanges small = changes(10);
+		Queue<Long> received = new ConcurrentLinkedQueue<>();
+		HostMesh other = linkedMesh();
+		other.onChanges((changes) -> received.add(changes.to()));
+		this.mesh.publish(tooLarge);
+		this.mesh.publish(small);
+		awaitCondition(() -> !received.isEmpty(), TIMEOUT_MILLIS);
+		assertThat(received).containsExactly(small.to());
+	}
+
+	@Test
+	void callWhoseResponseIsTooLargeFailsAtOnce() throws IOException {
+		HostMesh other = linkedMesh();
+		PeerMessage tooLarge = new PeerMessage.StoreResponse("", "", 1, false,
+				changes(PeerProtocol.MAX_FRAME_BYTES).changes());
+		other.register(PeerMessage.StoreRequest.class, (request) -> tooLarge);
+		PeerMessage request = new PeerMessage.StoreRequest("page", "kind", "", 0, 0, new byte[0]);
+		assertThat(this.mesh.call("host-b", request, TIMEOUT_MILLIS).getLeft())
+			.isInstanceOf(PeerFailure.Rejected.class);
+	}
+
+	// Returns one change of an object with a value of the given size, in bytes.
+	private static PeerMessage.ObjectChanges changes(int valueBytes) {
+		return new PeerMessage.ObjectChanges("kind", valueBytes, valueBytes + 1L,
+				List.of(new PeerMessage.RelayedObject("kind/a", 1, new byte[valueBytes], false)));
+	}
+
 	// Returns the mesh of host-b in domain-b, linked with that of host-a in both
 	// directions.
 	private HostMesh linkedMesh() throws IOException {
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/PeerCodec.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/PeerCodec.java
@@ -35,6 +35,8 @@
 	 * negated number of the request for its response
 	 * @param message the message
 	 * @return the frame
+	 * @throws IllegalArgumentException if the frame exceeds
+	 * {@link PeerProtocol#MAX_FRAME_BYTES}
 	 */
 	public static byte[] encode(long correlation, PeerMessage message) {
 		int type = PeerProtocol.TYPES.indexOf(message.getClass());
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/PeerFailure.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/PeerFailure.java
@@ -45,6 +45,18 @@
 		}
 	}
 
+	/**
+	 * The message exceeds the limit of a frame; nothing was sent and the link stays open.
+	 *
+	 * @param detail human-readable description
+	 */
+	record TooLarge(String detail) implements PeerFailure {
+		@Override
+		public String code() {
+			return "peer-message-too-large";
+		}
+	}
+
 	/**
 	 * The peer violated the protocol; the link is closed.
 	 *
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/PeerLink.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/PeerLink.java
@@ -247,13 +247,22 @@
 	private void answer(long correlation, PeerMessage message) {
 		PeerMessage answer = this.handler.handle(this, message);
 		if (correlation > 0) {
-			write(-correlation,
+			PeerFailure failure = write(-correlation,
 					(answer != null) ? answer : new PeerMessage.Rejected("no-answer", "the message has no answer"));
+			if (failure instanceof PeerFailure.TooLarge) {
+				write(-correlation, new PeerMessage.Rejected(failure.code(), failure.detail()));
+			}
 		}
 	}
 
 	private @Nullable PeerFailure write(long correlation, PeerMessage message) {
-		byte[] frame = PeerCodec.encode(correlation, message);
+		byte[] frame;
+		try {
+			frame = PeerCodec.encode(correlation, message);
+		}
+		catch (IllegalArgumentException ex) {
+			return new PeerFailure.TooLarge(message.getClass().getSimpleName() + ": " + ex.getMessage());
+		}
 		try {
 			synchronized (this.out) {
 				this.out.write(frame);
