--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -122,6 +122,8 @@
 
 	private final HostSettings settings;
 
+	private final HostOptions options;
+
 	private final PeerFallbackStore store;
 
 	private final DirectoryFormat format;
@@ -203,6 +205,7 @@
 	/**
 	 * Creates a process that is not started yet.
 	 * @param settings the settings of the process
+	 * @param options the options of the operator
 	 * @param store the platform's store
 	 * @param pool the connections to endpoints
 	 * @param format decodes the platform's objects
@@ -210,9 +213,10 @@
 	 * @param endpoints encodes requests to endpoints and decodes their responses
 	 * @param calls sends the calls of duties
 	 */
-	public HostProcess(HostSettings settings, WatchableStore store, HttpConnectionPool pool, DirectoryFormat format,
-			CallerProtocol callers, EndpointProtocol endpoints, PlatformCalls calls) {
+	public HostProcess(HostSettings settings, HostOptions options, WatchableStore store, HttpConnectionPool pool,
+			DirectoryFormat format, CallerProtocol callers, EndpointProtocol endpoints, PlatformCalls calls) {
 		this.settings = Objects.requireNonNull(settings, "settings");
+		this.options = Objects.requireNonNull(options, "options");
 		this.format = Objects.requireNonNull(format, "format");
 		this.incarnation = Long.toHexString(System.currentTimeMillis()) + "-"
 				+ Integer.toHexString(ThreadLocalRandom.current().nextInt());
@@ -268,7 +272,7 @@
 	 */
 	public void start() throws IOException {
 		this.log.info("process-starting", "host", this.settings.host(), "domain", this.settings.domain(), "incarnation",
-				this.incarnation);
+				this.incarnation, "options", this.options.toString());
 		this.mesh.onStatus((host, status) -> {
 			this.table.peerLoad(host, status.running());
 			this.table.leaving(status.leavingEndpoints());
