Encode messages to many hosts once, and bound what waits on links

The encoded bytes are shared by the links now.

Hosts that lose the store called it through the first other host by name, so that one host served all of them. Each host prefers another one now, and a host that serves too many such calls at once rejects further ones before it makes them.

--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/HostMesh.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/HostMesh.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -16,14 +17,17 @@
 import java.util.function.Supplier;
 
 import io.vavr.control.Either;
+import io.vavr.control.Option;
 import org.bamboorelay.core.connection.PeerMessage;
 import org.bamboorelay.core.process.HighCapacityHosts;
+import org.bamboorelay.core.process.MemoryBudget;
 import org.bamboorelay.core.process.StatusRoutes;
 import org.bamboorelay.core.process.StoreWatchers;
 import org.bamboorelay.core.time.Clock;
 import org.bamboorelay.core.version.FailureDomain;
 import org.bamboorelay.core.version.HostId;
 import org.bamboorelay.host.process.EventLog;
+import org.bamboorelay.runtime.connection.EncodedMessage;
 import org.bamboorelay.runtime.connection.PeerFailure;
 import org.bamboorelay.runtime.connection.PeerLink;
 import org.bamboorelay.runtime.connection.PeerListener;
@@ -80,6 +84,12 @@
 	 */
 	private static final long DIGEST_INTERVAL_MILLIS = 600;
 
+	/**
+	 * Divisor of the maximum heap size that gives the memory for messages that wait on
+	 * links.
+	 */
+	private static final long OUTBOUND_MEMORY_DIVISOR = 8;
+
 	private static final String DEPLOYMENT = "platform";
 
 	private static final String ROLE = "entry";
@@ -109,14 +119,18 @@
 
 	private volatile Supplier<List<? extends PeerMessage>> openingMessages = List::of;
 
+	private final MemoryBudget outboundMemory;
+
 	private volatile StatusRoutes routes;
 
 	private long nextDigestMillis;
 
 	private @Nullable PeerListener listener;
 
-	private HostMesh(PeerMessage.Hello hello, double processors, Clock clock, ExecutorService executor, EventLog log) {
+	private HostMesh(PeerMessage.Hello hello, double processors, MemoryBudget outboundMemory, Clock clock,
+			ExecutorService executor, EventLog log) {
 		this.hello = hello;
+		this.outboundMemory = outboundMemory;
 		this.processors = processors;
 		this.clock = Objects.requireNonNull(clock, "clock");
 		this.executor = Objects.requireNonNull(executor, "executor");
@@ -137,9 +151,24 @@
 	 */
 	public static HostMesh of(String host, String domain, double processors, String incarnation, Clock clock,
 			ExecutorService executor, EventLog log) {
+		return of(host, domain, processors, incarnation,
+				MemoryBudget.of(Runtime.getRuntime().maxMemory() / OUTBOUND_MEMORY_DIVISOR), clock, executor, log);
+	}
+
+	// Creates a mesh with the memory for messages that wait on its links.
+	static HostMesh of(String host, String domain, double processors, String incarnation, MemoryBudget outboundMemory,
+			Clock clock, ExecutorService executor, EventLog log) {
 		PeerMessage.Hello hello = PeerMessage.Hello.of(DEPLOYMENT, HostId.of(host), FailureDomain.of(domain), ROLE,
 				incarnation);
-		return new HostMesh(hello, processors, clock, executor, log);
+		return new HostMesh(hello, processors, outboundMemory, clock, executor, log);
+	}
+
+	/**
+	 * Returns the name of this host.
+	 * @return the name
+	 */
+	public String host() {
+		return this.hello.host().value();
 	}
 
 	/**
@@ -250,14 +279,15 @@
 	 */
 	public void sendStatus(Supplier<PeerMessage.HostStatus> status) {
 		PeerMessage.HostStatus fullStatus = status.get();
-		PeerMessage.HostStatus statusWithoutUsage = fullStatus.withoutUsage();
 		StatusRoutes currentRoutes = routes();
 		this.routes = currentRoutes;
+		List<Peer> withUsage = new ArrayList<>();
+		List<Peer> withoutUsage = new ArrayList<>();
 		for (Peer peer : this.peers.values()) {
 			if (currentRoutes.sendsTo(peer.host)) {
 				peer.link.closeIfUnacknowledged();
 				if (peer.link.isOpen()) {
-					peer.link.send(currentRoutes.needsUsageCounts(peer.host) ? fullStatus : statusWithoutUsage);
+					(currentRoutes.needsUsageCounts(peer.host) ? withUsage : withoutUsage).add(peer);
 				}
 				else {
 					peer.link.connect();
@@ -270,10 +300,11 @@
 						"silent_ms", this.clock.millis() - peer.lastStatusMillis);
 			}
 		}
+		send(fullStatus, withUsage);
+		send(fullStatus.withoutUsage(), withoutUsage);
 		if (currentRoutes.isRelay() && this.clock.millis() >= this.nextDigestMillis) {
 			this.nextDigestMillis = this.clock.millis() + DIGEST_INTERVAL_MILLIS;
-			PeerMessage.StatusDigest digest = digest();
-			this.peers.values().stream().filter((peer) -> peer.link.isOpen()).forEach((peer) -> peer.link.send(digest));
+			send(digest(), this.peers.values().stream().filter((peer) -> peer.link.isOpen()).toList());
 		}
 	}
 
@@ -422,10 +453,11 @@
 	 * @param message the message
 	 */
 	public void publish(PeerMessage message) {
-		this.peers.values()
-			.stream()
-			.filter((peer) -> this.clock.millis() - peer.lastStatusMillis < WATCHER_TIMEOUT_MILLIS)
-			.forEach((peer) -> peer.link.send(message));
+		send(message,
+				this.peers.values()
+					.stream()
+					.filter((peer) -> this.clock.millis() - peer.lastStatusMillis < WATCHER_TIMEOUT_MILLIS)
+					.toList());
 	}
 
 	/**
@@ -510,6 +542,47 @@
 		this.peers.values().forEach((peer) -> peer.link.close());
 	}
 
+	// Encodes a message once for all links. Receivers of changes that are dropped notice
+	// the gap in the revisions and list the objects.
+	private void send(PeerMessage message, List<Peer> receivers) {
+		if (receivers.isEmpty()) {
+			return;
+		}
+		Either<PeerFailure.TooLarge, EncodedMessage> encoded = EncodedMessage.of(message);
+		if (encoded.isLeft()) {
+			this.log.warn("peer-message-dropped", "receivers", receivers.size(), "reason", encoded.getLeft().detail());
+			return;
+		}
+		Option<OutboundMessage> outbound = OutboundMessage.of(encoded.get(), this.outboundMemory)
+			.orElse(() -> reserveInsteadOfSlowestLinks(encoded.get()));
+		if (outbound.isEmpty()) {
+			this.log.warn("peer-message-dropped", "receivers", receivers.size(), "reason",
+					"the memory for messages is exhausted", "bytes", encoded.get().sizeBytes());
+			return;
+		}
+		try (OutboundMessage shared = outbound.get()) {
+			receivers.forEach((peer) -> peer.link.send(shared));
+		}
+	}
+
+	// Links that are behind more than the others hold messages that those have sent.
+	private Option<OutboundMessage> reserveInsteadOfSlowestLinks(EncodedMessage message) {
+		List<OutgoingLink> behind = this.peers.values()
+			.stream()
+			.map((peer) -> peer.link)
+			.filter((link) -> link.outboundBytes() > 0)
+			.sorted(Comparator.comparingLong(OutgoingLink::outboundBytes).reversed())
+			.toList();
+		for (OutgoingLink link : behind) {
+			link.discardQueued();
+			Option<OutboundMessage> outbound = OutboundMessage.of(message, this.outboundMemory);
+			if (outbound.isDefined()) {
+				return outbound;
+			}
+		}
+		return Option.none();
+	}
+
 	private boolean isSilent(Peer peer) {
 		long relayMillis = (peer.lastStatusMillis > peer.lastDirectStatusMillis) ? DIGEST_INTERVAL_MILLIS : 0;
 		return this.clock.millis() - peer.lastStatusMillis >= TAKEOVER_SILENCE_MILLIS + relayMillis;
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/OutgoingLink.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/OutgoingLink.java
@@ -5,10 +5,12 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
 
 import io.vavr.control.Either;
 import org.bamboorelay.core.connection.PeerMessage;
+import org.bamboorelay.core.connection.PeerProtocol;
 import org.bamboorelay.core.time.Clock;
 import org.bamboorelay.host.process.EventLog;
 import org.bamboorelay.runtime.connection.PeerFailure;
@@ -26,6 +28,12 @@
 	/** Maximum number of queued messages; a link that falls further behind is closed. */
 	private static final int MAX_OUTBOUND_MESSAGES = 200;
 
+	/**
+	 * Maximum size of the queued messages, in bytes: one message of the maximum size and
+	 * several pages of a list of the store.
+	 */
+	private static final long MAX_OUTBOUND_BYTES = 2L * PeerProtocol.MAX_FRAME_BYTES;
+
 	/**
 	 * Time without an acknowledgement of a status after which the link is replaced, in
 	 * milliseconds: a stalled connection reports no error.
@@ -47,7 +55,9 @@
 
 	private final EventLog log;
 
-	private final Queue<PeerMessage> outbound = new ConcurrentLinkedQueue<>();
+	private final Queue<OutboundMessage> outbound = new ConcurrentLinkedQueue<>();
+
+	private final AtomicLong outboundBytes = new AtomicLong();
 
 	private final AtomicBoolean sending = new AtomicBoolean();
 
@@ -97,20 +107,43 @@
 	 * Sends a message without blocking. A link whose remote end does not read blocks the
 	 * writing thread, which must be neither the thread that watches the store nor the one
 	 * that sends statuses.
-	 * @param message the message; dropped if the link is not open
+	 * @param message the message, which the link holds until it was sent; dropped if the
+	 * link is not open
 	 */
-	void send(PeerMessage message) {
-		if (this.outbound.size() >= MAX_OUTBOUND_MESSAGES) {
-			close();
-			this.outbound.clear();
+	void send(OutboundMessage message) {
+		int sizeBytes = message.message().sizeBytes();
+		if (this.outbound.size() >= MAX_OUTBOUND_MESSAGES
+				|| this.outboundBytes.get() + sizeBytes > MAX_OUTBOUND_BYTES) {
+			discardQueued();
 			return;
 		}
-		this.outbound.add(message);
+		this.outboundBytes.addAndGet(sizeBytes);
+		this.outbound.add(message.retain());
 		if (this.sending.compareAndSet(false, true)) {
 			this.executor.execute(this::sendQueued);
 		}
 	}
 
+	/**
+	 * Returns the size of the messages that wait on this link or are being sent.
+	 * @return the number of bytes
+	 */
+	long outboundBytes() {
+		return this.outboundBytes.get();
+	}
+
+	/**
+	 * Closes the link and drops the messages that wait on it.
+	 */
+	void discardQueued() {
+		this.log.info("peer-link-behind", "peer", this.host, "messages", this.outbound.size(), "bytes",
+				this.outboundBytes.get());
+		close();
+		for (OutboundMessage next = this.outbound.poll(); next != null; next = this.outbound.poll()) {
+			release(next);
+		}
+	}
+
 	/**
 	 * Sends a request and waits for the response.
 	 * @param message the request
@@ -192,23 +225,24 @@
 		}
 	}
 
-	// Receivers of changes notice the gap in the revisions and list the objects.
-	private void logIfTooLarge(@Nullable PeerFailure failure) {
-		if (failure instanceof PeerFailure.TooLarge) {
-			this.log.warn("peer-message-dropped", "peer", this.host, "reason", failure.detail());
-		}
+	private void release(OutboundMessage message) {
+		this.outboundBytes.addAndGet(-message.message().sizeBytes());
+		message.close();
 	}
 
 	private void sendQueued() {
 		while (true) {
-			PeerMessage next = this.outbound.poll();
-			PeerLink currentLink = this.link;
-			// A process of an earlier release closes the link if it receives a later
-			// type.
-			if (next != null && currentLink != null && currentLink.remote().supports(next.getClass())) {
-				logIfTooLarge(currentLink.send(next));
+			OutboundMessage next = this.outbound.poll();
+			if (next != null) {
+				PeerLink currentLink = this.link;
+				// A process of an earlier release closes the link if it receives a later
+				// type.
+				if (currentLink != null && currentLink.remote().supports(next.message().type())) {
+					currentLink.send(next.message());
+				}
+				release(next);
 			}
-			if (next == null) {
+			else {
 				this.sending.set(false);
 				if (this.outbound.isEmpty() || !this.sending.compareAndSet(false, true)) {
 					return;
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/version/PeerFallbackStore.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/version/PeerFallbackStore.java
@@ -9,10 +9,13 @@
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import org.bamboorelay.core.connection.PeerMessage;
+import org.bamboorelay.core.process.MemoryBudget;
+import org.bamboorelay.core.process.RendezvousHash;
 import org.bamboorelay.core.store.StoreFailure;
 import org.bamboorelay.core.store.StoredObject;
 import org.bamboorelay.core.store.WatchableStore;
 import org.bamboorelay.core.time.Clock;
+import org.bamboorelay.core.version.HostId;
 import org.bamboorelay.host.connection.HostMesh;
 import org.bamboorelay.host.process.EventLog;
 import org.bamboorelay.runtime.connection.PeerFailure;
@@ -41,11 +44,34 @@
 	 */
 	private static final long PEER_TIMEOUT_MILLIS = 1_500;
 
+	/** Code with which a host rejects a call that it has no memory for. */
+	private static final String BUSY = "busy";
+
+	/**
+	 * Divisor of the maximum heap size that gives the memory for calls on behalf of other
+	 * hosts.
+	 */
+	private static final long RELAY_MEMORY_DIVISOR = 6;
+
+	/**
+	 * Memory reserved for a call on behalf of another host, in bytes. An object or a page
+	 * of a list has up to 1 MB, which is held once as text and once decoded.
+	 */
+	private static final long RESPONSE_BYTES = 2 * 1_048_576;
+
+	/**
+	 * Memory reserved for a watch on behalf of another host, in bytes; most return one
+	 * change.
+	 */
+	private static final long CHANGES_BYTES = 65_536;
+
 	/** Maximum wait of a watch call through another host, in milliseconds. */
 	private static final long MAX_PEER_WAIT_MILLIS = 1_000;
 
 	private final WatchableStore direct;
 
+	private final MemoryBudget relayMemory = MemoryBudget.of(Runtime.getRuntime().maxMemory() / RELAY_MEMORY_DIVISOR);
+
 	private final HostMesh mesh;
 
 	private final Clock clock;
@@ -205,14 +231,14 @@
 	}
 
 	private Either<StoreFailure, PeerMessage.StoreResponse> callThroughPeer(PeerMessage.StoreRequest request) {
-		Set<String> hosts = this.mesh.hostsReachingStore();
+		List<String> hosts = rankedHosts(this.mesh.hostsReachingStore());
 		for (String host : hosts) {
 			Either<PeerFailure, PeerMessage> response = this.mesh.call(host, request,
 					request.waitMillis() + PEER_TIMEOUT_MILLIS);
 			if (response.isRight() && response.get() instanceof PeerMessage.StoreResponse result) {
 				return result.failure().isEmpty() ? Either.right(result) : Either.left(toFailure(request, result));
 			}
-			if (response.isLeft() && !(response.getLeft() instanceof PeerFailure.Unreachable)) {
+			if (response.isLeft() && !isNotMade(response.getLeft())) {
 				return Either
 					.left(new StoreFailure.OutcomeUnknown("through " + host + ": " + response.getLeft().detail()));
 			}
@@ -220,6 +246,21 @@
 		return Either.left(new StoreFailure.Unavailable("neither this host nor " + hosts + " reaches the store"));
 	}
 
+	// Each host prefers another one, so that the hosts that lose the store together do
+	// not
+	// all call through the same host.
+	private List<String> rankedHosts(Set<String> hosts) {
+		return RendezvousHash.ranked(this.mesh.host(), hosts.stream().map(HostId::of).toList())
+			.stream()
+			.map(HostId::value)
+			.toList();
+	}
+
+	private static boolean isNotMade(PeerFailure failure) {
+		return failure instanceof PeerFailure.Unreachable
+				|| (failure instanceof PeerFailure.Rejected rejected && rejected.code().equals(BUSY));
+	}
+
 	// Each call is billed. The kinds that contain the id of a submission are counted as
 	// one.
 	private void countCall(String call, String key) {
@@ -231,6 +272,20 @@
 	}
 
 	private PeerMessage respond(PeerMessage.StoreRequest request) {
+		long reservedBytes = request.operation().equals(WATCH_OPERATION) ? CHANGES_BYTES : RESPONSE_BYTES;
+		if (!this.relayMemory.reserve(reservedBytes)) {
+			this.counters.counter("store_calls_for_peers_refused_total").inc();
+			return new PeerMessage.Rejected(BUSY, "calls for other hosts use all memory reserved for them");
+		}
+		try {
+			return callFor(request);
+		}
+		finally {
+			this.relayMemory.release(reservedBytes);
+		}
+	}
+
+	private PeerMessage callFor(PeerMessage.StoreRequest request) {
 		countCall(request.operation(), request.key());
 		return switch (request.operation()) {
 			case "read" -> encode(this.direct.read(request.key()), (found) -> respond(0, false,
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/PeerLink.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/PeerLink.java
@@ -167,6 +167,15 @@
 		return write(0, message);
 	}
 
+	/**
+	 * Sends a one-way message that is already encoded.
+	 * @param message the message
+	 * @return the failure, or null if the message was passed to the network
+	 */
+	public @Nullable PeerFailure send(EncodedMessage message) {
+		return write(message.frame());
+	}
+
 	/**
 	 * Sends a request and waits for its response.
 	 * @param message the request
@@ -263,6 +272,10 @@
 		catch (IllegalArgumentException ex) {
 			return new PeerFailure.TooLarge(message.getClass().getSimpleName() + ": " + ex.getMessage());
 		}
+		return write(frame);
+	}
+
+	private @Nullable PeerFailure write(byte[] frame) {
 		try {
 			synchronized (this.out) {
 				this.out.write(frame);
