--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/HostMesh.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/HostMesh.java
@@ -570,7 +570,7 @@
 		List<OutgoingLink> behind = this.peers.values()
 			.stream()
 			.map((peer) -> peer.link)
-			.filter((link) -> link.outboundBytes() > 0)
+			.filter(OutgoingLink::hasQueued)
 			.sorted(Comparator.comparingLong(OutgoingLink::outboundBytes).reversed())
 			.toList();
 		for (OutgoingLink link : behind) {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/OutgoingLink.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/OutgoingLink.java
@@ -132,6 +132,14 @@
 		return this.outboundBytes.get();
 	}
 
+	/**
+	 * Returns whether messages wait behind the one that is being sent.
+	 * @return whether the link is behind
+	 */
+	boolean hasQueued() {
+		return !this.outbound.isEmpty();
+	}
+
 	/**
 	 * Closes the link and drops the messages that wait on it.
 	 */
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/version/PeerFallbackStore.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/version/PeerFallbackStore.java
@@ -258,7 +258,7 @@
 
 	private static boolean isNotMade(PeerFailure failure) {
 		return failure instanceof PeerFailure.Unreachable
-				|| (failure instanceof PeerFailure.Rejected rejected && rejected.code().equals(BUSY));
+				|| (failure instanceof PeerFailure.Rejected rejected && rejected.reason().equals(BUSY));
 	}
 
 	// Each call is billed. The kinds that contain the id of a submission are counted as
