Keep no message buffers for each thread

Each thread that decoded a message of another host kept its last frame and a buffer of the size of its largest message, and each thread that wrote JSON kept blocks of up to 128 kB. A host on the first of the two new deployments had 361 threads and 45 MB of byte arrays after a collection, of which texts, results and prompts were 4 MB; such hosts ended with an OutOfMemoryError. Decoders reuse nothing across messages now, and at most 16 unused sets of buffers are kept.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/version/CoreJson.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/version/CoreJson.java
@@ -4,7 +4,9 @@
 import java.io.UncheckedIOException;
 
 import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.util.JsonRecyclerPools;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.PropertyNamingStrategies;
@@ -20,7 +22,15 @@
  */
 public final class CoreJson {
 
-	private static final ObjectMapper MAPPER = JsonMapper.builder()
+	/**
+	 * Maximum number of unused sets of buffers that the mapper keeps. By default each
+	 * thread keeps one, with blocks of up to 128 kB after large values, which exhausted
+	 * the heap of hosts with several hundred threads.
+	 */
+	private static final int MAX_UNUSED_BUFFERS = 16;
+
+	private static final ObjectMapper MAPPER = JsonMapper
+		.builder(JsonFactory.builder().recyclerPool(JsonRecyclerPools.newBoundedPool(MAX_UNUSED_BUFFERS)).build())
 		.propertyNamingStrategy(PropertyNamingStrategies.SNAKE_CASE)
 		.enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
 		.enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS)
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/PeerCodec.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/PeerCodec.java
@@ -6,11 +6,13 @@
 import java.nio.ByteBuffer;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.util.JsonRecyclerPools;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.vavr.control.Either;
 import org.bamboorelay.core.connection.PeerMessage;
 import org.bamboorelay.core.connection.PeerProtocol;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
 import org.msgpack.jackson.dataformat.MessagePackMapper;
 
 /**
@@ -22,7 +24,15 @@
  */
 public final class PeerCodec {
 
-	private static final ObjectMapper MAPPER = new MessagePackMapper();
+	/** Maximum number of unused sets of buffers that the mapper keeps. */
+	private static final int MAX_UNUSED_BUFFERS = 16;
+
+	// With reuse, each thread keeps the last frame that it decoded and a buffer of the
+	// size of its largest message. A host has a reading thread for each link.
+	private static final ObjectMapper MAPPER = new MessagePackMapper(
+			(MessagePackFactory) new MessagePackFactory().setReuseResourceInParser(false)
+				.setReuseResourceInGenerator(false)
+				.setRecyclerPool(JsonRecyclerPools.newBoundedPool(MAX_UNUSED_BUFFERS)));
 
 	private static final int LENGTH_BYTES = 4;
 
