Read changes of the store in batches

A watch call returned for each single change of an endpoint's entry, was billed, and its change was relayed to all hosts. After a call with changes the watch pauses for 250 ms, except for weight versions, whose trainers wait for the effect.

--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/version/KindWatcher.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/version/KindWatcher.java
@@ -34,6 +34,14 @@
  */
 public final class KindWatcher implements Runnable {
 
+	/**
+	 * Pause after a watch call that returned changes of a kind with many writers, in
+	 * milliseconds, so that the next call returns several changes. Each call is billed,
+	 * and its changes are relayed to all hosts; the time bounds for changes are 2 s and
+	 * more.
+	 */
+	static final long CHANGE_PAUSE_MILLIS = 250;
+
 	/**
 	 * Maximum wait of one watch call for a kind that must be current, in milliseconds. A
 	 * call that waits through an outage of the store may miss changes, and hosts must
@@ -95,6 +103,8 @@
 
 	private final long waitMillis;
 
+	private final long changePauseMillis;
+
 	private final Listener listener;
 
 	private final BooleanSupplier watchesStore;
@@ -136,6 +146,8 @@
 		this.kind = Objects.requireNonNull(kind, "kind");
 		this.retainsExpired = retainsExpired;
 		this.waitMillis = mustBeCurrent ? MAX_CURRENT_WAIT_MILLIS : MAX_WAIT_MILLIS;
+		// The kinds that need not be current have few writers, who wait for the effect.
+		this.changePauseMillis = mustBeCurrent ? CHANGE_PAUSE_MILLIS : 0;
 		this.listener = Objects.requireNonNull(listener, "listener");
 		this.log = Objects.requireNonNull(log, "log");
 	}
@@ -274,6 +286,9 @@
 							change.object().body(), change.removed()))
 					.toList()));
 		this.relayedChanges.clear();
+		if (!changes.get().changes().isEmpty()) {
+			pause(this.changePauseMillis);
+		}
 		return true;
 	}
 
--- a/bamboorelay-host/src/test/java/org/bamboorelay/host/version/KindWatcherTests.java
+++ b/bamboorelay-host/src/test/java/org/bamboorelay/host/version/KindWatcherTests.java
@@ -72,6 +72,23 @@
 			.anyMatch((message) -> message.changes().stream().anyMatch((change) -> change.version() == 2)));
 	}
 
+	@Test
+	void watchLeavesTimeForSeveralChanges() {
+		// A watch call for each single change of many endpoints was a third of all billed
+		// calls of a host that watches the store.
+		startWatcher();
+		long startNanos = System.nanoTime();
+		for (int version = 1; version <= 4; version++) {
+			this.store.respond(Either.right(new WatchableStore.Changes(
+					List.of(new WatchableStore.Change(new StoredObject("k/a", version, new byte[0]), false)),
+					version)));
+		}
+		awaitCondition(() -> this.seen.contains("a@4"));
+		assertThat(this.seen).contains("a@4");
+		assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos))
+			.isGreaterThanOrEqualTo(3 * KindWatcher.CHANGE_PAUSE_MILLIS);
+	}
+
 	@Test
 	void objectsExpiredDuringOutageAreRetainedTemporarily() {
 		// Endpoints whose entries expired during a store outage reappeared within two
