--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
@@ -381,6 +381,32 @@
 			.count();
 	}
 
+	/**
+	 * Returns the endpoints that may take a hedged copy of a request: those that can
+	 * accept the request, are warm, limit no rate and are in no silent domain.
+	 * @param requirements the requirements of the request
+	 * @return the slots of these endpoints, and the endpoints that may not take a copy
+	 */
+	public synchronized HedgeTargets hedgeTargets(EndpointRequirements requirements) {
+		long now = this.clock.millis();
+		Set<String> excluded = new HashSet<>();
+		int slots = 0;
+		int freeSlots = 0;
+		for (EndpointState endpoint : this.endpoints.values()) {
+			EndpointEntry entry = endpoint.entry;
+			if (!isEligible(endpoint, requirements) || requirements.excluded().contains(entry.id())
+					|| this.loading.contains(entry.id()) || now < endpoint.backoffUntilMillis
+					|| now < endpoint.coldUntilMillis || isRateLimited(endpoint)
+					|| this.silentSinceMillis.containsKey(entry.domain())) {
+				excluded.add(entry.id());
+				continue;
+			}
+			slots += entry.slots();
+			freeSlots += (int) Math.max(0, entry.slots() - load(endpoint, now));
+		}
+		return new HedgeTargets(freeSlots, slots, excluded);
+	}
+
 	/**
 	 * Returns whether a service could lose an endpoint and keep half of its endpoints.
 	 * @param requirements the requirements of the request; excluded endpoints count as
@@ -745,6 +771,21 @@
 			Map<String, Long> versions, int running) {
 	}
 
+	/**
+	 * The endpoints that may take a hedged copy of a request.
+	 *
+	 * @param freeSlots their free slots
+	 * @param slots all their slots
+	 * @param excluded the other endpoints, of any service
+	 */
+	public record HedgeTargets(int freeSlots, int slots, Set<String> excluded) {
+
+		public HedgeTargets {
+			excluded = Set.copyOf(excluded);
+		}
+
+	}
+
 	private record PeerLoad(Map<String, Integer> running, long atMillis) {
 	}
 
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/version/RoutingTable.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/version/RoutingTable.java
@@ -71,6 +71,15 @@
 		return this.version;
 	}
 
+	/**
+	 * Returns whether there is a route with a name.
+	 * @param name the name of the route
+	 * @return whether a route has the name
+	 */
+	public boolean hasRoute(String name) {
+		return this.routes.values().stream().flatMap(List::stream).anyMatch((route) -> route.name().equals(name));
+	}
+
 	/**
 	 * Returns the limits for callers.
 	 * @return the limits
