Send a hedged copy of a slow request to a second endpoint

A request that waits at a slow endpoint got no help until it failed. Both runs end when the caller disconnects. A score call may send its copy with its first run, within max_attempts of its route. Hosts without a table [hedging] create no thread and no state for it. Optional numbers can now be read from TOML.

--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostOptions.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostOptions.java
@@ -1,15 +1,20 @@
 package org.bamboorelay.host.process;
 
+import org.bamboorelay.core.request.HedgingSettings;
+import org.jspecify.annotations.Nullable;
+
 /**
  * Options that the operator of a deployment chooses for its hosts, read from a TOML file.
  * Each component is a table of the file and may be absent, in which case its defaults
  * apply.
  * <p>
  * Immutable and thread-safe.
+ *
+ * @param hedging the options for hedged requests; null if requests are not hedged
  */
-public record HostOptions() {
+public record HostOptions(@Nullable HedgingSettings hedging) {
 
 	/** The options of a host without a file. */
-	public static final HostOptions DEFAULTS = new HostOptions();
+	public static final HostOptions DEFAULTS = new HostOptions(null);
 
 }
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -31,6 +31,8 @@
 import org.bamboorelay.core.process.LeaseState;
 import org.bamboorelay.core.process.PoisonRequestDetector;
 import org.bamboorelay.core.process.WeightLoadScheduler;
+import org.bamboorelay.core.request.HedgingPolicy;
+import org.bamboorelay.core.request.HedgingSettings;
 import org.bamboorelay.core.request.ItemOrder;
 import org.bamboorelay.core.request.RequestOrigin;
 import org.bamboorelay.core.request.ShutdownAdmission;
@@ -49,6 +51,7 @@
 import org.bamboorelay.host.request.CallerRequestHandler;
 import org.bamboorelay.host.request.EndpointClient;
 import org.bamboorelay.host.request.EndpointNotices;
+import org.bamboorelay.host.request.HedgedCalls;
 import org.bamboorelay.host.request.ItemRunner;
 import org.bamboorelay.host.request.PoisonGuard;
 import org.bamboorelay.host.request.RateSlots;
@@ -164,6 +167,8 @@
 
 	private final UsageMeter usage;
 
+	private final @Nullable HedgedCalls hedgedCalls;
+
 	private final SubmissionRunner runner;
 
 	private final SubmissionDirectory directory;
@@ -246,8 +251,13 @@
 		RateSlots rateSlots = new RateSlots(settings.host(), this.table, this.mesh, this.clock, this.counters,
 				this.log);
 		registerRateMessages(rateSlots);
+		HedgingSettings hedging = options.hedging();
+		this.hedgedCalls = (hedging != null && hedging.budget() > 0)
+				? new HedgedCalls(HedgingPolicy.of(hedging, this.clock), this.table, poisonGuard,
+						this.shutdownAdmission, this.clock, this.counters, this.log)
+				: null;
 		EndpointClient endpointClient = EndpointClient.of(this.table, rateSlots, poisonGuard, notices, endpoints, pool,
-				this.clock, this.counters, this.log);
+				this.clock, this.counters, this.log, this.hedgedCalls);
 		ItemRunner itemRunner = new ItemRunner(this.table, notices, endpoints, pool, endpointClient, this.routing::get,
 				this.clock, this.counters, this.log);
 		SubmissionStore submissions = SubmissionStore.of(this.store);
@@ -390,6 +400,9 @@
 		this.duties.shutDown(0);
 		this.runner.close();
 		this.mesh.close();
+		if (this.hedgedCalls != null) {
+			this.hedgedCalls.close();
+		}
 		this.listeners.forEach(HttpListener::close);
 		this.watchersByKind.values().forEach(KindWatcher::close);
 		this.executor.shutdownNow();
@@ -523,6 +536,13 @@
 		this.table.services(next.services());
 		this.routing.set(next);
 		this.log.info("configuration-in-force", "version", next.version(), "revision", object.version());
+		HedgingSettings hedging = this.options.hedging();
+		if (hedging != null) {
+			List<String> unknown = hedging.routes().stream().filter((route) -> !next.hasRoute(route)).toList();
+			if (!unknown.isEmpty()) {
+				this.log.warn("hedging-routes-unknown", "routes", unknown, "configuration", next.version());
+			}
+		}
 	}
 
 	private void onEndpoint(String name, StoredObject object) {
@@ -602,6 +622,9 @@
 			this.nextStatusMillis = now + STATUS_INTERVAL_MILLIS;
 			this.mesh.sendStatus(this::status);
 			this.table.hostCount(this.mesh.liveHosts().size());
+			if (this.hedgedCalls != null) {
+				this.hedgedCalls.hostCount(this.mesh.liveHosts().size());
+			}
 		}
 		checkIsolation();
 		this.table.silentDomains(this.mesh.silentDomains());
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/CallResult.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/CallResult.java
@@ -3,12 +3,27 @@
 import java.util.Objects;
 
 import org.bamboorelay.host.connection.EndpointResponse;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Outcome of a request to a service.
  */
 public sealed interface CallResult {
 
+	/**
+	 * Combines the results of two attempts. Once an attempt may have been executed, a
+	 * refusal of the other one must not be reported as "not executed".
+	 * @param earlier the result of the first attempt; null for none
+	 * @param later the result of the second attempt
+	 * @return the result to report
+	 */
+	static CallResult mostUncertain(@Nullable CallResult earlier, CallResult later) {
+		if (earlier == null || later instanceof Responded) {
+			return later;
+		}
+		return (earlier instanceof NotRun) ? later : earlier;
+	}
+
 	/**
 	 * An endpoint sent a complete response.
 	 *
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/CallerRequestHandler.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/CallerRequestHandler.java
@@ -198,8 +198,9 @@
 		try (CallerMonitor.MonitoredRequest monitoredRequest = this.callerMonitor.monitor(responder)) {
 			ServiceRequest serviceRequest = new ServiceRequest(RequestOrigin.CALLER, head.id(), head.method(),
 					head.host(), head.path(), head.forwardedHeaders(), body, workspace.isEmpty() ? null : workspace,
-					route.service(Math.random()), idempotent, route.maxAttempts(), deadlineMillis,
-					monitoredRequest::onAbort);
+					route.name(), route.service(Math.random()), idempotent, route.maxAttempts(), route.maxAttempts(),
+					deadlineMillis, monitoredRequest::onAbort,
+					() -> this.usageMeter.count(workspace, System.currentTimeMillis()));
 			if (route.kind() == RouteKind.EVENT_STREAM) {
 				if (this.streamRelay.relay(serviceRequest, route.goalMillis(), monitoredRequest, responder)) {
 					this.shutdownAdmission.onServed(route.name(), this.clock.millis() - startMillis);
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointClient.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointClient.java
@@ -66,8 +66,11 @@
 
 	private final EventLog log;
 
+	private final @Nullable HedgedCalls hedgedCalls;
+
 	private EndpointClient(EndpointTable table, RateSlots rateSlots, PoisonGuard poisonGuard, EndpointNotices notices,
-			EndpointProtocol protocol, HttpConnectionPool pool, Clock clock, Counters counters, EventLog log) {
+			EndpointProtocol protocol, HttpConnectionPool pool, Clock clock, Counters counters, EventLog log,
+			@Nullable HedgedCalls hedgedCalls) {
 		this.table = Objects.requireNonNull(table, "table");
 		this.poisonGuard = Objects.requireNonNull(poisonGuard, "poisonGuard");
 		this.notices = Objects.requireNonNull(notices, "notices");
@@ -76,6 +79,7 @@
 		this.clock = Objects.requireNonNull(clock, "clock");
 		this.counters = Objects.requireNonNull(counters, "counters");
 		this.log = Objects.requireNonNull(log, "log");
+		this.hedgedCalls = hedgedCalls;
 		this.acquirer = new EndpointAcquirer(table, rateSlots, clock);
 	}
 
@@ -90,12 +94,14 @@
 	 * @param clock the monotonic clock of the process
 	 * @param counters the metrics of the process
 	 * @param log the log of the process
+	 * @param hedgedCalls sends copies of slow requests; null if requests are not hedged
 	 * @return the client
 	 */
 	public static EndpointClient of(EndpointTable table, RateSlots rateSlots, PoisonGuard poisonGuard,
 			EndpointNotices notices, EndpointProtocol protocol, HttpConnectionPool pool, Clock clock, Counters counters,
-			EventLog log) {
-		return new EndpointClient(table, rateSlots, poisonGuard, notices, protocol, pool, clock, counters, log);
+			EventLog log, @Nullable HedgedCalls hedgedCalls) {
+		return new EndpointClient(table, rateSlots, poisonGuard, notices, protocol, pool, clock, counters, log,
+				hedgedCalls);
 	}
 
 	/**
@@ -106,28 +112,38 @@
 	public CallResult call(ServiceRequest request) {
 		Set<String> triedEndpoints = new HashSet<>();
 		CallResult last = null;
+		int runs = 0;
 		long waitDeadlineMillis = this.acquirer.waitDeadline(request.deadlineMillis());
+		HedgedCalls hedging = (this.hedgedCalls != null && this.hedgedCalls.begin(request)) ? this.hedgedCalls : null;
 		while (triedEndpoints.size() < request.maxAttempts()) {
 			Either<CallResult.NotRun, EndpointTable.Grant> acquired = this.poisonGuard.admit(request, triedEndpoints)
 				.flatMap((excluded) -> this.acquirer.acquire(request.origin(), request.service(), excluded,
 						waitDeadlineMillis));
 			if (acquired.isLeft()) {
-				return mostUncertain(last, acquired.getLeft());
+				return CallResult.mostUncertain(last, acquired.getLeft());
 			}
 			EndpointTable.Grant grant = acquired.get();
 			triedEndpoints.add(grant.id());
 			long remainingMillis = request.deadlineMillis() - this.clock.millis();
 			if (remainingMillis < MIN_ATTEMPT_MILLIS) {
 				this.table.release(grant, EndpointTable.Outcome.ABANDONED);
-				return mostUncertain(last, new CallResult.NotRun("time-is-up", RETRY_AFTER_MILLIS));
+				return CallResult.mostUncertain(last, new CallResult.NotRun("time-is-up", RETRY_AFTER_MILLIS));
+			}
+			CallResult result;
+			if (hedging != null) {
+				result = hedging.call(request, grant, triedEndpoints,
+						(endpoint, observer) -> attempt(request, endpoint, observer));
+				// A request gets one copy.
+				hedging = (triedEndpoints.size() > ++runs) ? null : hedging;
+			}
+			else {
+				result = attempt(request, grant, request.onAbort()::accept);
 			}
-			this.counters.counter("endpoint_requests_total", "origin", request.origin().label()).inc();
-			CallResult result = attempt(request, grant, remainingMillis);
 			if (isFinal(request, result, triedEndpoints.size())) {
 				return result;
 			}
 			this.counters.counter("endpoint_retries_total").inc();
-			last = mostUncertain(last, result);
+			last = CallResult.mostUncertain(last, result);
 		}
 		return (last != null) ? last : new CallResult.NotRun("no-attempts", RETRY_AFTER_MILLIS);
 	}
@@ -139,18 +155,11 @@
 		return result instanceof CallResult.Unknown unknown && (!request.idempotent() || unknown.timedOut());
 	}
 
-	// Once an attempt may have been executed, a later refusal must not be reported as
-	// "not executed".
-	private static CallResult mostUncertain(@Nullable CallResult earlier, CallResult later) {
-		if (earlier == null || later instanceof CallResult.Responded) {
-			return later;
-		}
-		return (earlier instanceof CallResult.NotRun) ? later : earlier;
-	}
-
-	private CallResult attempt(ServiceRequest request, EndpointTable.Grant grant, long remainingMillis) {
+	private CallResult attempt(ServiceRequest request, EndpointTable.Grant grant, AttemptObserver observer) {
 		EndpointTable.Outcome outcome = EndpointTable.Outcome.FAILED;
 		long start = this.clock.millis();
+		long remainingMillis = Math.max(1, request.deadlineMillis() - start);
+		this.counters.counter("endpoint_requests_total", "origin", request.origin().label()).inc();
 		boolean suspect = this.poisonGuard.onSent(request, grant);
 		try {
 			EndpointRequest call = new EndpointRequest(request.id(), request.method(), request.host(), request.path(),
@@ -162,22 +171,23 @@
 						.withTotalTimeoutMillis(remainingMillis)
 						.withReusedHeadTimeoutMillis(Math.max(MIN_REUSED_CONNECTION_WAIT_MILLIS,
 								(long) (remainingMillis * REUSED_CONNECTION_WAIT_SHARE))),
-					request.onAbort());
+					observer::onConnected);
 			if (result.isLeft()) {
 				if (this.clock.millis() >= request.deadlineMillis()) {
 					outcome = EndpointTable.Outcome.OUT_OF_TIME;
 				}
-				return failedAttempt(request, grant, result.getLeft(), start);
+				return failedAttempt(request, grant, observer, result.getLeft(), start);
 			}
 			try (HttpExchange exchange = result.get()) {
 				EndpointResponse response = this.protocol.decodeHead(exchange.response());
 				this.notices.onResponse(grant, response);
 				if (isIdMismatch(response, request.id())) {
 					exchange.abort();
-					return failedAttempt(request, grant,
+					return failedAttempt(request, grant, observer,
 							new HttpFailure.Broken("response carries the id of another request"), start);
 				}
 				Either<HttpFailure, byte[]> body = exchange.readFully(HttpLimits.MAX_RESPONSE_BYTES);
+				observer.onResponseRead();
 				if (response.notExecuted()) {
 					outcome = EndpointTable.Outcome.REFUSED;
 					this.log.info("endpoint-refused", "request_id", request.id(), "endpoint", grant.id(), "status",
@@ -185,10 +195,10 @@
 					return new CallResult.NotRun("endpoint-refused", RETRY_AFTER_MILLIS);
 				}
 				if (body.isLeft()) {
-					return failedAttempt(request, grant, body.getLeft(), start);
+					return failedAttempt(request, grant, observer, body.getLeft(), start);
 				}
 				if (response.isSuccess() && response.seal() == null) {
-					return failedAttempt(request, grant,
+					return failedAttempt(request, grant, observer,
 							new HttpFailure.Broken("successful response without a server seal"), start);
 				}
 				outcome = EndpointTable.Outcome.SERVED;
@@ -198,7 +208,8 @@
 		}
 		finally {
 			this.poisonGuard.onDone(grant, suspect);
-			this.table.release(grant, outcome);
+			this.table.release(grant, (outcome != EndpointTable.Outcome.SERVED && observer.isCancelled())
+					? EndpointTable.Outcome.ABANDONED : outcome);
 		}
 	}
 
@@ -207,8 +218,14 @@
 		return (response.id() != null) ? !response.id().equals(id) : response.isSuccess();
 	}
 
-	private CallResult failedAttempt(ServiceRequest request, EndpointTable.Grant grant, HttpFailure failure,
-			long start) {
+	private CallResult failedAttempt(ServiceRequest request, EndpointTable.Grant grant, AttemptObserver observer,
+			HttpFailure failure, long start) {
+		if (observer.isCancelled()) {
+			this.log.info("endpoint-run-cancelled", "request_id", request.id(), "endpoint", grant.id(), "after_ms",
+					this.clock.millis() - start, "code", failure.code());
+			return (failure instanceof HttpFailure.NotSent) ? new CallResult.NotRun("cancelled", RETRY_AFTER_MILLIS)
+					: new CallResult.Unknown("cancelled", false);
+		}
 		this.log.info("endpoint-failed", "request_id", request.id(), "endpoint", grant.id(), "address", grant.address(),
 				"after_ms", this.clock.millis() - start, "code", failure.code(), "detail", failure.detail());
 		if (failure instanceof HttpFailure.Broken broken && broken.connectionEnded()) {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ItemRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ItemRunner.java
@@ -272,6 +272,7 @@
 	private void score(SubmissionState state, SubmissionItem item) {
 		SubmissionItem.ScoreCall score = Objects.requireNonNull(item.score());
 		int failures = 0;
+		boolean mayHaveRun = false;
 		while (!state.isEnded()) {
 			RoutingTable currentRouting = this.routing.get();
 			Option<RouteRule> route = (currentRouting != null) ? currentRouting.route(score.host(), score.path())
@@ -282,13 +283,16 @@
 				continue;
 			}
 			ServiceRequest serviceRequest = new ServiceRequest(RequestOrigin.SCORE, score.id(), "POST", score.host(),
-					score.path(), List.of(), score.body(), null, route.get().service(Math.random()), true, 1,
-					this.clock.millis() + SCORE_TIMEOUT_MILLIS, (abort) -> {
+					score.path(), List.of(), score.body(), null, route.get().name(), route.get().service(Math.random()),
+					true, 1, mayHaveRun ? 1 : route.get().maxAttempts(), this.clock.millis() + SCORE_TIMEOUT_MILLIS,
+					(abort) -> {
 						if (state.isEnded()) {
 							abort.run();
 						}
+					}, () -> {
 					});
 			CallResult result = this.endpointClient.call(serviceRequest);
+			mayHaveRun |= !(result instanceof CallResult.NotRun);
 			if (result instanceof CallResult.Responded responded) {
 				String seal = responded.response().seal();
 				if (responded.response().isSuccess() && seal != null) {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/PoisonGuard.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/PoisonGuard.java
@@ -79,6 +79,16 @@
 		return Either.right(excluded);
 	}
 
+	/**
+	 * Returns whether an endpoint crashed under a request.
+	 * @param request the request
+	 * @return whether it is a suspect
+	 */
+	boolean isSuspect(ServiceRequest request) {
+		return request.origin().isInteractive() && !this.detector.isEmpty()
+				&& this.detector.crashes(request.fingerprint()) > 0;
+	}
+
 	/**
 	 * Records that a request is sent to an endpoint. {@link #onDone} must follow.
 	 * @param request the request
@@ -86,8 +96,7 @@
 	 * @return whether the request is a suspect
 	 */
 	boolean onSent(ServiceRequest request, EndpointTable.Grant grant) {
-		boolean suspect = request.origin().isInteractive() && !this.detector.isEmpty()
-				&& this.detector.crashes(request.fingerprint()) > 0;
+		boolean suspect = isSuspect(request);
 		if (suspect) {
 			this.detector.onSuspectSent(grant.id());
 		}
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ServiceRequest.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ServiceRequest.java
@@ -25,24 +25,35 @@
  * @param headers the headers to forward to the endpoint
  * @param body the body
  * @param workspace the workspace; null for none
+ * @param route the name of the route
  * @param service the service
  * @param idempotent whether the request may be executed more than once
- * @param maxAttempts the maximum number of endpoints to send it to
+ * @param maxAttempts the maximum number of endpoints to send it to, one after another
+ * @param maxEndpoints the maximum number of endpoints to send it to if it is hedged; at
+ * least {@code maxAttempts}
  * @param deadlineMillis the deadline, in milliseconds of the monotonic clock of the
  * process
- * @param onAbort receives, for each attempt, a task that aborts the attempt
+ * @param onAbort receives, for each attempt, a task that aborts all attempts under way
+ * @param onExtraRun called if a hedged copy may have been executed besides another
+ * attempt; possibly by another thread, after the response
  */
 public record ServiceRequest(RequestOrigin origin, String id, String method, String host, String path,
-		List<Header> headers, byte[] body, @Nullable String workspace, String service, boolean idempotent,
-		int maxAttempts, long deadlineMillis, Consumer<Runnable> onAbort) {
+		List<Header> headers, byte[] body, @Nullable String workspace, String route, String service, boolean idempotent,
+		int maxAttempts, int maxEndpoints, long deadlineMillis, Consumer<Runnable> onAbort, Runnable onExtraRun) {
 
 	private static final int FINGERPRINT_BYTES = 12;
 
 	public ServiceRequest {
 		Objects.requireNonNull(origin, "origin");
 		Objects.requireNonNull(id, "id");
+		Objects.requireNonNull(route, "route");
 		Objects.requireNonNull(service, "service");
 		Objects.requireNonNull(onAbort, "onAbort");
+		Objects.requireNonNull(onExtraRun, "onExtraRun");
+		if (maxEndpoints < maxAttempts) {
+			throw new IllegalArgumentException(
+					"maxEndpoints must be at least maxAttempts " + maxAttempts + ": " + maxEndpoints);
+		}
 		headers = List.copyOf(headers);
 	}
 
--- a/bamboorelay-host/src/test/java/org/bamboorelay/host/request/SubmissionDirectoryTests.java
+++ b/bamboorelay-host/src/test/java/org/bamboorelay/host/request/SubmissionDirectoryTests.java
@@ -140,7 +140,7 @@
 		HostMesh mesh = mesh();
 		RateSlots slots = new RateSlots("host-a", table, mesh, Clock.monotonic(), counters, this.log);
 		EndpointClient caller = EndpointClient.of(table, slots, guard, notices, protocol, pool, Clock.monotonic(),
-				counters, this.log);
+				counters, this.log, null);
 		ItemRunner items = new ItemRunner(table, notices, protocol, pool, caller, () -> this.routes, Clock.monotonic(),
 				counters, this.log);
 		return new SubmissionRunner("host-a", SubmissionStore.of(this.inMemoryStore), table, slots, items,
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/version/TomlRecordChecker.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/version/TomlRecordChecker.java
@@ -120,7 +120,7 @@
 		if (raw == int.class || raw == long.class) {
 			return expect(value, value.canConvertToExactIntegral() && value.canConvertToLong(), path, "a whole number");
 		}
-		if (raw == double.class) {
+		if (raw == double.class || raw == Double.class) {
 			return expect(value, value.isNumber(), path, "a number");
 		}
 		if (raw == boolean.class) {
