Abort a run while its connection is opened

A run that lost, or whose caller had disconnected, could not be ended while its connection was being opened, up to 1 s, and the response of the winner waited for it. The pool now hands out a task that closes the socket before it connects; only hedged requests use it.

--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/AttemptObserver.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/AttemptObserver.java
@@ -6,6 +6,14 @@
 @FunctionalInterface
 interface AttemptObserver {
 
+	/**
+	 * Called before a connection to the endpoint is opened.
+	 * @param abort ends the attempt to connect; must not be run after
+	 * {@link #onConnected}
+	 */
+	default void onConnecting(Runnable abort) {
+	}
+
 	/**
 	 * Called when there is a connection to the endpoint, before the request is sent.
 	 * @param abort closes the connection at once; must not be run after
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointClient.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointClient.java
@@ -171,7 +171,7 @@
 						.withTotalTimeoutMillis(remainingMillis)
 						.withReusedHeadTimeoutMillis(Math.max(MIN_REUSED_CONNECTION_WAIT_MILLIS,
 								(long) (remainingMillis * REUSED_CONNECTION_WAIT_SHARE))),
-					observer::onConnected);
+					observer::onConnecting, observer::onConnected);
 			if (result.isLeft()) {
 				if (this.clock.millis() >= request.deadlineMillis()) {
 					outcome = EndpointTable.Outcome.OUT_OF_TIME;
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/HedgeRace.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/HedgeRace.java
@@ -180,6 +180,11 @@
 
 		private @Nullable CallResult result;
 
+		@Override
+		public void onConnecting(Runnable abort) {
+			onConnected(abort);
+		}
+
 		@Override
 		public void onConnected(Runnable abort) {
 			synchronized (HedgeRace.this) {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/HedgedCalls.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/HedgedCalls.java
@@ -276,6 +276,12 @@
 	private static AttemptObserver observe(ServiceRequest request, HedgeRace race, HedgeRace.Run run) {
 		return new AttemptObserver() {
 
+			@Override
+			public void onConnecting(Runnable abort) {
+				run.onConnecting(abort);
+				request.onAbort().accept(race::cancelAll);
+			}
+
 			@Override
 			public void onConnected(Runnable abort) {
 				run.onConnected(abort);
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpConnectionPool.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpConnectionPool.java
@@ -151,11 +151,30 @@
 	 */
 	public Either<HttpFailure, HttpExchange> execute(String address, ClassicHttpRequest request,
 			ExchangeOptions options, Consumer<Runnable> onConnected) {
+		return execute(address, request, options, (abort) -> {
+		}, onConnected);
+	}
+
+	/**
+	 * Sends a request that another thread may abort even while its connection is opened,
+	 * and waits for the response head.
+	 * @param address {@code ip:port}
+	 * @param request the request; its body need not be repeatable, because the pool does
+	 * not retry
+	 * @param options options and time limits of the exchange
+	 * @param onConnecting called before a connection is opened, with a task that closes
+	 * it; the task must not be run after {@code onConnected} was called
+	 * @param onConnected called before the request is sent, with a task that closes the
+	 * connection immediately; the task must not be run after the exchange was closed
+	 * @return the exchange, which the caller must close
+	 */
+	public Either<HttpFailure, HttpExchange> execute(String address, ClassicHttpRequest request,
+			ExchangeOptions options, Consumer<Runnable> onConnecting, Consumer<Runnable> onConnected) {
 		BoundedConnection connection = options.reuse() ? takeIdle(address, options.tag()) : null;
 		boolean reused = connection != null;
 		if (connection == null) {
 			try {
-				connection = connect(address);
+				connection = connect(address, onConnecting);
 			}
 			catch (IOException | IllegalArgumentException ex) {
 				return Either.left(new HttpFailure.NotSent("cannot connect to " + address + ": " + ex.getMessage()));
@@ -288,8 +307,8 @@
 		return this.idle.computeIfAbsent(address, (unused) -> new ArrayDeque<>());
 	}
 
-	private BoundedConnection connect(String address) throws IOException {
-		Socket socket = openSocket(address);
+	private BoundedConnection connect(String address, Consumer<Runnable> onConnecting) throws IOException {
+		Socket socket = openSocket(address, onConnecting);
 		try {
 			BoundedConnection connection = new BoundedConnection(this.config);
 			connection.bind(socket);
@@ -301,7 +320,7 @@
 		}
 	}
 
-	Socket openSocket(String address) throws IOException {
+	Socket openSocket(String address, Consumer<Runnable> onConnecting) throws IOException {
 		int colon = address.lastIndexOf(':');
 		if (colon < 0) {
 			throw new IllegalArgumentException("address \"" + address + "\" has no port");
@@ -312,6 +331,7 @@
 			if (this.keepAliveProbes) {
 				enableKeepAliveProbes(socket);
 			}
+			onConnecting.accept(() -> close(socket));
 			socket.connect(
 					new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))),
 					CONNECT_TIMEOUT_MILLIS);
@@ -323,6 +343,15 @@
 		}
 	}
 
+	private static void close(Socket socket) {
+		try {
+			socket.close();
+		}
+		catch (IOException ex) {
+			// The thread that opens the connection reports the failure.
+		}
+	}
+
 	// Without keep-alive probes, a dead connection would block its exchange until the
 	// read timeout, which is much longer for a watch of the store.
 	private static void enableKeepAliveProbes(Socket socket) throws IOException {
--- a/bamboorelay-runtime/src/test/java/org/bamboorelay/runtime/connection/HttpConnectionPoolTests.java
+++ b/bamboorelay-runtime/src/test/java/org/bamboorelay/runtime/connection/HttpConnectionPoolTests.java
@@ -3,12 +3,19 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
 
 import io.vavr.control.Either;
 import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
@@ -36,6 +43,9 @@
 
 	private static final int TRICKLE_PAUSE_NANOS = 100_000_000;
 
+	private static final Consumer<Runnable> NO_ABORT = (abort) -> {
+	};
+
 	private final HttpConnectionPool pool = HttpConnectionPool.withoutKeepAliveProbes();
 
 	@AfterEach
@@ -274,14 +284,43 @@
 	void poolWithoutProbesDisablesTcpKeepAlive() throws IOException {
 		try (ServerSocket server = new ServerSocket(0); HttpConnectionPool probed = new HttpConnectionPool()) {
 			String address = "127.0.0.1:" + server.getLocalPort();
-			try (Socket withoutKeepAlive = this.pool.openSocket(address);
-					Socket withProbes = probed.openSocket(address)) {
+			try (Socket withoutKeepAlive = this.pool.openSocket(address, NO_ABORT);
+					Socket withProbes = probed.openSocket(address, NO_ABORT)) {
 				assertThat(withoutKeepAlive.getKeepAlive()).isFalse();
 				assertThat(withProbes.getKeepAlive()).isTrue();
 			}
 		}
 	}
 
+	@Test
+	void requestIsNotSentWhenItIsAbortedWhileItsConnectionIsOpened() throws IOException {
+		// A request that had won elsewhere waited for the connection to time out.
+		try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			List<Socket> waiting = new ArrayList<>();
+			while (waiting.isEmpty() || waiting.get(waiting.size() - 1).isConnected()) {
+				waiting.add(new Socket());
+				connect(waiting.get(waiting.size() - 1), full);
+			}
+			Either<HttpFailure, HttpExchange> result = this.pool.execute("127.0.0.1:" + full.getLocalPort(),
+					new BasicClassicHttpRequest("GET", "/"), ExchangeOptions.of(true, READ_TIMEOUT_MILLIS),
+					(abort) -> CompletableFuture.delayedExecutor(100, TimeUnit.MILLISECONDS).execute(abort), NO_ABORT);
+			assertThat(result.getLeft()).isInstanceOf(HttpFailure.NotSent.class);
+			assertThat(result.getLeft().detail()).containsIgnoringCase("socket closed");
+			for (Socket socket : waiting) {
+				socket.close();
+			}
+		}
+	}
+
+	private static void connect(Socket socket, ServerSocket server) throws IOException {
+		try {
+			socket.connect(server.getLocalSocketAddress(), 100);
+		}
+		catch (SocketTimeoutException ex) {
+			// The queue of the server is full.
+		}
+	}
+
 	private void assertExchangeFails(RawServer.ResponseWriter answers) throws IOException {
 		try (RawServer server = new RawServer(answers)) {
 			long start = System.nanoTime();
