Test which endpoints may take a hedged copy

No test guarded that a copy is kept from endpoints that are draining, cold, silent, in a disabled domain or that limit their rate.

--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/process/EndpointTableTests.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/process/EndpointTableTests.java
@@ -231,6 +231,22 @@
 			.containsExactly("mine", "mine");
 	}
 
+	@Test
+	void hedgedCopyIsKeptFromEndpointsThatAreNotFullyInUse() {
+		this.table.put(entry("warm", "zone-a", false, 0, 1));
+		this.table.put(entry("cold", "zone-a", false, 5_000, 1));
+		this.table.put(entry("draining", "zone-a", true, 0, 1));
+		this.table.put(entry("disabled", "zone-b", false, 0, 1));
+		this.table.put(entry("silent", "zone-c", false, 0, 1));
+		this.table.put(entry("limited", "zone-a", false, 0, 1));
+		this.table.disabledDomains(Set.of("zone-b"));
+		this.table.silentDomains(Set.of("zone-c"));
+		this.table.onRateNamedToPeer("limited", 1, 2.0);
+		this.table.peerLoad("host-b", Map.of("warm", 1));
+		assertThat(this.table.hedgeTargets(requirements(0))).isEqualTo(
+				new EndpointTable.HedgeTargets(3, 4, Set.of("cold", "draining", "disabled", "silent", "limited")));
+	}
+
 	private static EndpointRequirements requirements(long minVersion) {
 		return new EndpointRequirements(RequestOrigin.ITEM, "s", "m", minVersion, 0, true, Set.of());
 	}
