Queue requests for a service in order and wake them on release

Requests without a slot polled each 5 ms for a quarter of their remaining time, in no order, and a refusal always said 200 ms.

SlotQueue orders the waiting requests of a service by the priority of the workspace or else the route, callers before score calls, divides contended slots equally among workspaces (start-time fair queueing), and within one takes the earliest deadline first. Ranks below the highest waiting one keep a tenth of the slots. A caller is admitted if its expected wait, from the slots held here and the average hold time, is at most half of its longest wait; otherwise it is refused with that wait plus up to a quarter as jitter. Score calls and resumed streams belong to accepted work and are not refused on arrival. EndpointTable announces each release; EndpointAcquirer, now shared by calls and streams, hands the slot over. A check each 10 ms finds capacity that no release announces. Services with an endpoint that names its rate keep the earlier code.

SlotQueueTests, EndpointAcquirerTests, SubmissionDirectoryTests, ActiveSubmissionTests and the tests of EndpointTable pass.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
@@ -9,6 +9,7 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Consumer;
 
 import org.bamboorelay.core.connection.PeerMessage;
 import org.bamboorelay.core.time.Clock;
@@ -88,6 +89,9 @@
 
 	private int hostCount = 1;
 
+	private volatile Consumer<Release> onRelease = (release) -> {
+	};
+
 	private EndpointTable(Clock clock) {
 		this.clock = Objects.requireNonNull(clock, "clock");
 		this.leaving = new LeavingEndpoints(clock);
@@ -401,16 +405,32 @@
 		return this.endpoints.values().stream().anyMatch((endpoint) -> endpoint.entry.address().equals(address));
 	}
 
+	/**
+	 * Sets the listener for slots that become free.
+	 * @param listener receives each release, without the lock of the table; must not
+	 * block
+	 */
+	public void onRelease(Consumer<Release> listener) {
+		this.onRelease = Objects.requireNonNull(listener, "listener");
+	}
+
 	/**
 	 * Ends a request that was counted at an endpoint, and updates the backoff of the
 	 * endpoint.
 	 * @param grant the grant of the request
 	 * @param outcome the outcome of the request
 	 */
-	public synchronized void release(Grant grant, Outcome outcome) {
+	public void release(Grant grant, Outcome outcome) {
+		Release release = end(grant, outcome);
+		if (release != null) {
+			this.onRelease.accept(release);
+		}
+	}
+
+	private synchronized @Nullable Release end(Grant grant, Outcome outcome) {
 		EndpointState endpoint = this.endpoints.get(grant.id());
 		if (endpoint == null) {
-			return;
+			return null;
 		}
 		endpoint.running = Math.max(0, endpoint.running - 1);
 		long now = this.clock.millis();
@@ -430,6 +450,31 @@
 			endpoint.backoffUntilMillis = now + Math.min(BACKOFF_CAP_MILLIS, backoffMillis);
 			endpoint.failures++;
 		}
+		return new Release(endpoint.entry.service(), now - grant.grantedAtMillis(), outcome);
+	}
+
+	/**
+	 * Returns the number of requests that this host runs at the endpoints of a service.
+	 * @param service the service
+	 * @return the number of requests
+	 */
+	public synchronized int runningCount(String service) {
+		return this.endpoints.values()
+			.stream()
+			.filter((endpoint) -> endpoint.entry.service().equals(service))
+			.mapToInt((endpoint) -> endpoint.running)
+			.sum();
+	}
+
+	/**
+	 * Returns whether an endpoint that a request could use named the rate that it takes.
+	 * @param requirements the requirements of the request
+	 * @return whether slots at one of the endpoints are scheduled for all hosts
+	 */
+	public synchronized boolean isAnyRateLimited(EndpointRequirements requirements) {
+		return this.endpoints.values()
+			.stream()
+			.anyMatch((endpoint) -> isRateLimited(endpoint) && isEligible(endpoint, requirements));
 	}
 
 	/**
@@ -705,6 +750,16 @@
 
 	}
 
+	/**
+	 * The end of a request at an endpoint.
+	 *
+	 * @param service the service of the endpoint
+	 * @param heldMillis the time for which the request held its slot, in milliseconds
+	 * @param outcome the outcome of the request
+	 */
+	public record Release(String service, long heldMillis, Outcome outcome) {
+	}
+
 	/**
 	 * An endpoint that was chosen for a request.
 	 *
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/request/DrainRate.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/request/DrainRate.java
@@ -9,17 +9,30 @@
  */
 final class DrainRate {
 
-	private static final double TIME_CONSTANT_MILLIS = 5_000;
+	private static final double DEFAULT_TIME_CONSTANT_MILLIS = 5_000;
 
 	/** Minimum busy time for a meaningful rate, in milliseconds. */
 	private static final double MIN_BUSY_MILLIS = 200;
 
+	private final double timeConstantMillis;
+
 	private double drained;
 
 	private double busyMillis;
 
 	private long lastMillis = Long.MIN_VALUE;
 
+	DrainRate() {
+		this(DEFAULT_TIME_CONSTANT_MILLIS);
+	}
+
+	DrainRate(double timeConstantMillis) {
+		if (!(timeConstantMillis > 0)) {
+			throw new IllegalArgumentException("timeConstantMillis must be positive: " + timeConstantMillis);
+		}
+		this.timeConstantMillis = timeConstantMillis;
+	}
+
 	/**
 	 * Accounts for the time since the previous call.
 	 * @param nowMillis the current time, in milliseconds
@@ -28,9 +41,9 @@
 	void advance(long nowMillis, boolean busy) {
 		if (this.lastMillis != Long.MIN_VALUE && nowMillis > this.lastMillis && busy) {
 			long elapsed = nowMillis - this.lastMillis;
-			double keep = Math.exp(-elapsed / TIME_CONSTANT_MILLIS);
+			double keep = Math.exp(-elapsed / this.timeConstantMillis);
 			this.drained *= keep;
-			this.busyMillis = this.busyMillis * keep + TIME_CONSTANT_MILLIS * (1 - keep);
+			this.busyMillis = this.busyMillis * keep + this.timeConstantMillis * (1 - keep);
 		}
 		this.lastMillis = nowMillis;
 	}
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/version/RoutingTable.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/version/RoutingTable.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 
 import io.vavr.control.Option;
+import org.jspecify.annotations.Nullable;
 
 /**
  * One version of the routes, services and API keys. Keys are kept as hashes only.
@@ -25,6 +26,8 @@
 
 	private final Map<KeyHash, Workspace> keys;
 
+	private final Map<String, Integer> workspacePriorities = new HashMap<>();
+
 	private final boolean keysRequired;
 
 	private final CallerLimits limits;
@@ -35,6 +38,10 @@
 		this.routes = routes;
 		this.services = services;
 		this.keys = keys;
+		keys.values()
+			.stream()
+			.filter((workspace) -> workspace.priority() >= 0)
+			.forEach((workspace) -> this.workspacePriorities.put(workspace.name(), workspace.priority()));
 		this.keysRequired = keysRequired;
 		this.limits = limits;
 	}
@@ -144,6 +151,29 @@
 		return Option.of(this.keys.get(key));
 	}
 
+	/**
+	 * Returns the priority of a request: that of its workspace, or else that of its
+	 * route.
+	 * @param host the host name, with or without a port
+	 * @param path the path, with or without a query
+	 * @param workspace the workspace; null for none
+	 * @return the priority; 0 is the highest, and the one of a request without a route
+	 */
+	public int priority(String host, String path, @Nullable String workspace) {
+		Integer own = (workspace != null) ? this.workspacePriorities.get(workspace) : null;
+		return (own != null) ? own : route(host, path).map(RouteRule::priority).getOrElse(0);
+	}
+
+	/**
+	 * Returns whether the routes or the workspaces differ in their priority.
+	 * @return true if a workspace has a priority, or a route one other than 0
+	 */
+	public boolean hasPriorities() {
+		return !this.workspacePriorities.isEmpty() || this.routes.values()
+			.stream()
+			.anyMatch((rules) -> rules.stream().anyMatch((rule) -> rule.priority() != 0));
+	}
+
 	/**
 	 * Routing attributes of a workspace.
 	 *
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
@@ -47,6 +48,7 @@
 import org.bamboorelay.host.connection.PlatformCalls;
 import org.bamboorelay.host.request.CallerMonitor;
 import org.bamboorelay.host.request.CallerRequestHandler;
+import org.bamboorelay.host.request.EndpointAcquirer;
 import org.bamboorelay.host.request.EndpointClient;
 import org.bamboorelay.host.request.EndpointNotices;
 import org.bamboorelay.host.request.ItemRunner;
@@ -164,6 +166,8 @@
 
 	private final UsageMeter usage;
 
+	private final EndpointAcquirer acquirer;
+
 	private final SubmissionRunner runner;
 
 	private final SubmissionDirectory directory;
@@ -246,8 +250,10 @@
 		RateSlots rateSlots = new RateSlots(settings.host(), this.table, this.mesh, this.clock, this.counters,
 				this.log);
 		registerRateMessages(rateSlots);
-		EndpointClient endpointClient = EndpointClient.of(this.table, rateSlots, poisonGuard, notices, endpoints, pool,
-				this.clock, this.counters, this.log);
+		this.acquirer = new EndpointAcquirer(this.table, rateSlots, this.routing::get,
+				new SplittableRandom(ThreadLocalRandom.current().nextLong()), this.clock, this.counters, this.log);
+		EndpointClient endpointClient = EndpointClient.of(this.table, this.acquirer, poisonGuard, notices, endpoints,
+				pool, this.clock, this.counters, this.log);
 		ItemRunner itemRunner = new ItemRunner(this.table, notices, endpoints, pool, endpointClient, this.routing::get,
 				this.clock, this.counters, this.log);
 		SubmissionStore submissions = SubmissionStore.of(this.store);
@@ -257,7 +263,7 @@
 		this.directory.onSilentOwner(this.isolation::onSilentHostActive);
 		SubmissionHandler submissionHandler = new SubmissionHandler(settings.host(), callers, submissions,
 				this.directory, this.runner, this.log);
-		StreamRelay streamRelay = new StreamRelay(this.table, rateSlots, poisonGuard, notices, endpoints, pool,
+		StreamRelay streamRelay = new StreamRelay(this.table, this.acquirer, poisonGuard, notices, endpoints, pool,
 				this.usage, this.clock, this.log);
 		this.callerRequestHandler = new CallerRequestHandler(this.routing::get, callers, endpointClient, streamRelay,
 				submissionHandler, this.callerMonitor, this.usage, this.shutdownAdmission, this.clock, this.counters,
@@ -603,6 +609,7 @@
 			this.mesh.sendStatus(this::status);
 			this.table.hostCount(this.mesh.liveHosts().size());
 		}
+		this.acquirer.logShares();
 		checkIsolation();
 		this.table.silentDomains(this.mesh.silentDomains());
 		if (now >= this.nextTakeoverMillis) {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointClient.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointClient.java
@@ -66,8 +66,9 @@
 
 	private final EventLog log;
 
-	private EndpointClient(EndpointTable table, RateSlots rateSlots, PoisonGuard poisonGuard, EndpointNotices notices,
-			EndpointProtocol protocol, HttpConnectionPool pool, Clock clock, Counters counters, EventLog log) {
+	private EndpointClient(EndpointTable table, EndpointAcquirer acquirer, PoisonGuard poisonGuard,
+			EndpointNotices notices, EndpointProtocol protocol, HttpConnectionPool pool, Clock clock, Counters counters,
+			EventLog log) {
 		this.table = Objects.requireNonNull(table, "table");
 		this.poisonGuard = Objects.requireNonNull(poisonGuard, "poisonGuard");
 		this.notices = Objects.requireNonNull(notices, "notices");
@@ -76,13 +77,13 @@
 		this.clock = Objects.requireNonNull(clock, "clock");
 		this.counters = Objects.requireNonNull(counters, "counters");
 		this.log = Objects.requireNonNull(log, "log");
-		this.acquirer = new EndpointAcquirer(table, rateSlots, clock);
+		this.acquirer = Objects.requireNonNull(acquirer, "acquirer");
 	}
 
 	/**
 	 * Creates a client.
 	 * @param table the table of endpoints
-	 * @param rateSlots acquires endpoints that limit their rate
+	 * @param acquirer acquires slots at endpoints, shared by all requests of the process
 	 * @param poisonGuard refuses requests that crash endpoints
 	 * @param notices records what endpoints announce in their responses
 	 * @param protocol encodes requests to endpoints and decodes their responses
@@ -92,10 +93,10 @@
 	 * @param log the log of the process
 	 * @return the client
 	 */
-	public static EndpointClient of(EndpointTable table, RateSlots rateSlots, PoisonGuard poisonGuard,
+	public static EndpointClient of(EndpointTable table, EndpointAcquirer acquirer, PoisonGuard poisonGuard,
 			EndpointNotices notices, EndpointProtocol protocol, HttpConnectionPool pool, Clock clock, Counters counters,
 			EventLog log) {
-		return new EndpointClient(table, rateSlots, poisonGuard, notices, protocol, pool, clock, counters, log);
+		return new EndpointClient(table, acquirer, poisonGuard, notices, protocol, pool, clock, counters, log);
 	}
 
 	/**
@@ -109,8 +110,7 @@
 		long waitDeadlineMillis = this.acquirer.waitDeadline(request.deadlineMillis());
 		while (triedEndpoints.size() < request.maxAttempts()) {
 			Either<CallResult.NotRun, EndpointTable.Grant> acquired = this.poisonGuard.admit(request, triedEndpoints)
-				.flatMap((excluded) -> this.acquirer.acquire(request.origin(), request.service(), excluded,
-						waitDeadlineMillis));
+				.flatMap((excluded) -> this.acquirer.acquire(request, excluded, waitDeadlineMillis));
 			if (acquired.isLeft()) {
 				return mostUncertain(last, acquired.getLeft());
 			}
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/RateSlots.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/RateSlots.java
@@ -86,13 +86,23 @@
 	EndpointTable.@Nullable Grant acquire(EndpointRequirements requirements) {
 		while (true) {
 			EndpointTable.Grant grant = this.table.acquire(requirements);
-			if (grant == null || !grant.isRateLimited()
-					|| this.table.onSlot(grant, requirements, slot(grant, requirements, 0))) {
+			if (grant == null || complete(grant, requirements)) {
 				return grant;
 			}
 		}
 	}
 
+	/**
+	 * Requests the slot that a granted endpoint needs if it limits its rate. Without a
+	 * slot the grant ends.
+	 * @param grant the grant
+	 * @param requirements the requirements of the request
+	 * @return whether the endpoint can be used at once
+	 */
+	boolean complete(EndpointTable.Grant grant, EndpointRequirements requirements) {
+		return !grant.isRateLimited() || this.table.onSlot(grant, requirements, slot(grant, requirements, 0));
+	}
+
 	/**
 	 * Reserves the next slot at an endpoint that named its rate, and waits for it.
 	 * @param requirements the requirements of the request
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/StreamRelay.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/StreamRelay.java
@@ -84,7 +84,7 @@
 	/**
 	 * Creates a relay.
 	 * @param table the table of endpoints
-	 * @param rateSlots acquires endpoints that limit their rate
+	 * @param acquirer acquires slots at endpoints, shared by all requests of the process
 	 * @param poisonGuard refuses requests that crash endpoints
 	 * @param notices records what endpoints announce in their responses
 	 * @param protocol encodes requests to endpoints and decodes their responses
@@ -93,7 +93,7 @@
 	 * @param clock the monotonic clock of the process
 	 * @param log the log of the process
 	 */
-	public StreamRelay(EndpointTable table, RateSlots rateSlots, PoisonGuard poisonGuard, EndpointNotices notices,
+	public StreamRelay(EndpointTable table, EndpointAcquirer acquirer, PoisonGuard poisonGuard, EndpointNotices notices,
 			EndpointProtocol protocol, HttpConnectionPool pool, UsageMeter usage, Clock clock, EventLog log) {
 		this.table = Objects.requireNonNull(table, "table");
 		this.poisonGuard = Objects.requireNonNull(poisonGuard, "poisonGuard");
@@ -103,7 +103,7 @@
 		this.usage = Objects.requireNonNull(usage, "usage");
 		this.clock = Objects.requireNonNull(clock, "clock");
 		this.log = Objects.requireNonNull(log, "log");
-		this.acquirer = new EndpointAcquirer(table, rateSlots, clock);
+		this.acquirer = Objects.requireNonNull(acquirer, "acquirer");
 	}
 
 	/**
@@ -212,8 +212,9 @@
 			while (this.triedEndpoints.size() < this.request.maxAttempts() && !monitoredRequest.isDisconnected()) {
 				Either<CallResult.NotRun, EndpointTable.Grant> acquired = StreamRelay.this.poisonGuard
 					.admit(this.request, this.triedEndpoints)
-					.flatMap((excluded) -> StreamRelay.this.acquirer.acquire(this.request.origin(),
-							this.request.service(), excluded, slotDeadlineMillis));
+					.flatMap((excluded) -> (firstResponse != null)
+							? StreamRelay.this.acquirer.acquireToResume(this.request, excluded, slotDeadlineMillis)
+							: StreamRelay.this.acquirer.acquire(this.request, excluded, slotDeadlineMillis));
 				if (acquired.isLeft()) {
 					this.refusal = acquired.getLeft();
 					return null;
--- a/bamboorelay-host/src/test/java/org/bamboorelay/host/request/SubmissionDirectoryTests.java
+++ b/bamboorelay-host/src/test/java/org/bamboorelay/host/request/SubmissionDirectoryTests.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
@@ -139,7 +140,9 @@
 		}, counters, this.log);
 		HostMesh mesh = mesh();
 		RateSlots slots = new RateSlots("host-a", table, mesh, Clock.monotonic(), counters, this.log);
-		EndpointClient caller = EndpointClient.of(table, slots, guard, notices, protocol, pool, Clock.monotonic(),
+		EndpointAcquirer acquirer = new EndpointAcquirer(table, slots, () -> this.routes, new SplittableRandom(1),
+				Clock.monotonic(), counters, this.log);
+		EndpointClient caller = EndpointClient.of(table, acquirer, guard, notices, protocol, pool, Clock.monotonic(),
 				counters, this.log);
 		ItemRunner items = new ItemRunner(table, notices, protocol, pool, caller, () -> this.routes, Clock.monotonic(),
 				counters, this.log);
