Divide the slots of engines among trainers and hosts

Each host started items of its oldest submission on any free slot, so a trainer with much work, or the host that runs it, could take all engines.

Hosts report the waiting and running items of each trainer (workspace and model) in their status. While more items wait than there are slots, EngineShares gives each trainer an equal share, lends what is unused first to trainers whose items can be in time, and divides the share of a trainer among its hosts by their items. ItemStarts applies this to the submissions of a host. Within a submission whose route has result_due_ms, items of groups that can be read in time go first, and of these the groups that were begun.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerMessage.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerMessage.java
@@ -462,12 +462,18 @@
 	 * endpoint that recently announced to the sender that it is leaving
 	 * @param usage number of requests that started to run, by window, incarnation and
 	 * workspace, for the newest windows
+	 * @param trainers the items that wait or run at the sender, by trainer; empty if it
+	 * is a release without this field
 	 */
 	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
 	record HostStatus(boolean leaving, boolean holdsDuties, long leaseVersion, boolean reachesStore,
 			Map<String, Integer> demand, List<String> loading, Map<String, String> assigned,
 			Map<String, Integer> running, Map<String, Long> leavingEndpoints,
-			Map<Long, Map<String, Map<String, Long>>> usage) implements PeerMessage {
+			Map<Long, Map<String, Map<String, Long>>> usage, List<TrainerLoad> trainers) implements PeerMessage {
+
+		public HostStatus {
+			trainers = (trainers != null) ? List.copyOf(trainers) : List.of();
+		}
 
 		/**
 		 * Returns a copy without usage, for hosts that do not aggregate usage.
@@ -475,8 +481,31 @@
 		 */
 		public HostStatus withoutUsage() {
 			return new HostStatus(this.leaving, this.holdsDuties, this.leaseVersion, this.reachesStore, this.demand,
-					this.loading, this.assigned, this.running, this.leavingEndpoints, Map.of());
+					this.loading, this.assigned, this.running, this.leavingEndpoints, Map.of(), this.trainers);
+		}
+	}
+
+	/**
+	 * The items of one trainer at a host.
+	 *
+	 * @param service the service that runs the items
+	 * @param workspace the workspace of the trainer; empty for none
+	 * @param model the model of the items; empty for none
+	 * @param waiting the number of items that wait for a slot
+	 * @param running the number of items that run
+	 * @param dueInMillis the time until the first waiting items are due that can still be
+	 * in time, in milliseconds; -1 if there are none
+	 */
+	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+	record TrainerLoad(String service, String workspace, String model, int waiting, int running, long dueInMillis) {
+
+		public TrainerLoad {
+			if (waiting < 0 || running < 0) {
+				throw new IllegalArgumentException(
+						"waiting and running must not be negative: " + waiting + ", " + running);
+			}
 		}
+
 	}
 
 	/**
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
@@ -466,6 +466,20 @@
 			.sum();
 	}
 
+	/**
+	 * Returns the number of slots of the endpoints that are eligible for a request,
+	 * regardless of their load.
+	 * @param requirements the requirements of the request
+	 * @return the number of slots
+	 */
+	public synchronized int slotCount(EndpointRequirements requirements) {
+		return this.endpoints.values()
+			.stream()
+			.filter((endpoint) -> isEligible(endpoint, requirements))
+			.mapToInt((endpoint) -> endpoint.entry.slots())
+			.sum();
+	}
+
 	/**
 	 * Returns whether an endpoint that a request could use named the rate that it takes.
 	 * @param requirements the requirements of the request
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/request/SubmissionState.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/request/SubmissionState.java
@@ -114,22 +114,97 @@
 	}
 
 	/**
-	 * Starts the next item.
+	 * Starts the next item in the order of the submission.
 	 * @param nowMillis the current wall-clock time, in milliseconds
 	 * @return the run, or null if no item is waiting
 	 */
-	public synchronized @Nullable Run startNext(long nowMillis) {
+	public @Nullable Run startNext(long nowMillis) {
+		return startNext(DueTime.NONE, nowMillis);
+	}
+
+	/**
+	 * Starts the next item. Items of groups that can still be read by the due time come
+	 * before the others, and items of groups that were begun before those of new ones.
+	 * @param due when the results are due, and how long an item takes
+	 * @param nowMillis the current wall-clock time, in milliseconds
+	 * @return the run, or null if no item is waiting
+	 */
+	public synchronized @Nullable Run startNext(DueTime due, long nowMillis) {
 		if (this.ended) {
 			return null;
 		}
+		Item next = null;
+		Set<String> begun = (due != DueTime.NONE) ? groupsBegun() : Set.of();
+		Map<String, Boolean> inTime = new HashMap<>();
 		for (int index : this.order) {
 			Item item = this.items.get(this.submission.items().get(index).id());
-			if (item != null && item.state == State.WAITING && nowMillis >= item.notBeforeMillis) {
-				item.state = State.RUNNING;
-				return new Run(item.item, item.text.lastEvent());
+			if (item == null || item.state != State.WAITING || nowMillis < item.notBeforeMillis) {
+				continue;
+			}
+			if (due == DueTime.NONE) {
+				next = item;
+				break;
 			}
+			String group = item.item.group();
+			inTime.computeIfAbsent(group, (name) -> due.canMeet(nowMillis, remainingUnits(name)));
+			if (next == null || rank(item, begun, inTime) < rank(next, begun, inTime)) {
+				next = item;
+			}
+		}
+		if (next == null) {
+			return null;
 		}
-		return null;
+		next.state = State.RUNNING;
+		return new Run(next.item, next.text.lastEvent());
+	}
+
+	/**
+	 * Counts the items that wait or run.
+	 * @param due when the results are due, and how long an item takes
+	 * @param nowMillis the current wall-clock time, in milliseconds
+	 * @return the numbers
+	 */
+	public synchronized Counts counts(DueTime due, long nowMillis) {
+		int waiting = 0;
+		int running = 0;
+		boolean anyInTime = false;
+		Map<String, Boolean> inTime = new HashMap<>();
+		for (Item item : this.items.values()) {
+			running += (item.state == State.RUNNING) ? 1 : 0;
+			if (item.state == State.WAITING && !this.ended) {
+				waiting++;
+				anyInTime |= inTime.computeIfAbsent(item.item.group(),
+						(group) -> due.canMeet(nowMillis, remainingUnits(group)));
+			}
+		}
+		return new Counts(waiting, running, anyInTime);
+	}
+
+	// Groups that were begun and can still be in time come first, then other groups that
+	// can be in time.
+	private static int rank(Item item, Set<String> begun, Map<String, Boolean> inTime) {
+		String group = item.item.group();
+		return (inTime.getOrDefault(group, false) ? 0 : 2) + (begun.contains(group) ? 0 : 1);
+	}
+
+	private Set<String> groupsBegun() {
+		Set<String> begun = new HashSet<>();
+		for (Item item : this.items.values()) {
+			if (item.state != State.WAITING || item.text.lastEvent() > 0) {
+				begun.add(item.item.group());
+			}
+		}
+		return begun;
+	}
+
+	// The length of the longest item of a group that has not begun yet.
+	private long remainingUnits(String group) {
+		return this.items.values()
+			.stream()
+			.filter((item) -> item.state == State.WAITING && item.item.group().equals(group))
+			.mapToLong((item) -> Math.max(0, item.item.expectedUnits() - item.text.lastEvent()))
+			.max()
+			.orElse(0);
 	}
 
 	/**
@@ -398,6 +473,16 @@
 		return !this.ended && item(id).state == State.RUNNING;
 	}
 
+	/**
+	 * Returns whether an item has a result.
+	 * @param id the id of the item
+	 * @return whether it has a text, with its score if it needs one
+	 */
+	public synchronized boolean isFinished(String id) {
+		State state = item(id).state;
+		return state == State.FINISHED || state == State.LISTED;
+	}
+
 	// Discards the largest texts of waiting items, which can be generated again, if the
 	// memory for texts is exhausted.
 	private boolean reserveText(Item growing, long bytes) {
@@ -450,6 +535,16 @@
 	public record Run(SubmissionItem item, long after) {
 	}
 
+	/**
+	 * The unfinished items of a submission.
+	 *
+	 * @param waiting the number of items that wait
+	 * @param running the number of items that run
+	 * @param inTime whether an item waits whose group can still be read by the due time
+	 */
+	public record Counts(int waiting, int running, boolean inTime) {
+	}
+
 	/**
 	 * What became of an event.
 	 */
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/request/SubmissionStateTests.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/request/SubmissionStateTests.java
@@ -37,6 +37,28 @@
 			.containsExactly(new ItemResult("i0", true, "a\nb\nc", List.of(1L, 2L), "seal"));
 	}
 
+	/**
+	 * Guards against groups that are begun but not completed, and against slots that go
+	 * to groups that cannot be read by the due time.
+	 */
+	@Test
+	void begunGroupsThatCanBeInTimeStartFirst() {
+		List<SubmissionItem> items = new ArrayList<>();
+		for (String id : List.of("late-0", "new-0", "begun-0", "begun-1")) {
+			items.add(new SubmissionItem(id, "/i", Map.of(), new byte[0], 1, id.substring(0, id.indexOf('-')),
+					id.startsWith("late") ? 100 : 10, null));
+		}
+		SubmissionState plan = plan(1, items, 3);
+		plan.onListed(List.of(new ItemResult("begun-0", true, "", List.of(), null)));
+		DueTime due = DueTime.of(0, 1_000, 50);
+		assertThat(List.of(start(plan, due), start(plan, due), start(plan, due))).containsExactly("begun-1", "new-0",
+				"late-0");
+	}
+
+	private static String start(SubmissionState plan, DueTime due) {
+		return plan.startNext(due, 0).item().id();
+	}
+
 	@Test
 	void eventIsRejectedWhenItIsNotTheNextOne() {
 		// A missing or duplicate event would produce a sample that no engine generated.
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -284,6 +284,7 @@
 			this.table.leaving(status.leavingEndpoints());
 			this.usage.merge(status.usage());
 			this.duties.updateDemand(host, status.demand());
+			this.runner.onTrainerLoads(host, status.trainers());
 			if (status.holdsDuties()) {
 				this.lease.onVersionAnnounced(status.leaseVersion());
 				this.table.loading(Set.copyOf(status.loading()));
@@ -682,7 +683,7 @@
 		return new PeerMessage.HostStatus(this.shuttingDown, this.lease.isHeld(), this.lease.heldVersion(),
 				this.store.isDirectlyReachable(), this.runner.demand(), List.copyOf(this.weightLoadScheduler.loading()),
 				this.lease.isHeld() ? this.weightLoadScheduler.assignedModels() : Map.of(),
-				new HashMap<>(this.table.ownLoad()), this.table.leaving(), usageCounts);
+				new HashMap<>(this.table.ownLoad()), this.table.leaving(), usageCounts, this.runner.trainerLoads());
 	}
 
 	private static void pause(long millis) {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
@@ -1,7 +1,5 @@
 package org.bamboorelay.host.request;
 
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -20,6 +18,7 @@
 import org.bamboorelay.core.connection.PeerMessage;
 import org.bamboorelay.core.process.EndpointRequirements;
 import org.bamboorelay.core.process.EndpointTable;
+import org.bamboorelay.core.process.EngineShares;
 import org.bamboorelay.core.process.MemoryBudget;
 import org.bamboorelay.core.request.DurableTextPolicy;
 import org.bamboorelay.core.request.ItemOrder;
@@ -32,6 +31,7 @@
 import org.bamboorelay.core.request.SubmissionState;
 import org.bamboorelay.core.request.TextPart;
 import org.bamboorelay.core.store.StoreFailure;
+import org.bamboorelay.core.time.Clock;
 import org.bamboorelay.core.version.CoreJson;
 import org.bamboorelay.core.version.RouteRule;
 import org.bamboorelay.core.version.RoutingTable;
@@ -44,8 +44,8 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Runs the submissions that this host owns: starts items on endpoints with free slots,
- * oldest submission first, and writes results in pages.
+ * Runs the submissions that this host owns: starts items on endpoints with free slots, in
+ * the order of {@link ItemStarts}, and writes results in pages.
  * <p>
  * Thread-safe.
  */
@@ -117,6 +117,8 @@
 
 	private final ItemOrder itemOrder;
 
+	private final ItemStarts itemStarts;
+
 	private final ExecutorService executor;
 
 	private final EventLog log;
@@ -172,6 +174,7 @@
 		this.itemRunner = Objects.requireNonNull(itemRunner, "itemRunner");
 		this.routing = Objects.requireNonNull(routing, "routing");
 		this.itemOrder = Objects.requireNonNull(itemOrder, "itemOrder");
+		this.itemStarts = new ItemStarts(EngineShares.create(Clock.monotonic()), Clock.monotonic(), log);
 		this.executor = Objects.requireNonNull(executor, "executor");
 		this.log = Objects.requireNonNull(log, "log");
 	}
@@ -297,6 +300,23 @@
 		return demand;
 	}
 
+	/**
+	 * Returns the items of each trainer on this host.
+	 * @return the figures for other hosts
+	 */
+	public List<PeerMessage.TrainerLoad> trainerLoads() {
+		return this.itemStarts.loads();
+	}
+
+	/**
+	 * Records the items of the trainers on another host.
+	 * @param peer the host
+	 * @param loads its figures
+	 */
+	public void onTrainerLoads(String peer, List<PeerMessage.TrainerLoad> loads) {
+		this.itemStarts.peer(peer, loads);
+	}
+
 	/**
 	 * Aborts all runs, waits until the available results are listed, and replicates the
 	 * partial texts to the successor hosts.
@@ -333,8 +353,8 @@
 
 	private void runPass() {
 		long now = System.currentTimeMillis();
-		List<ActiveSubmission> all = new ArrayList<>(this.activeSubmissions.values());
-		all.sort(Comparator.comparingLong((ActiveSubmission running) -> running.state().acceptedMillis()));
+		List<ActiveSubmission> all = this.itemStarts.startOrder(List.copyOf(this.activeSubmissions.values()),
+				this.table::slotCount, this.mesh.knownHostCount(), now);
 		boolean busy = false;
 		boolean migrationDue = now >= this.nextMigrationMillis;
 		for (ActiveSubmission running : all) {
@@ -367,18 +387,23 @@
 
 	private void startItems(ActiveSubmission running, long now) {
 		Option<EndpointRequirements> requirements = running.requirements();
-		while (requirements.isDefined() && running.state().isWaiting(now)) {
+		while (requirements.isDefined() && running.state().isWaiting(now)
+				&& this.itemStarts.mayStart(running, requirements.get(), this.table)) {
 			EndpointTable.Grant grant = this.rateSlots.acquire(requirements.get());
 			if (grant == null) {
 				return;
 			}
-			SubmissionState.Run run = running.state().startNext(now);
+			SubmissionState.Run run = running.state().startNext(this.itemStarts.due(running), now);
 			if (run == null) {
 				this.table.release(grant, EndpointTable.Outcome.ABANDONED);
 				return;
 			}
+			this.itemStarts.onStarted(running);
 			this.executor.execute(() -> {
 				this.itemRunner.run(running, run, grant);
+				if (run.after() == 0 && running.state().isFinished(run.item().id())) {
+					this.itemStarts.onGenerated(run.item(), System.currentTimeMillis() - now);
+				}
 				wake();
 			});
 		}
@@ -578,6 +603,7 @@
 		ActiveSubmission running = new ActiveSubmission(state, results,
 				() -> route(record).map((current) -> current.service(share)), deadline, texts.version(),
 				System.currentTimeMillis());
+		this.itemStarts.onActivated(submission.id(), route.resultDueMillis());
 		boolean added = this.activeSubmissions.putIfAbsent(submission.id(), running) == null;
 		if (!added) {
 			running.stop();
