--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/request/SubmissionState.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/request/SubmissionState.java
@@ -155,7 +155,8 @@
 			return null;
 		}
 		next.state = State.RUNNING;
-		return new Run(next.item, next.text.lastEvent());
+		boolean isInTime = inTime.computeIfAbsent(next.item.group(), (name) -> due == DueTime.NONE);
+		return new Run(next.item, next.text.lastEvent(), isInTime);
 	}
 
 	/**
@@ -531,8 +532,9 @@
 	 * @param item the item
 	 * @param after the number of the last event of the existing text; 0 to start from the
 	 * beginning
+	 * @param inTime whether the group of the item can be read by the due time
 	 */
-	public record Run(SubmissionItem item, long after) {
+	public record Run(SubmissionItem item, long after, boolean inTime) {
 	}
 
 	/**
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/version/RoutingTable.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/version/RoutingTable.java
@@ -28,6 +28,8 @@
 
 	private final Map<String, Integer> workspacePriorities = new HashMap<>();
 
+	private final boolean hasPriorities;
+
 	private final boolean keysRequired;
 
 	private final CallerLimits limits;
@@ -42,6 +44,8 @@
 			.stream()
 			.filter((workspace) -> workspace.priority() >= 0)
 			.forEach((workspace) -> this.workspacePriorities.put(workspace.name(), workspace.priority()));
+		this.hasPriorities = !this.workspacePriorities.isEmpty()
+				|| routes.values().stream().flatMap(List::stream).anyMatch((rule) -> rule.priority() != 0);
 		this.keysRequired = keysRequired;
 		this.limits = limits;
 	}
@@ -169,9 +173,7 @@
 	 * @return true if a workspace has a priority, or a route one other than 0
 	 */
 	public boolean hasPriorities() {
-		return !this.workspacePriorities.isEmpty() || this.routes.values()
-			.stream()
-			.anyMatch((rules) -> rules.stream().anyMatch((rule) -> rule.priority() != 0));
+		return this.hasPriorities;
 	}
 
 	/**
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/process/EngineSharesTests.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/process/EngineSharesTests.java
@@ -129,6 +129,74 @@
 		}
 	}
 
+	/**
+	 * Guards against a host whose backlog keeps the slots from the trainer of another
+	 * host, also when half of the slots are lost, when a host restarts without figures,
+	 * and when figures are late. Each case is compared with the earlier rule, under which
+	 * each host fills all free slots.
+	 */
+	@Test
+	void backlogOfOneHostDoesNotStarveAnother() {
+		for (Fault fault : Fault.values()) {
+			int today = finishedOfLatecomer(fault, false);
+			int shared = finishedOfLatecomer(fault, true);
+			assertThat(shared).as("%s: today %d of 48 in time, now %d", fault, today, shared)
+				.isGreaterThan(today)
+				.isGreaterThanOrEqualTo((fault == Fault.ENGINES_HALVE) ? 16 : 32);
+		}
+	}
+
+	// Returns how many of the 48 items of a trainer that comes a second later finish
+	// within 7.5 s. An item takes 2 s, and a pass of both hosts is made each 20 ms. The
+	// host with the backlog comes first.
+	private static int finishedOfLatecomer(Fault fault, boolean useShares) {
+		ManualClock clock = ManualClock.of(1_000);
+		List<EngineShares> hosts = new ArrayList<>(List.of(EngineShares.create(clock), EngineShares.create(clock)));
+		int[] waiting = { 300, 0 };
+		List<List<Integer>> ends = List.of(new ArrayList<>(), new ArrayList<>());
+		int finished = 0;
+		for (int now = 0; now <= 8_500; now += 20) {
+			int time = now;
+			int slots = (fault == Fault.ENGINES_HALVE && now >= 3_000) ? SLOTS / 2 : SLOTS;
+			waiting[1] += (now == 1_000) ? 48 : 0;
+			if (fault == Fault.RESTART && now == 3_000) {
+				hosts.set(0, EngineShares.create(clock));
+			}
+			for (int host = 0; host < 2; host++) {
+				int before = ends.get(host).size();
+				ends.get(host).removeIf((end) -> end <= time);
+				finished += (host == 1) ? before - ends.get(host).size() : 0;
+			}
+			for (int host = 0; host < 2; host++) {
+				List<TrainerLoad> loads = List.of(load("t" + host, waiting[host], ends.get(host).size(), 1_000));
+				hosts.get(host).own(loads);
+				if (now % ((fault == Fault.LATE_FIGURES) ? 900 : 300) == 0) {
+					hosts.get(1 - host).peer("host-" + host, loads);
+				}
+				int limit = useShares
+						? hosts.get(host).startable("engines", slots, 2).get(new EngineShares.Trainer("t" + host, "m"))
+						: Integer.MAX_VALUE;
+				int free = slots - ends.get(0).size() - ends.get(1).size();
+				int started = Math.max(0, Math.min(waiting[host], Math.min(free, limit)));
+				if (started < waiting[host] && started < free && hosts.get(host).mayBorrow("engines", true)) {
+					started++;
+				}
+				for (int i = 0; i < started; i++) {
+					ends.get(host).add(now + 2_000);
+				}
+				waiting[host] -= started;
+			}
+			clock.advance(20);
+		}
+		return finished;
+	}
+
+	private enum Fault {
+
+		NONE, ENGINES_HALVE, RESTART, LATE_FIGURES
+
+	}
+
 	private int startable(String workspace) {
 		return this.shares.startable("engines", SLOTS, 3).get(new EngineShares.Trainer(workspace, "m"));
 	}
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointAcquirer.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointAcquirer.java
@@ -173,6 +173,15 @@
 				: acquireRateLimited(requirements, waitDeadlineMillis));
 	}
 
+	/**
+	 * Returns whether routes or workspaces have priorities.
+	 * @return whether the current routes name any
+	 */
+	boolean hasPriorities() {
+		RoutingTable current = this.routing.get();
+		return current != null && current.hasPriorities();
+	}
+
 	/**
 	 * Logs the workspaces that began or ceased to be held to their share of a service.
 	 * Called at regular intervals, because no request may arrive when this state ends.
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ItemRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ItemRunner.java
@@ -12,6 +12,7 @@
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.message.BasicHeader;
 import org.bamboorelay.core.process.EndpointTable;
+import org.bamboorelay.core.request.EnginePriority;
 import org.bamboorelay.core.request.RequestOrigin;
 import org.bamboorelay.core.request.Submission;
 import org.bamboorelay.core.request.SubmissionItem;
@@ -163,7 +164,8 @@
 		long remainingMillis = Math.max(1, active.deadlineMillis() - System.currentTimeMillis());
 		EndpointRequest call = new EndpointRequest(item.id(), "POST", submission.host(), item.path(), headers,
 				submission.workspace().isEmpty() ? null : submission.workspace(), grant.id(), remainingMillis,
-				run.after(), item.body());
+				run.after(), item.body())
+			.withPriority(EnginePriority.ofItem(hasPriorities(), run.inTime()));
 		this.counters.counter("endpoint_requests_total", "origin", RequestOrigin.ITEM.label()).inc();
 		Either<HttpFailure, HttpExchange> result = this.pool.execute(grant.address(), this.protocol.encodeRequest(call),
 				ExchangeOptions.of(true, EVENT_TIMEOUT_MILLIS)
@@ -199,6 +201,11 @@
 		}
 	}
 
+	private boolean hasPriorities() {
+		RoutingTable currentRouting = this.routing.get();
+		return currentRouting != null && currentRouting.hasPriorities();
+	}
+
 	private RunOutcome readEvents(ActiveSubmission active, SubmissionItem item, EndpointTable.Grant grant,
 			HttpExchange exchange, EndpointResponse response) {
 		long paceStartMillis = this.clock.millis();
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/StreamRelay.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/StreamRelay.java
@@ -15,6 +15,7 @@
 import org.apache.hc.core5.http.message.BasicClassicHttpResponse;
 import org.apache.hc.core5.io.IOCallback;
 import org.bamboorelay.core.process.EndpointTable;
+import org.bamboorelay.core.request.EnginePriority;
 import org.bamboorelay.core.time.Clock;
 import org.bamboorelay.host.connection.EndpointProtocol;
 import org.bamboorelay.host.connection.EndpointRequest;
@@ -240,7 +241,8 @@
 			long remainingMillis = Math.max(1, this.request.deadlineMillis() - StreamRelay.this.clock.millis());
 			EndpointRequest call = new EndpointRequest(this.request.id(), this.request.method(), this.request.host(),
 					this.request.path(), this.request.headers(), this.request.workspace(), grant.id(), remainingMillis,
-					afterEvent, this.request.body());
+					afterEvent, this.request.body())
+				.withPriority(EnginePriority.ofCaller(StreamRelay.this.acquirer.hasPriorities()));
 			long headTimeoutMillis = resuming ? this.eventTimeoutMillis : remainingMillis;
 			Either<HttpFailure, HttpExchange> result = StreamRelay.this.pool.execute(grant.address(),
 					StreamRelay.this.protocol.encodeRequest(call),
