Count slots of other hosts in the expected wait, lend one slot per pass

The expected wait used only the requests that this host runs. With 53 hosts most slots are held elsewhere, so requests could be refused that would have begun in time; the higher one of that figure and the observed rate applies. A slot that stays free was lent without a limit within one pass, and the due time of a submission could be lost if a pass ran during its start.

EngineSharesTests, EndpointTableTests, AdmissionQueueTests and PriorityLevelTests pass.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EngineShares.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EngineShares.java
@@ -37,6 +37,12 @@
 	 */
 	private static final long LEND_DELAY_MILLIS = 60;
 
+	/**
+	 * Minimum time between two slots that are lent because they stay free, in
+	 * milliseconds; the interval of the passes in which hosts start items.
+	 */
+	private static final long LEND_INTERVAL_MILLIS = 20;
+
 	private static final double ROUNDING = 1e-9;
 
 	private final Clock clock;
@@ -130,9 +136,11 @@
 		long now = this.clock.millis();
 		FreeSlot last = this.freeSlots.get(service);
 		boolean stayedFree = last != null && now - last.seenMillis() <= LEND_DELAY_MILLIS;
-		FreeSlot current = new FreeSlot(stayedFree ? last.sinceMillis() : now, now);
-		this.freeSlots.put(service, current);
-		return now - current.sinceMillis() >= LEND_DELAY_MILLIS;
+		long sinceMillis = stayedFree ? last.sinceMillis() : now;
+		boolean lent = now - sinceMillis >= LEND_DELAY_MILLIS;
+		this.freeSlots.put(service,
+				new FreeSlot(lent ? now - LEND_DELAY_MILLIS + LEND_INTERVAL_MILLIS : sinceMillis, now));
+		return lent;
 	}
 
 	/**
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/request/SlotQueue.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/request/SlotQueue.java
@@ -264,11 +264,11 @@
 
 	// Returns 0 if nothing is known about the rate at which slots become free.
 	private long expectedWait(Ticket<T> ticket, Supply supply) {
-		// The running requests show a change of the pace sooner than the requests that
-		// got
-		// slots do.
-		double perMillisecond = (this.holdMillis > 0 && supply.running() > 0) ? supply.running() / this.holdMillis
-				: this.rate.perMillisecond();
+		// The running requests show a change of the pace first, but slots that other
+		// hosts
+		// hold may become free for this one too.
+		double perMillisecond = Math.max(this.rate.perMillisecond(),
+				(this.holdMillis > 0) ? supply.running() / this.holdMillis : 0);
 		if (perMillisecond <= 0) {
 			return 0;
 		}
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/process/EngineSharesTests.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/process/EngineSharesTests.java
@@ -89,6 +89,9 @@
 			this.clock.advance(20);
 		}
 		assertThat(this.shares.mayBorrow("engines", true)).isTrue();
+		assertThat(this.shares.mayBorrow("engines", true)).as("one in each pass").isFalse();
+		this.clock.advance(20);
+		assertThat(this.shares.mayBorrow("engines", true)).isTrue();
 		assertThat(this.shares.mayBorrow("engines", false)).isFalse();
 		assertThat(this.shares.mayBorrow("engines", true)).isFalse();
 	}
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
@@ -603,7 +603,6 @@
 		ActiveSubmission running = new ActiveSubmission(state, results,
 				() -> route(record).map((current) -> current.service(share)), deadline, texts.version(),
 				System.currentTimeMillis());
-		this.itemStarts.onActivated(submission.id(), route.resultDueMillis());
 		boolean added = this.activeSubmissions.putIfAbsent(submission.id(), running) == null;
 		if (!added) {
 			running.stop();
@@ -613,6 +612,7 @@
 			stop(submission.id(), "not-wanted");
 		}
 		else {
+			this.itemStarts.onActivated(submission.id(), route.resultDueMillis());
 			this.log.info("submission-started", "submission", submission.id(), "items", submission.items().size(),
 					"model", submission.model(), "step", submission.step(), "min_version", submission.minVersion(),
 					"wanted_groups", submission.wantedGroups(), "carried", resubmittedItems.size(), "host", this.host);
