--- a/bamboorelay-host/src/test/java/org/bamboorelay/host/request/EndpointAcquirerTests.java
+++ b/bamboorelay-host/src/test/java/org/bamboorelay/host/request/EndpointAcquirerTests.java
@@ -93,6 +93,26 @@
 		assertThat(this.counters.text()).contains("queue_refusals_total{service=\"s\",reason=\"expected-wait\"} 1");
 	}
 
+	/**
+	 * Guards against one workspace that gets all slots because its deadlines are earlier.
+	 */
+	@Test
+	void secondSlotGoesToOtherWorkspace() throws Exception {
+		List<EndpointTable.Grant> grants = occupy();
+		for (int i = 0; i < 3; i++) {
+			acquire(RequestOrigin.CALLER);
+			awaitQueued(i + 1);
+		}
+		ServiceRequest other = request(RequestOrigin.CALLER, 2 * DEADLINE_MILLIS, "other");
+		CompletableFuture<Either<CallResult.NotRun, EndpointTable.Grant>> granted = CompletableFuture.supplyAsync(
+				() -> this.acquirer.acquire(other, Set.of(), this.acquirer.waitDeadline(other.deadlineMillis())),
+				this.executor);
+		awaitQueued(4);
+		this.table.release(grants.get(0), EndpointTable.Outcome.SERVED);
+		this.table.release(grants.get(1), EndpointTable.Outcome.SERVED);
+		assertThat(granted.get(5, TimeUnit.SECONDS).isRight()).as("second slot").isTrue();
+	}
+
 	private EndpointAcquirer acquirer() {
 		EventLog log = new EventLog();
 		HostMesh mesh = HostMesh.of("host-a", "domain-a", 1, "1", Clock.monotonic(), this.executor, log);
@@ -129,7 +149,11 @@
 	}
 
 	private static ServiceRequest request(RequestOrigin origin, long deadlineMillis) {
-		return new ServiceRequest(origin, "r", "GET", "example", "/", List.of(), new byte[0], "w", "s", true, 1,
+		return request(origin, deadlineMillis, "w");
+	}
+
+	private static ServiceRequest request(RequestOrigin origin, long deadlineMillis, String workspace) {
+		return new ServiceRequest(origin, "r", "GET", "example", "/", List.of(), new byte[0], workspace, "s", true, 1,
 				Clock.monotonic().millis() + deadlineMillis, (abort) -> {
 				});
 	}
