--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/request/SubmissionStateTests.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/request/SubmissionStateTests.java
@@ -29,6 +29,7 @@
 		plan.onEvent("i0", 1, "a", 1);
 		plan.onEvent("i0", 2, "b", 1);
 		plan.onInterrupted("i0", false, 0);
+		assertThat(plan.counts(DueTime.NONE, 0)).isEqualTo(new SubmissionState.Counts(1, 1, 0, true));
 		assertThat(plan.startNext(1_000).after()).isEqualTo(2);
 		assertThat(plan.onEvent("i0", 3, "c", 2)).isEqualTo(SubmissionState.EventOutcome.APPENDED);
 		plan.onGenerated("i0");
@@ -37,6 +38,28 @@
 			.containsExactly(new ItemResult("i0", true, "a\nb\nc", List.of(1L, 2L), "seal"));
 	}
 
+	/**
+	 * Guards against groups that are begun but not completed, and against slots that go
+	 * to groups that cannot be read by the due time.
+	 */
+	@Test
+	void begunGroupsThatCanBeInTimeStartFirst() {
+		List<SubmissionItem> items = new ArrayList<>();
+		for (String id : List.of("late-0", "new-0", "begun-0", "begun-1")) {
+			items.add(new SubmissionItem(id, "/i", Map.of(), new byte[0], 1, id.substring(0, id.indexOf('-')),
+					id.startsWith("late") ? 100 : 10, null));
+		}
+		SubmissionState plan = plan(1, items, 3);
+		plan.onListed(List.of(new ItemResult("begun-0", true, "", List.of(), null)));
+		DueTime due = DueTime.of(0, 1_000, 50);
+		assertThat(List.of(start(plan, due), start(plan, due), start(plan, due))).containsExactly("begun-1", "new-0",
+				"late-0");
+	}
+
+	private static String start(SubmissionState plan, DueTime due) {
+		return plan.startNext(due, 0).item().id();
+	}
+
 	@Test
 	void eventIsRejectedWhenItIsNotTheNextOne() {
 		// A missing or duplicate event would produce a sample that no engine generated.
@@ -104,7 +127,7 @@
 		assertThat(first.partsMissingFrom(copied, Long.MAX_VALUE)).isEmpty();
 		SubmissionState second = plan(1, items(2), 3);
 		second.preload(copies.textsOf("s", Long.MAX_VALUE));
-		assertThat(second.startNext(0)).isEqualTo(new SubmissionState.Run(items(2).get(0), 2));
+		assertThat(second.startNext(0)).isEqualTo(new SubmissionState.Run(items(2).get(0), 2, true));
 	}
 
 	@Test
@@ -120,7 +143,7 @@
 		}
 		assertThat(plan.onEvent("i0", events + 1, data, 1)).isEqualTo(SubmissionState.EventOutcome.TOO_LARGE);
 		plan.onInterrupted("i0", false, 0);
-		assertThat(plan.startNext(1_000)).isEqualTo(new SubmissionState.Run(items(1).get(0), 0));
+		assertThat(plan.startNext(1_000)).isEqualTo(new SubmissionState.Run(items(1).get(0), 0, true));
 	}
 
 	@Test
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
@@ -49,6 +50,7 @@
 import org.bamboorelay.host.connection.PlatformCalls;
 import org.bamboorelay.host.request.CallerMonitor;
 import org.bamboorelay.host.request.CallerRequestHandler;
+import org.bamboorelay.host.request.EndpointAcquirer;
 import org.bamboorelay.host.request.EndpointClient;
 import org.bamboorelay.host.request.EndpointNotices;
 import org.bamboorelay.host.request.HedgedCalls;
@@ -169,6 +171,8 @@
 
 	private final @Nullable HedgedCalls hedgedCalls;
 
+	private final EndpointAcquirer acquirer;
+
 	private final SubmissionRunner runner;
 
 	private final SubmissionDirectory directory;
@@ -256,8 +260,10 @@
 				? new HedgedCalls(HedgingPolicy.of(hedging, this.clock), this.table, poisonGuard,
 						this.shutdownAdmission, this.clock, this.counters, this.log)
 				: null;
-		EndpointClient endpointClient = EndpointClient.of(this.table, rateSlots, poisonGuard, notices, endpoints, pool,
-				this.clock, this.counters, this.log, this.hedgedCalls);
+		this.acquirer = new EndpointAcquirer(this.table, rateSlots, this.routing::get,
+				new SplittableRandom(ThreadLocalRandom.current().nextLong()), this.clock, this.counters, this.log);
+		EndpointClient endpointClient = EndpointClient.of(this.table, this.acquirer, poisonGuard, notices, endpoints,
+				pool, this.clock, this.counters, this.log, this.hedgedCalls);
 		ItemRunner itemRunner = new ItemRunner(this.table, notices, endpoints, pool, endpointClient, this.routing::get,
 				this.clock, this.counters, this.log);
 		SubmissionStore submissions = SubmissionStore.of(this.store);
@@ -267,7 +273,7 @@
 		this.directory.onSilentOwner(this.isolation::onSilentHostActive);
 		SubmissionHandler submissionHandler = new SubmissionHandler(settings.host(), callers, submissions,
 				this.directory, this.runner, this.log);
-		StreamRelay streamRelay = new StreamRelay(this.table, rateSlots, poisonGuard, notices, endpoints, pool,
+		StreamRelay streamRelay = new StreamRelay(this.table, this.acquirer, poisonGuard, notices, endpoints, pool,
 				this.usage, this.clock, this.log);
 		this.callerRequestHandler = new CallerRequestHandler(this.routing::get, callers, endpointClient, streamRelay,
 				submissionHandler, this.callerMonitor, this.usage, this.shutdownAdmission, this.clock, this.counters,
@@ -288,6 +294,7 @@
 			this.table.leaving(status.leavingEndpoints());
 			this.usage.merge(status.usage());
 			this.duties.updateDemand(host, status.demand());
+			this.runner.onTrainerLoads(host, status.trainers());
 			if (status.holdsDuties()) {
 				this.lease.onVersionAnnounced(status.leaseVersion());
 				this.table.loading(Set.copyOf(status.loading()));
@@ -626,6 +633,7 @@
 				this.hedgedCalls.hostCount(this.mesh.liveHosts().size());
 			}
 		}
+		this.acquirer.logShares();
 		checkIsolation();
 		this.table.silentDomains(this.mesh.silentDomains());
 		if (now >= this.nextTakeoverMillis) {
@@ -698,7 +706,7 @@
 		return new PeerMessage.HostStatus(this.shuttingDown, this.lease.isHeld(), this.lease.heldVersion(),
 				this.store.isDirectlyReachable(), this.runner.demand(), List.copyOf(this.weightLoadScheduler.loading()),
 				this.lease.isHeld() ? this.weightLoadScheduler.assignedModels() : Map.of(),
-				new HashMap<>(this.table.ownLoad()), this.table.leaving(), usageCounts);
+				new HashMap<>(this.table.ownLoad()), this.table.leaving(), usageCounts, this.runner.trainerLoads());
 	}
 
 	private static void pause(long millis) {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointClient.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointClient.java
@@ -68,9 +68,9 @@
 
 	private final @Nullable HedgedCalls hedgedCalls;
 
-	private EndpointClient(EndpointTable table, RateSlots rateSlots, PoisonGuard poisonGuard, EndpointNotices notices,
-			EndpointProtocol protocol, HttpConnectionPool pool, Clock clock, Counters counters, EventLog log,
-			@Nullable HedgedCalls hedgedCalls) {
+	private EndpointClient(EndpointTable table, EndpointAcquirer acquirer, PoisonGuard poisonGuard,
+			EndpointNotices notices, EndpointProtocol protocol, HttpConnectionPool pool, Clock clock, Counters counters,
+			EventLog log, @Nullable HedgedCalls hedgedCalls) {
 		this.table = Objects.requireNonNull(table, "table");
 		this.poisonGuard = Objects.requireNonNull(poisonGuard, "poisonGuard");
 		this.notices = Objects.requireNonNull(notices, "notices");
@@ -80,13 +80,13 @@
 		this.counters = Objects.requireNonNull(counters, "counters");
 		this.log = Objects.requireNonNull(log, "log");
 		this.hedgedCalls = hedgedCalls;
-		this.acquirer = new EndpointAcquirer(table, rateSlots, clock);
+		this.acquirer = Objects.requireNonNull(acquirer, "acquirer");
 	}
 
 	/**
 	 * Creates a client.
 	 * @param table the table of endpoints
-	 * @param rateSlots acquires endpoints that limit their rate
+	 * @param acquirer acquires slots at endpoints, shared by all requests of the process
 	 * @param poisonGuard refuses requests that crash endpoints
 	 * @param notices records what endpoints announce in their responses
 	 * @param protocol encodes requests to endpoints and decodes their responses
@@ -97,10 +97,10 @@
 	 * @param hedgedCalls sends copies of slow requests; null if requests are not hedged
 	 * @return the client
 	 */
-	public static EndpointClient of(EndpointTable table, RateSlots rateSlots, PoisonGuard poisonGuard,
+	public static EndpointClient of(EndpointTable table, EndpointAcquirer acquirer, PoisonGuard poisonGuard,
 			EndpointNotices notices, EndpointProtocol protocol, HttpConnectionPool pool, Clock clock, Counters counters,
 			EventLog log, @Nullable HedgedCalls hedgedCalls) {
-		return new EndpointClient(table, rateSlots, poisonGuard, notices, protocol, pool, clock, counters, log,
+		return new EndpointClient(table, acquirer, poisonGuard, notices, protocol, pool, clock, counters, log,
 				hedgedCalls);
 	}
 
@@ -117,8 +117,7 @@
 		HedgedCalls hedging = (this.hedgedCalls != null && this.hedgedCalls.begin(request)) ? this.hedgedCalls : null;
 		while (triedEndpoints.size() < request.maxAttempts()) {
 			Either<CallResult.NotRun, EndpointTable.Grant> acquired = this.poisonGuard.admit(request, triedEndpoints)
-				.flatMap((excluded) -> this.acquirer.acquire(request.origin(), request.service(), excluded,
-						waitDeadlineMillis));
+				.flatMap((excluded) -> this.acquirer.acquire(request, excluded, waitDeadlineMillis));
 			if (acquired.isLeft()) {
 				return CallResult.mostUncertain(last, acquired.getLeft());
 			}
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/StreamRelay.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/StreamRelay.java
@@ -15,6 +15,7 @@
 import org.apache.hc.core5.http.message.BasicClassicHttpResponse;
 import org.apache.hc.core5.io.IOCallback;
 import org.bamboorelay.core.process.EndpointTable;
+import org.bamboorelay.core.request.EnginePriority;
 import org.bamboorelay.core.time.Clock;
 import org.bamboorelay.host.connection.EndpointProtocol;
 import org.bamboorelay.host.connection.EndpointRequest;
@@ -84,7 +85,7 @@
 	/**
 	 * Creates a relay.
 	 * @param table the table of endpoints
-	 * @param rateSlots acquires endpoints that limit their rate
+	 * @param acquirer acquires slots at endpoints, shared by all requests of the process
 	 * @param poisonGuard refuses requests that crash endpoints
 	 * @param notices records what endpoints announce in their responses
 	 * @param protocol encodes requests to endpoints and decodes their responses
@@ -93,7 +94,7 @@
 	 * @param clock the monotonic clock of the process
 	 * @param log the log of the process
 	 */
-	public StreamRelay(EndpointTable table, RateSlots rateSlots, PoisonGuard poisonGuard, EndpointNotices notices,
+	public StreamRelay(EndpointTable table, EndpointAcquirer acquirer, PoisonGuard poisonGuard, EndpointNotices notices,
 			EndpointProtocol protocol, HttpConnectionPool pool, UsageMeter usage, Clock clock, EventLog log) {
 		this.table = Objects.requireNonNull(table, "table");
 		this.poisonGuard = Objects.requireNonNull(poisonGuard, "poisonGuard");
@@ -103,7 +104,7 @@
 		this.usage = Objects.requireNonNull(usage, "usage");
 		this.clock = Objects.requireNonNull(clock, "clock");
 		this.log = Objects.requireNonNull(log, "log");
-		this.acquirer = new EndpointAcquirer(table, rateSlots, clock);
+		this.acquirer = Objects.requireNonNull(acquirer, "acquirer");
 	}
 
 	/**
@@ -212,8 +213,9 @@
 			while (this.triedEndpoints.size() < this.request.maxAttempts() && !monitoredRequest.isDisconnected()) {
 				Either<CallResult.NotRun, EndpointTable.Grant> acquired = StreamRelay.this.poisonGuard
 					.admit(this.request, this.triedEndpoints)
-					.flatMap((excluded) -> StreamRelay.this.acquirer.acquire(this.request.origin(),
-							this.request.service(), excluded, slotDeadlineMillis));
+					.flatMap((excluded) -> (firstResponse != null)
+							? StreamRelay.this.acquirer.acquireToResume(this.request, excluded, slotDeadlineMillis)
+							: StreamRelay.this.acquirer.acquire(this.request, excluded, slotDeadlineMillis));
 				if (acquired.isLeft()) {
 					this.refusal = acquired.getLeft();
 					return null;
@@ -239,7 +241,8 @@
 			long remainingMillis = Math.max(1, this.request.deadlineMillis() - StreamRelay.this.clock.millis());
 			EndpointRequest call = new EndpointRequest(this.request.id(), this.request.method(), this.request.host(),
 					this.request.path(), this.request.headers(), this.request.workspace(), grant.id(), remainingMillis,
-					afterEvent, this.request.body());
+					afterEvent, this.request.body())
+				.withPriority(EnginePriority.ofCaller(StreamRelay.this.acquirer.hasPriorities()));
 			long headTimeoutMillis = resuming ? this.eventTimeoutMillis : remainingMillis;
 			Either<HttpFailure, HttpExchange> result = StreamRelay.this.pool.execute(grant.address(),
 					StreamRelay.this.protocol.encodeRequest(call),
