--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostOptions.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostOptions.java
@@ -11,10 +11,19 @@
  * Immutable and thread-safe.
  *
  * @param hedging the options for hedged requests; null if requests are not hedged
+ * @param scheduling the options for decisions under load; null for their defaults
  */
-public record HostOptions(@Nullable HedgingSettings hedging) {
+public record HostOptions(@Nullable HedgingSettings hedging, @Nullable SchedulingOptions scheduling) {
 
 	/** The options of a host without a file. */
-	public static final HostOptions DEFAULTS = new HostOptions(null);
+	public static final HostOptions DEFAULTS = new HostOptions(null, null);
+
+	/**
+	 * Returns the options for decisions under load.
+	 * @return the options, or their defaults if the table is absent
+	 */
+	public SchedulingOptions schedulingOrDefaults() {
+		return (this.scheduling != null) ? this.scheduling : SchedulingOptions.DEFAULTS;
+	}
 
 }
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -268,7 +268,8 @@
 				this.clock, this.counters, this.log);
 		SubmissionStore submissions = SubmissionStore.of(this.store);
 		this.runner = new SubmissionRunner(settings.host(), submissions, this.table, rateSlots, itemRunner,
-				this.routing::get, ItemOrder.LONGEST_WANTED_FIRST, this.mesh, this.executor, this.log);
+				this.routing::get, ItemOrder.LONGEST_WANTED_FIRST, options.schedulingOrDefaults().engineShares(),
+				this.mesh, this.executor, this.log);
 		this.directory = new SubmissionDirectory(settings.host(), submissions, this.runner, this.mesh, this.log);
 		this.directory.onSilentOwner(this.isolation::onSilentHostActive);
 		SubmissionHandler submissionHandler = new SubmissionHandler(settings.host(), callers, submissions,
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ItemStarts.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ItemStarts.java
@@ -41,6 +41,8 @@
 
 	private final EngineShares shares;
 
+	private final boolean enabled;
+
 	private final Clock clock;
 
 	private final EventLog log;
@@ -55,8 +57,17 @@
 
 	private double millisPerUnit;
 
-	ItemStarts(EngineShares shares, Clock clock, EventLog log) {
+	/**
+	 * Creates an instance.
+	 * @param shares divides the slots
+	 * @param enabled whether slots are shared; otherwise each submission may start items
+	 * at any time, the oldest submission first
+	 * @param clock the monotonic clock of the process
+	 * @param log the log of the process
+	 */
+	ItemStarts(EngineShares shares, boolean enabled, Clock clock, EventLog log) {
 		this.shares = Objects.requireNonNull(shares, "shares");
+		this.enabled = enabled;
 		this.clock = Objects.requireNonNull(clock, "clock");
 		this.log = Objects.requireNonNull(log, "log");
 	}
@@ -68,7 +79,9 @@
 	 * they are not due at any time
 	 */
 	void onActivated(String id, long millis) {
-		this.resultDueMillis.put(id, millis);
+		if (this.enabled) {
+			this.resultDueMillis.put(id, millis);
+		}
 	}
 
 	/**
@@ -83,6 +96,11 @@
 	 */
 	synchronized List<ActiveSubmission> startOrder(Collection<ActiveSubmission> submissions,
 			ToIntFunction<EndpointRequirements> slots, int hostCount, long nowMillis) {
+		if (!this.enabled) {
+			return submissions.stream()
+				.sorted(Comparator.comparingLong((running) -> running.state().acceptedMillis()))
+				.toList();
+		}
 		Map<ActiveSubmission, SubmissionState.Counts> counts = new HashMap<>();
 		Map<String, Map<EngineShares.Trainer, TrainerLoad>> byService = new HashMap<>();
 		Map<String, Integer> slotsByService = new HashMap<>();
@@ -131,7 +149,7 @@
 	 * @return whether it may start an item if it gets a slot
 	 */
 	synchronized boolean mayStart(ActiveSubmission running, EndpointRequirements requirements, EndpointTable table) {
-		return startable(running) > 0
+		return !this.enabled || startable(running) > 0
 				|| this.shares.mayBorrow(requirements.service(), table.availableCount(requirements) > 0);
 	}
 
@@ -165,6 +183,9 @@
 	 * @return the due time, with the pace that this host observed
 	 */
 	synchronized DueTime due(ActiveSubmission running) {
+		if (!this.enabled) {
+			return DueTime.NONE;
+		}
 		long millis = this.resultDueMillis.getOrDefault(running.state().submission().id(), Long.MAX_VALUE);
 		return DueTime.of(running.state().acceptedMillis(), millis, this.millisPerUnit);
 	}
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
@@ -159,13 +159,14 @@
 	 * @param itemRunner runs single items
 	 * @param routing supplies the current routes; null until they have been read
 	 * @param itemOrder the order in which items are started
+	 * @param sharesEngines whether trainers and hosts share the slots of engines
 	 * @param mesh the other hosts, to which partial texts are replicated
 	 * @param executor the threads that run items and write pages
 	 * @param log the log of the process
 	 */
 	public SubmissionRunner(String host, SubmissionStore store, EndpointTable table, RateSlots rateSlots,
-			ItemRunner itemRunner, Supplier<@Nullable RoutingTable> routing, ItemOrder itemOrder, HostMesh mesh,
-			ExecutorService executor, EventLog log) {
+			ItemRunner itemRunner, Supplier<@Nullable RoutingTable> routing, ItemOrder itemOrder, boolean sharesEngines,
+			HostMesh mesh, ExecutorService executor, EventLog log) {
 		this.mesh = Objects.requireNonNull(mesh, "mesh");
 		this.host = Objects.requireNonNull(host, "host");
 		this.store = Objects.requireNonNull(store, "store");
@@ -174,7 +175,7 @@
 		this.itemRunner = Objects.requireNonNull(itemRunner, "itemRunner");
 		this.routing = Objects.requireNonNull(routing, "routing");
 		this.itemOrder = Objects.requireNonNull(itemOrder, "itemOrder");
-		this.itemStarts = new ItemStarts(EngineShares.create(Clock.monotonic()), Clock.monotonic(), log);
+		this.itemStarts = new ItemStarts(EngineShares.create(Clock.monotonic()), sharesEngines, Clock.monotonic(), log);
 		this.executor = Objects.requireNonNull(executor, "executor");
 		this.log = Objects.requireNonNull(log, "log");
 	}
--- a/bamboorelay-host/src/test/java/org/bamboorelay/host/connection/OutboundMemoryTests.java
+++ b/bamboorelay-host/src/test/java/org/bamboorelay/host/connection/OutboundMemoryTests.java
@@ -119,7 +119,7 @@
 	// Opens all links of the sender. The receivers send no status, so the clock stands.
 	private void link() {
 		PeerMessage.HostStatus status = new PeerMessage.HostStatus(false, false, 0, true, Map.of(), List.of(), Map.of(),
-				Map.of(), Map.of(), Map.of());
+				Map.of(), Map.of(), Map.of(), List.of());
 		this.sender.sendStatus(() -> status);
 		awaitCondition(() -> this.sender.openLinks() == this.meshes.size());
 		assertThat(this.sender.openLinks()).isEqualTo(this.meshes.size());
--- a/bamboorelay-host/src/test/java/org/bamboorelay/host/request/EndpointAcquirerTests.java
+++ b/bamboorelay-host/src/test/java/org/bamboorelay/host/request/EndpointAcquirerTests.java
@@ -153,8 +153,9 @@
 	}
 
 	private static ServiceRequest request(RequestOrigin origin, long deadlineMillis, String workspace) {
-		return new ServiceRequest(origin, "r", "GET", "example", "/", List.of(), new byte[0], workspace, "s", true, 1,
-				Clock.monotonic().millis() + deadlineMillis, (abort) -> {
+		return new ServiceRequest(origin, "r", "GET", "example", "/", List.of(), new byte[0], workspace, "route", "s",
+				true, 1, 1, Clock.monotonic().millis() + deadlineMillis, (abort) -> {
+				}, () -> {
 				});
 	}
 
--- a/bamboorelay-host/src/test/java/org/bamboorelay/host/request/SubmissionDirectoryTests.java
+++ b/bamboorelay-host/src/test/java/org/bamboorelay/host/request/SubmissionDirectoryTests.java
@@ -147,7 +147,7 @@
 		ItemRunner items = new ItemRunner(table, notices, protocol, pool, caller, () -> this.routes, Clock.monotonic(),
 				counters, this.log);
 		return new SubmissionRunner("host-a", SubmissionStore.of(this.inMemoryStore), table, slots, items,
-				this::readRoutes, ItemOrder.AS_SUBMITTED, mesh, this.executor, this.log);
+				this::readRoutes, ItemOrder.AS_SUBMITTED, true, mesh, this.executor, this.log);
 	}
 
 	private HostMesh mesh() {
--- a/bamboorelay-host/src/test/java/org/bamboorelay/host/version/PeerFallbackStoreTests.java
+++ b/bamboorelay-host/src/test/java/org/bamboorelay/host/version/PeerFallbackStoreTests.java
@@ -114,7 +114,7 @@
 			this.meshes.forEach((host, mesh) -> {
 				boolean reachesStore = Integer.parseInt(host.substring("host-".length())) < HOSTS_WITH_STORE;
 				mesh.sendStatus(() -> new PeerMessage.HostStatus(false, false, 0, reachesStore, Map.of(), List.of(),
-						Map.of(), Map.of(), Map.of(), Map.of()));
+						Map.of(), Map.of(), Map.of(), Map.of(), List.of()));
 			});
 			awaitCondition(linked, 50);
 		}
