Extract the choice of an endpoint from the endpoint table

Cause: the load reported by endpoints, memory and the length of items need a choice of their own, and each choice added up the reports of all peers once per endpoint and twice for available ones. Change: PlacementPolicy gets the endpoints that can accept a request and returns the chosen one with its reason; EstimatedLoadPlacement is the decision of before. EndpointTable.explain returns the reasons against the others. PeerLoads keeps the sums of the reports, updated with each report. No change of behaviour.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
@@ -52,25 +52,11 @@
 	/** Weight of the newest measurement in the moving average of the time per unit. */
 	private static final double UNIT_TIME_EWMA_WEIGHT = 0.2;
 
-	/** Maximum load difference that affinity outweighs, in slots. */
-	private static final double MAX_AFFINITY_BONUS_SLOTS = 2.0;
-
-	/**
-	 * Load added to the score of an endpoint that is assigned to another model, as a
-	 * share of its slots.
-	 */
-	private static final double OTHER_MODEL_PENALTY = 0.7;
-
-	/**
-	 * Maximum age of the load reported by a peer, in milliseconds; older load is ignored.
-	 */
-	private static final long PEER_LOAD_MAX_AGE_MILLIS = 2_500;
-
 	private final Clock clock;
 
 	private final Map<String, EndpointState> endpoints = new HashMap<>();
 
-	private final Map<String, PeerLoad> peerLoads = new HashMap<>();
+	private final PeerLoads peerLoads = new PeerLoads(this::onPeerLoad);
 
 	private final Map<String, ServiceRule> services = new HashMap<>();
 
@@ -86,6 +72,10 @@
 
 	private final NamedRates namedRates = new NamedRates();
 
+	private final PlacementPolicy placement = new EstimatedLoadPlacement();
+
+	private final List<EndpointState> candidates = new ArrayList<>();
+
 	private int hostCount = 1;
 
 	private EndpointTable(Clock clock) {
@@ -132,6 +122,8 @@
 			EndpointState replacement = new EndpointState(entry);
 			replacement.coldUntilMillis = now + entry.coldRemainingMillis();
 			replacement.versions.putAll(entry.versions());
+			replacement.peerRunning = this.peerLoads.sum(entry.id());
+			replacement.assignedModel = this.assignedModels.get(entry.id());
 			if (existing != null) {
 				replacement.running = existing.running;
 			}
@@ -177,7 +169,7 @@
 	 * @param running the number of requests by endpoint
 	 */
 	public synchronized void peerLoad(String host, Map<String, Integer> running) {
-		this.peerLoads.put(host, new PeerLoad(Map.copyOf(running), this.clock.millis()));
+		this.peerLoads.put(host, running, this.clock.millis());
 	}
 
 	/**
@@ -270,20 +262,24 @@
 	 */
 	public synchronized @Nullable Grant acquire(EndpointRequirements requirements) {
 		long now = this.clock.millis();
-		double fastestUnitTime = fastestUnitTime(requirements.service());
-		double bestScore = Double.MAX_VALUE;
-		EndpointState best = null;
-		for (EndpointState endpoint : this.endpoints.values()) {
-			if (!isAvailable(endpoint, requirements, now)) {
-				continue;
-			}
-			double score = score(endpoint, requirements, fastestUnitTime, now);
-			if (score < bestScore) {
-				bestScore = score;
-				best = endpoint;
-			}
-		}
-		return (best != null) ? grant(best, now) : null;
+		PlacementPolicy.Choice<EndpointState> choice = choose(requirements, now,
+				PlacementPolicy.RejectionListener.NONE);
+		return (choice != null) ? grant(choice.candidate(), now) : null;
+	}
+
+	/**
+	 * Returns which endpoint a request would get now, and why, without sending it.
+	 * @param requirements the requirements of the request
+	 * @return the endpoint that would be chosen, and the reasons against the others
+	 */
+	public synchronized Explanation explain(EndpointRequirements requirements) {
+		Map<String, PlacementReason> rejected = new HashMap<>();
+		PlacementPolicy.Choice<EndpointState> choice = choose(requirements, this.clock.millis(), rejected::put);
+		String chosen = (choice != null) ? choice.candidate().id() : null;
+		this.candidates.stream()
+			.filter((candidate) -> !candidate.id().equals(chosen))
+			.forEach((candidate) -> rejected.putIfAbsent(candidate.id(), PlacementReason.OTHER_PREFERRED));
+		return new Explanation(chosen, (choice != null) ? choice.reason() : null, Map.copyOf(rejected));
 	}
 
 	/**
@@ -526,6 +522,7 @@
 	public synchronized void assignedModels(Map<String, String> models) {
 		this.assignedModels.clear();
 		this.assignedModels.putAll(models);
+		this.endpoints.forEach((id, endpoint) -> endpoint.assignedModel = models.get(id));
 	}
 
 	/**
@@ -561,8 +558,7 @@
 			Long version = endpoint.versions.get(model);
 			if (version != null && !isLeaving(endpoint)) {
 				holders.add(new ModelHolder(endpoint.entry.id(), endpoint.entry.address(), endpoint.entry.domain(),
-						endpoint.entry.startedAtMillis(), version, Map.copyOf(endpoint.versions),
-						(int) load(endpoint, now)));
+						endpoint.entry.startedAtMillis(), version, Map.copyOf(endpoint.versions), load(endpoint, now)));
 			}
 		}
 		return holders;
@@ -582,18 +578,55 @@
 		return counts;
 	}
 
+	private PlacementPolicy.@Nullable Choice<EndpointState> choose(EndpointRequirements requirements, long now,
+			PlacementPolicy.RejectionListener rejections) {
+		this.peerLoads.expire(now);
+		this.candidates.clear();
+		double fastestUnitTime = 0;
+		for (EndpointState endpoint : this.endpoints.values()) {
+			if (!endpoint.entry.service().equals(requirements.service())) {
+				continue;
+			}
+			if (endpoint.unitTime > 0 && (fastestUnitTime == 0 || endpoint.unitTime < fastestUnitTime)) {
+				fastestUnitTime = endpoint.unitTime;
+			}
+			PlacementReason obstacle = obstacle(endpoint, requirements, now);
+			if (obstacle == null) {
+				this.candidates.add(endpoint);
+			}
+			else {
+				rejections.onRejected(endpoint.id(), obstacle);
+			}
+		}
+		return this.placement.choose(new PlacementPolicy.Request(requirements, fastestUnitTime, now), this.candidates,
+				rejections);
+	}
+
+	private void onPeerLoad(String id, int running) {
+		EndpointState endpoint = this.endpoints.get(id);
+		if (endpoint != null) {
+			endpoint.peerRunning = running;
+		}
+	}
+
 	private boolean isLeaving(EndpointState endpoint) {
 		return endpoint.entry.leaving() || this.leaving.contains(endpoint.entry.id(), endpoint.entry.startedAtMillis());
 	}
 
 	private boolean isEligible(EndpointState endpoint, EndpointRequirements requirements) {
-		EndpointEntry entry = endpoint.entry;
-		if (!entry.service().equals(requirements.service()) || isLeaving(endpoint)
-				|| this.disabledDomains.contains(entry.domain())) {
-			return false;
+		return endpoint.entry.service().equals(requirements.service()) && ineligibility(endpoint, requirements) == null;
+	}
+
+	private @Nullable PlacementReason ineligibility(EndpointState endpoint, EndpointRequirements requirements) {
+		if (isLeaving(endpoint)) {
+			return PlacementReason.LEAVING;
+		}
+		if (this.disabledDomains.contains(endpoint.entry.domain())) {
+			return PlacementReason.DOMAIN_DISABLED;
 		}
-		return requirements.model() == null || endpoint.versions.getOrDefault(requirements.model(),
+		boolean holdsWeights = requirements.model() == null || endpoint.versions.getOrDefault(requirements.model(),
 				requirements.minVersion()) >= requirements.minVersion();
+		return holdsWeights ? null : PlacementReason.OLD_WEIGHTS;
 	}
 
 	private Grant grant(EndpointState endpoint, long now) {
@@ -612,67 +645,52 @@
 	}
 
 	private boolean isAvailable(EndpointState endpoint, EndpointRequirements requirements, long now) {
-		return isAvailableApartFromSlots(endpoint, requirements, now) && (!isRateLimited(endpoint)
-				|| (!endpoint.slotRequested && now >= endpoint.nextSlotMillis(requirements)));
+		return endpoint.entry.service().equals(requirements.service()) && obstacle(endpoint, requirements, now) == null;
+	}
+
+	private @Nullable PlacementReason obstacle(EndpointState endpoint, EndpointRequirements requirements, long now) {
+		PlacementReason obstacle = obstacleApartFromSlots(endpoint, requirements, now);
+		if (obstacle == null && isRateLimited(endpoint)
+				&& (endpoint.slotRequested || now < endpoint.nextSlotMillis(requirements))) {
+			return PlacementReason.RATE_LIMITED;
+		}
+		return obstacle;
 	}
 
 	private boolean isAvailableApartFromSlots(EndpointState endpoint, EndpointRequirements requirements, long now) {
-		if (!isEligible(endpoint, requirements) || now < endpoint.backoffUntilMillis
-				|| this.loading.contains(endpoint.entry.id())
-				|| requirements.excluded().contains(endpoint.entry.id())) {
-			return false;
+		return endpoint.entry.service().equals(requirements.service())
+				&& obstacleApartFromSlots(endpoint, requirements, now) == null;
+	}
+
+	private @Nullable PlacementReason obstacleApartFromSlots(EndpointState endpoint, EndpointRequirements requirements,
+			long now) {
+		PlacementReason ineligibility = ineligibility(endpoint, requirements);
+		if (ineligibility != null) {
+			return ineligibility;
+		}
+		if (now < endpoint.backoffUntilMillis) {
+			return PlacementReason.BACKOFF;
+		}
+		if (this.loading.contains(endpoint.entry.id())) {
+			return PlacementReason.LOADING_WEIGHTS;
+		}
+		if (requirements.excluded().contains(endpoint.entry.id())) {
+			return PlacementReason.EXCLUDED;
 		}
 		if (now < endpoint.coldUntilMillis && now < endpoint.nextColdRequestAtMillis) {
-			return false;
+			return PlacementReason.COLD;
 		}
 		Long silentSince = this.silentSinceMillis.get(endpoint.entry.domain());
 		if (silentSince != null && endpoint.lastResponseMillis < silentSince && endpoint.running > 0) {
-			return false;
+			return PlacementReason.DOMAIN_SILENT;
 		}
 		double limit = endpoint.entry.slots() * (requirements.slotsOnly() ? 1.0 : 1.0 + QUEUE_TO_SLOTS_RATIO);
-		return load(endpoint, now) < limit;
-	}
-
-	private double score(EndpointState endpoint, EndpointRequirements requirements, double fastestUnitTime, long now) {
-		double slots = endpoint.entry.slots();
-		double score = (load(endpoint, now) + 1) / slots;
-		if (endpoint.unitTime > 0 && fastestUnitTime > 0) {
-			score *= Math.max(1.0, endpoint.unitTime / fastestUnitTime);
-		}
-		String model = this.assignedModels.get(endpoint.entry.id());
-		if (model != null && requirements.model() != null && !model.equals(requirements.model())) {
-			score += OTHER_MODEL_PENALTY;
-		}
-		if (requirements.affinity() != 0) {
-			long hash = requirements.affinity() * 31 + endpoint.entry.id().hashCode();
-			hash ^= hash >>> 29;
-			hash *= 0xBF58476D1CE4E5B9L;
-			hash ^= hash >>> 32;
-			score -= MAX_AFFINITY_BONUS_SLOTS / slots * ((hash & 0xFFFF) / 65536.0);
-		}
-		return score;
+		return (load(endpoint, now) < limit) ? null : PlacementReason.NO_SLOT;
 	}
 
-	// The lowest average time per unit of a service, which all healthy endpoints
-	// approach.
-	private double fastestUnitTime(String service) {
-		double lowest = 0;
-		for (EndpointState endpoint : this.endpoints.values()) {
-			if (endpoint.unitTime > 0 && endpoint.entry.service().equals(service)) {
-				lowest = (lowest == 0) ? endpoint.unitTime : Math.min(lowest, endpoint.unitTime);
-			}
-		}
-		return lowest;
-	}
-
-	private double load(EndpointState endpoint, long now) {
-		int load = endpoint.running;
-		for (PeerLoad peer : this.peerLoads.values()) {
-			if (now - peer.atMillis() < PEER_LOAD_MAX_AGE_MILLIS) {
-				load += peer.running().getOrDefault(endpoint.entry.id(), 0);
-			}
-		}
-		return load;
+	private int load(EndpointState endpoint, long now) {
+		this.peerLoads.expire(now);
+		return endpoint.load();
 	}
 
 	private long coldIntervalMillis(EndpointState endpoint) {
@@ -745,58 +763,15 @@
 			Map<String, Long> versions, int running) {
 	}
 
-	private record PeerLoad(Map<String, Integer> running, long atMillis) {
-	}
-
-	private static final class EndpointState {
-
-		private EndpointEntry entry;
-
-		private final Map<String, Long> versions = new HashMap<>();
-
-		private int running;
-
-		private int failures;
-
-		private int timeouts;
-
-		private long backoffUntilMillis;
-
-		private long coldUntilMillis;
-
-		private long nextColdRequestAtMillis;
-
-		private double unitTime;
-
-		private long lastResponseMillis = Long.MIN_VALUE;
-
-		/**
-		 * Whether a slot at this endpoint was requested and not yet refused or granted.
-		 */
-		private boolean slotRequested;
-
-		private long nextInteractiveSlotMillis;
-
-		private long nextBackgroundSlotMillis;
-
-		private EndpointState(EndpointEntry entry) {
-			this.entry = entry;
-		}
-
-		private long nextSlotMillis(EndpointRequirements requirements) {
-			return requirements.origin().isInteractive() ? this.nextInteractiveSlotMillis
-					: this.nextBackgroundSlotMillis;
-		}
-
-		private void nextSlotMillis(EndpointRequirements requirements, long millis) {
-			if (requirements.origin().isInteractive()) {
-				this.nextInteractiveSlotMillis = millis;
-			}
-			else {
-				this.nextBackgroundSlotMillis = millis;
-			}
-		}
-
+	/**
+	 * Which endpoint a request would get, and why.
+	 *
+	 * @param chosen the endpoint; null if none can accept the request
+	 * @param reason why it would be chosen; null if there is none
+	 * @param rejected why each other endpoint of the service would not be chosen
+	 */
+	public record Explanation(@Nullable String chosen, @Nullable PlacementReason reason,
+			Map<String, PlacementReason> rejected) {
 	}
 
 }
--- /dev/null
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/PlacementCandidate.java
@@ -0,0 +1,42 @@
+package org.bamboorelay.core.process;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * An endpoint that can accept a request, with the figures on which the choice is based.
+ * The figures are valid only during the choice, because they are read from the live state
+ * of the endpoint; copies for each choice would cost more than the choice itself.
+ */
+interface PlacementCandidate {
+
+	/**
+	 * Returns the endpoint.
+	 * @return its id
+	 */
+	String id();
+
+	/**
+	 * Returns the number of requests that the endpoint runs concurrently.
+	 * @return the number of slots
+	 */
+	int slots();
+
+	/**
+	 * Returns the number of requests that this host and its peers run at the endpoint.
+	 * @return the number of requests
+	 */
+	int load();
+
+	/**
+	 * Returns the average time that the endpoint needs for a unit of work.
+	 * @return the time, in milliseconds; 0 if it is not known
+	 */
+	double unitTime();
+
+	/**
+	 * Returns the model to which the endpoint is assigned.
+	 * @return the model; null if it is assigned to none
+	 */
+	@Nullable String assignedModel();
+
+}
--- /dev/null
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/PlacementReason.java
@@ -0,0 +1,54 @@
+package org.bamboorelay.core.process;
+
+import java.util.Locale;
+
+/**
+ * Why an endpoint was chosen for a request, or why it was not.
+ */
+public enum PlacementReason {
+
+	/** Chosen: the lowest load that this host knows of, relative to the pace. */
+	LOWEST_LOAD,
+
+	/** Not chosen: another endpoint is preferred. */
+	OTHER_PREFERRED,
+
+	/** The endpoint is leaving. */
+	LEAVING,
+
+	/** Its failure domain is disabled. */
+	DOMAIN_DISABLED,
+
+	/** It holds an older weight version than required. */
+	OLD_WEIGHTS,
+
+	/** It failed or refused a request recently. */
+	BACKOFF,
+
+	/** It is loading weights. */
+	LOADING_WEIGHTS,
+
+	/** The request must not get it, for example because it was sent there before. */
+	EXCLUDED,
+
+	/** It is cold, and this host's share of its request rate is used up. */
+	COLD,
+
+	/** Its failure domain is silent, and it has not responded since. */
+	DOMAIN_SILENT,
+
+	/** All its slots, or the places in its queue, are taken. */
+	NO_SLOT,
+
+	/** It limits its request rate, and its next slot is not due. */
+	RATE_LIMITED;
+
+	/**
+	 * Returns the name for logs and metrics.
+	 * @return the name, in lower case with hyphens
+	 */
+	public String label() {
+		return name().toLowerCase(Locale.ROOT).replace('_', '-');
+	}
+
+}
