Choose endpoints by the load that they report

Cause: endpoints share their machine and change their pace within 600 ms; hosts knew only the requests of hosts and, for items, an average pace. Change: X-Server-Load is decoded in platform; bad figures count as absent. EndpointTable keeps the last report of each endpoint with its age and what hosts started and ended since. ReportedLoadPlacement chooses by the expected delay, at random among the best three within 15%. A report decays within a second. Services whose endpoints report nothing keep their rule.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointState.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointState.java
@@ -12,6 +12,15 @@
  */
 final class EndpointState implements PlacementCandidate {
 
+	/** Age from which a report is ignored, in milliseconds; the pace changes faster. */
+	private static final long REPORT_MAX_AGE_MILLIS = 1_000;
+
+	/** Weight of the newest report in the moving average of the reported pace. */
+	private static final double PACE_EWMA_WEIGHT = 0.05;
+
+	/** Weight of the newest measurement in the moving average of the time per unit. */
+	private static final double UNIT_TIME_EWMA_WEIGHT = 0.2;
+
 	EndpointEntry entry;
 
 	final Map<String, Long> versions = new HashMap<>();
@@ -37,6 +46,17 @@
 
 	@Nullable String assignedModel;
 
+	private @Nullable ReportedLoad reported;
+
+	private long reportedAtMillis;
+
+	/** Difference between the reported load and that known from hosts at that time. */
+	private int unknownLoad;
+
+	private double usualPace = 1;
+
+	private double usualUnitTime;
+
 	/**
 	 * Whether a slot at this endpoint was requested and not yet refused or granted.
 	 */
@@ -67,7 +87,7 @@
 
 	@Override
 	public double unitTime() {
-		return this.unitTime;
+		return (this.reported == null) ? this.unitTime : this.usualUnitTime;
 	}
 
 	@Override
@@ -75,6 +95,46 @@
 		return this.assignedModel;
 	}
 
+	@Override
+	public double expectedLoad(long nowMillis) {
+		// Requests that this host and its peers started or ended since the report change
+		// load(), and thereby the expected load.
+		return Math.max(this.running, load() + freshness(nowMillis) * this.unknownLoad);
+	}
+
+	@Override
+	public double currentPace(long nowMillis) {
+		return (this.reported == null) ? this.usualPace
+				: this.usualPace + freshness(nowMillis) * (this.reported.pace() - this.usualPace);
+	}
+
+	boolean reportsLoad() {
+		return this.reported != null;
+	}
+
+	void onLoadReported(ReportedLoad load, long nowMillis) {
+		this.reported = load;
+		this.reportedAtMillis = nowMillis;
+		this.unknownLoad = load.running() + load.waiting() - load();
+		this.usualPace += PACE_EWMA_WEIGHT * (load.pace() - this.usualPace);
+	}
+
+	void onUnitTime(double millis, long nowMillis) {
+		this.lastResponseMillis = nowMillis;
+		this.unitTime = average(this.unitTime, millis);
+		this.usualUnitTime = average(this.usualUnitTime, millis / currentPace(nowMillis));
+	}
+
+	private static double average(double before, double millis) {
+		return (before == 0) ? millis : before + UNIT_TIME_EWMA_WEIGHT * (millis - before);
+	}
+
+	// 1 for a report that just arrived, 0 for none or one that is ignored.
+	private double freshness(long nowMillis) {
+		return (this.reported == null) ? 0
+				: Math.max(0, 1 - (double) (nowMillis - this.reportedAtMillis) / REPORT_MAX_AGE_MILLIS);
+	}
+
 	long nextSlotMillis(EndpointRequirements requirements) {
 		return requirements.origin().isInteractive() ? this.nextInteractiveSlotMillis : this.nextBackgroundSlotMillis;
 	}
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
@@ -8,7 +8,9 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.TreeSet;
+import java.util.random.RandomGenerator;
 
 import org.bamboorelay.core.connection.PeerMessage;
 import org.bamboorelay.core.time.Clock;
@@ -49,9 +51,6 @@
 	/** Number of requests that may queue at an endpoint, relative to its slots. */
 	private static final double QUEUE_TO_SLOTS_RATIO = 1.0;
 
-	/** Weight of the newest measurement in the moving average of the time per unit. */
-	private static final double UNIT_TIME_EWMA_WEIGHT = 0.2;
-
 	private final Clock clock;
 
 	private final Map<String, EndpointState> endpoints = new HashMap<>();
@@ -72,24 +71,77 @@
 
 	private final NamedRates namedRates = new NamedRates();
 
-	private final PlacementPolicy placement = new EstimatedLoadPlacement();
+	private final PlacementPolicy estimatedLoadPlacement = new EstimatedLoadPlacement();
+
+	private final PlacementPolicy reportedLoadPlacement;
+
+	private final PlacementCounts placementCounts = new PlacementCounts();
 
 	private final List<EndpointState> candidates = new ArrayList<>();
 
 	private int hostCount = 1;
 
-	private EndpointTable(Clock clock) {
+	private EndpointTable(Clock clock, RandomGenerator random) {
 		this.clock = Objects.requireNonNull(clock, "clock");
+		this.reportedLoadPlacement = new ReportedLoadPlacement(random);
 		this.leaving = new LeavingEndpoints(clock);
 	}
 
 	/**
-	 * Creates an empty table.
+	 * Creates an empty table whose random choices are the same in each process.
 	 * @param clock the monotonic clock of the process
 	 * @return the table
 	 */
 	public static EndpointTable create(Clock clock) {
-		return new EndpointTable(clock);
+		return create(clock, new SplittableRandom(0));
+	}
+
+	/**
+	 * Creates an empty table.
+	 * @param clock the monotonic clock of the process
+	 * @param random the source of randomness, which differs between hosts
+	 * @return the table
+	 */
+	public static EndpointTable create(Clock clock, RandomGenerator random) {
+		return new EndpointTable(clock, random);
+	}
+
+	/**
+	 * Returns how often endpoints were chosen and runs were migrated, by reason.
+	 * @return the counts
+	 */
+	public PlacementCounts placementCounts() {
+		return this.placementCounts;
+	}
+
+	/**
+	 * Records the load that an endpoint reports in a response.
+	 * @param grant the grant of the request
+	 * @param load the load
+	 * @return whether this is the first report of any endpoint of the service
+	 */
+	public synchronized boolean onLoadReported(Grant grant, ReportedLoad load) {
+		EndpointState endpoint = this.endpoints.get(grant.id());
+		if (endpoint == null || endpoint.entry.startedAtMillis() != grant.startedAtMillis()) {
+			return false;
+		}
+		long now = this.clock.millis();
+		this.peerLoads.expire(now);
+		boolean isFirst = !reportsLoad(endpoint.entry.service());
+		endpoint.onLoadReported(load, now);
+		this.placementCounts.onReport();
+		return isFirst;
+	}
+
+	/**
+	 * Returns whether an endpoint of a service reported its load.
+	 * @param service the service
+	 * @return whether the choices for the service use reported load
+	 */
+	public synchronized boolean reportsLoad(String service) {
+		return this.endpoints.values()
+			.stream()
+			.anyMatch((endpoint) -> endpoint.reportsLoad() && endpoint.entry.service().equals(service));
 	}
 
 	/**
@@ -264,7 +316,11 @@
 		long now = this.clock.millis();
 		PlacementPolicy.Choice<EndpointState> choice = choose(requirements, now,
 				PlacementPolicy.RejectionListener.NONE);
-		return (choice != null) ? grant(choice.candidate(), now) : null;
+		if (choice == null) {
+			return null;
+		}
+		this.placementCounts.onChoice(choice.reason());
+		return grant(choice.candidate(), now);
 	}
 
 	/**
@@ -437,9 +493,7 @@
 	public synchronized void unitTime(String id, double millisPerUnit) {
 		EndpointState endpoint = this.endpoints.get(id);
 		if (endpoint != null) {
-			endpoint.lastResponseMillis = this.clock.millis();
-			endpoint.unitTime = (endpoint.unitTime == 0) ? millisPerUnit
-					: endpoint.unitTime + UNIT_TIME_EWMA_WEIGHT * (millisPerUnit - endpoint.unitTime);
+			endpoint.onUnitTime(millisPerUnit, this.clock.millis());
 		}
 	}
 
@@ -583,13 +637,15 @@
 		this.peerLoads.expire(now);
 		this.candidates.clear();
 		double fastestUnitTime = 0;
+		boolean reportsLoad = false;
 		for (EndpointState endpoint : this.endpoints.values()) {
 			if (!endpoint.entry.service().equals(requirements.service())) {
 				continue;
 			}
-			if (endpoint.unitTime > 0 && (fastestUnitTime == 0 || endpoint.unitTime < fastestUnitTime)) {
-				fastestUnitTime = endpoint.unitTime;
+			if (endpoint.unitTime() > 0 && (fastestUnitTime == 0 || endpoint.unitTime() < fastestUnitTime)) {
+				fastestUnitTime = endpoint.unitTime();
 			}
+			reportsLoad |= endpoint.reportsLoad();
 			PlacementReason obstacle = obstacle(endpoint, requirements, now);
 			if (obstacle == null) {
 				this.candidates.add(endpoint);
@@ -598,7 +654,8 @@
 				rejections.onRejected(endpoint.id(), obstacle);
 			}
 		}
-		return this.placement.choose(new PlacementPolicy.Request(requirements, fastestUnitTime, now), this.candidates,
+		PlacementPolicy policy = reportsLoad ? this.reportedLoadPlacement : this.estimatedLoadPlacement;
+		return policy.choose(new PlacementPolicy.Request(requirements, fastestUnitTime, now), this.candidates,
 				rejections);
 	}
 
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/PlacementCandidate.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/PlacementCandidate.java
@@ -39,4 +39,20 @@
 	 */
 	@Nullable String assignedModel();
 
+	/**
+	 * Returns the load of the endpoint from its last report and what was sent there
+	 * since. As the report ages, the result approaches {@link #load()}.
+	 * @param nowMillis the time, in milliseconds
+	 * @return the number of requests that run or wait at the endpoint
+	 */
+	double expectedLoad(long nowMillis);
+
+	/**
+	 * Returns how long work takes at the endpoint now, relative to the usual. As the
+	 * report ages, the result approaches the average of the endpoint's reports.
+	 * @param nowMillis the time, in milliseconds
+	 * @return the factor
+	 */
+	double currentPace(long nowMillis);
+
 }
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/PlacementReason.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/PlacementReason.java
@@ -10,6 +10,11 @@
 	/** Chosen: the lowest load that this host knows of, relative to the pace. */
 	LOWEST_LOAD,
 
+	/**
+	 * Chosen: one of the few lowest expected delays, from the load that endpoints report.
+	 */
+	LEAST_DELAY,
+
 	/** Not chosen: another endpoint is preferred. */
 	OTHER_PREFERRED,
 
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/EndpointResponse.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/EndpointResponse.java
@@ -4,6 +4,7 @@
 import java.util.Objects;
 
 import org.apache.hc.core5.http.Header;
+import org.bamboorelay.core.process.ReportedLoad;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -18,6 +19,7 @@
  * requests
  * @param requestsPerSecond the requests per second that the endpoint takes from all hosts
  * together; infinite if it names no rate
+ * @param load the load that the endpoint reports; null if it reports none
  * @param seal the seal by which the endpoint proves that it generated the response; null
  * if there is none
  * @param weightVersion the weight version with which the endpoint runs; 0 if it names
@@ -25,7 +27,8 @@
  * @param forwardedHeaders the headers to forward to the caller, including the seal
  */
 public record EndpointResponse(int status, @Nullable String id, boolean notExecuted, boolean leaving,
-		double requestsPerSecond, @Nullable String seal, long weightVersion, List<Header> forwardedHeaders) {
+		double requestsPerSecond, @Nullable ReportedLoad load, @Nullable String seal, long weightVersion,
+		List<Header> forwardedHeaders) {
 
 	public EndpointResponse {
 		Objects.requireNonNull(forwardedHeaders, "forwardedHeaders");
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
@@ -142,7 +143,7 @@
 
 	private final AtomicReference<@Nullable RoutingTable> routing = new AtomicReference<>();
 
-	private final EndpointTable table = EndpointTable.create(this.clock);
+	private final EndpointTable table = EndpointTable.create(this.clock, new SplittableRandom(System.nanoTime()));
 
 	private final PoisonRequestDetector poisonRequests = PoisonRequestDetector.create(this.clock);
 
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointNotices.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointNotices.java
@@ -11,7 +11,7 @@
 
 /**
  * Records what endpoints announce about themselves in the heads of their responses: that
- * they are leaving, and the request rate that they take.
+ * they are leaving, the request rate that they take, and their load.
  * <p>
  * Thread-safe.
  */
@@ -48,6 +48,10 @@
 	void onResponse(EndpointTable.Grant grant, EndpointResponse response) {
 		this.detector.onSignOfLife(grant.id(), grant.startedAtMillis(), grant.grantedAtMillis());
 		this.table.onLeavingAnnounced(grant.id(), grant.startedAtMillis(), response.leaving());
+		if (response.load() != null && this.table.onLoadReported(grant, response.load())) {
+			this.log.info("endpoint-load-reported", "endpoint", grant.id(), "domain", grant.domain(), "load",
+					response.load());
+		}
 		if (this.table.onRateNamed(grant, response.requestsPerSecond())) {
 			this.log.info("endpoint-rate-named", "endpoint", grant.id(), "domain", grant.domain(),
 					"requests_per_second", response.requestsPerSecond());
