Place items by their expected completion, prompt and memory

Change: for services whose endpoints report their load, the item that starts next is known before an endpoint is chosen. Items fit into kv_capacity.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointRequirements.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointRequirements.java
@@ -20,9 +20,10 @@
  * wait in the endpoint's queue
  * @param excluded the endpoints that must not get the request, such as those to which it
  * was sent before
+ * @param work the work of an item; null for other requests
  */
 public record EndpointRequirements(RequestOrigin origin, String service, @Nullable String model, long minVersion,
-		long affinity, boolean slotsOnly, Set<String> excluded) {
+		long affinity, boolean slotsOnly, Set<String> excluded, @Nullable ItemWork work) {
 
 	public EndpointRequirements {
 		Objects.requireNonNull(origin, "origin");
@@ -30,6 +31,31 @@
 		excluded = Set.copyOf(excluded);
 	}
 
+	/**
+	 * Creates the requirements of a request whose work is not known.
+	 * @param origin where the request comes from
+	 * @param service the service
+	 * @param model the model; null for a plain service
+	 * @param minVersion the oldest weight version that may serve the request; 0 for any
+	 * @param affinity hash of the part that the request shares with others; 0 for none
+	 * @param slotsOnly whether the endpoint must have a free slot
+	 * @param excluded the endpoints that must not get the request
+	 */
+	public EndpointRequirements(RequestOrigin origin, String service, @Nullable String model, long minVersion,
+			long affinity, boolean slotsOnly, Set<String> excluded) {
+		this(origin, service, model, minVersion, affinity, slotsOnly, excluded, null);
+	}
+
+	/**
+	 * Returns the same requirements for an item whose work is known.
+	 * @param itemWork the work of the item
+	 * @return the requirements
+	 */
+	public EndpointRequirements withWork(ItemWork itemWork) {
+		return new EndpointRequirements(this.origin, this.service, this.model, this.minVersion, this.affinity,
+				this.slotsOnly, this.excluded, Objects.requireNonNull(itemWork, "itemWork"));
+	}
+
 	/**
 	 * Returns the requirements of a request to a plain service.
 	 * @param origin where the request comes from
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointState.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointState.java
@@ -30,6 +30,9 @@
 	/** Number of requests that the peers of this host run at the endpoint. */
 	int peerRunning;
 
+	/** Number of tokens that the items of this host may occupy at the endpoint. */
+	long reservedTokens;
+
 	int failures;
 
 	int timeouts;
@@ -108,6 +111,22 @@
 				: this.usualPace + freshness(nowMillis) * (this.reported.pace() - this.usualPace);
 	}
 
+	@Override
+	public double usualPace() {
+		return this.usualPace;
+	}
+
+	@Override
+	public boolean fits(ItemWork work, PlacementPolicy.Memory memory) {
+		return memory.capacity() == 0 || load() == 0 || this.reservedTokens + this.peerRunning * memory.tokensPerRun()
+				+ work.reservedTokens() <= memory.capacity();
+	}
+
+	void onEnded(EndpointTable.Grant grant) {
+		this.running = Math.max(0, this.running - 1);
+		this.reservedTokens = Math.max(0, this.reservedTokens - grant.reservedTokens());
+	}
+
 	boolean reportsLoad() {
 		return this.reported != null;
 	}
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
@@ -51,6 +51,9 @@
 	/** Number of requests that may queue at an endpoint, relative to its slots. */
 	private static final double QUEUE_TO_SLOTS_RATIO = 1.0;
 
+	/** Weight of the newest item in the moving average of the tokens of an item. */
+	private static final double TOKENS_EWMA_WEIGHT = 0.05;
+
 	private final Clock clock;
 
 	private final Map<String, EndpointState> endpoints = new HashMap<>();
@@ -75,6 +78,11 @@
 
 	private final PlacementPolicy reportedLoadPlacement;
 
+	private final SharedPrompts sharedPrompts = new SharedPrompts();
+
+	/** The average number of tokens that an item occupies, by service. */
+	private final Map<String, Double> tokensPerRun = new HashMap<>();
+
 	private final PlacementCounts placementCounts = new PlacementCounts();
 
 	private final List<EndpointState> candidates = new ArrayList<>();
@@ -178,6 +186,7 @@
 			replacement.assignedModel = this.assignedModels.get(entry.id());
 			if (existing != null) {
 				replacement.running = existing.running;
+				replacement.reservedTokens = existing.reservedTokens;
 			}
 			this.endpoints.put(entry.id(), replacement);
 			return;
@@ -320,7 +329,7 @@
 			return null;
 		}
 		this.placementCounts.onChoice(choice.reason());
-		return grant(choice.candidate(), now);
+		return grant(choice.candidate(), requirements, now);
 	}
 
 	/**
@@ -356,7 +365,7 @@
 				next = endpoint;
 			}
 		}
-		return (next != null) ? grant(next, now) : null;
+		return (next != null) ? grant(next, requirements, now) : null;
 	}
 
 	/**
@@ -372,7 +381,7 @@
 		if (endpoint != null) {
 			endpoint.slotRequested = false;
 			if (!slot.granted()) {
-				endpoint.running = Math.max(0, endpoint.running - 1);
+				endpoint.onEnded(grant);
 				endpoint.nextSlotMillis(requirements, this.clock.millis() + slot.delayMillis());
 			}
 		}
@@ -464,7 +473,7 @@
 		if (endpoint == null) {
 			return;
 		}
-		endpoint.running = Math.max(0, endpoint.running - 1);
+		endpoint.onEnded(grant);
 		long now = this.clock.millis();
 		if (outcome == Outcome.SERVED || outcome == Outcome.REFUSED) {
 			endpoint.lastResponseMillis = now;
@@ -636,15 +645,13 @@
 			PlacementPolicy.RejectionListener rejections) {
 		this.peerLoads.expire(now);
 		this.candidates.clear();
-		double fastestUnitTime = 0;
+		UnitTimeSummary unitTimes = new UnitTimeSummary();
 		boolean reportsLoad = false;
 		for (EndpointState endpoint : this.endpoints.values()) {
 			if (!endpoint.entry.service().equals(requirements.service())) {
 				continue;
 			}
-			if (endpoint.unitTime() > 0 && (fastestUnitTime == 0 || endpoint.unitTime() < fastestUnitTime)) {
-				fastestUnitTime = endpoint.unitTime();
-			}
+			unitTimes.add(endpoint.unitTime());
 			reportsLoad |= endpoint.reportsLoad();
 			PlacementReason obstacle = obstacle(endpoint, requirements, now);
 			if (obstacle == null) {
@@ -655,8 +662,19 @@
 			}
 		}
 		PlacementPolicy policy = reportsLoad ? this.reportedLoadPlacement : this.estimatedLoadPlacement;
-		return policy.choose(new PlacementPolicy.Request(requirements, fastestUnitTime, now), this.candidates,
-				rejections);
+		return policy.choose(request(requirements, unitTimes, now), this.candidates, rejections);
+	}
+
+	private PlacementPolicy.Request request(EndpointRequirements requirements, UnitTimeSummary unitTimes, long now) {
+		ItemWork work = requirements.work();
+		return new PlacementPolicy.Request(requirements, unitTimes.result(), memory(requirements.service()),
+				(work != null) ? this.sharedPrompts.holders(work.group(), now) : Map.of(), now);
+	}
+
+	private PlacementPolicy.Memory memory(String service) {
+		ServiceRule rule = this.services.get(service);
+		return new PlacementPolicy.Memory((rule != null) ? rule.tokenCapacity() : 0,
+				this.tokensPerRun.getOrDefault(service, 0.0));
 	}
 
 	private void onPeerLoad(String id, int running) {
@@ -686,15 +704,23 @@
 		return holdsWeights ? null : PlacementReason.OLD_WEIGHTS;
 	}
 
-	private Grant grant(EndpointState endpoint, long now) {
+	private Grant grant(EndpointState endpoint, EndpointRequirements requirements, long now) {
 		endpoint.running++;
+		ItemWork work = requirements.work();
+		if (work != null) {
+			endpoint.reservedTokens += work.reservedTokens();
+			this.tokensPerRun.merge(requirements.service(), (double) work.reservedTokens(),
+					(average, tokens) -> average + TOKENS_EWMA_WEIGHT * (tokens - average));
+			this.sharedPrompts.put(work.group(), endpoint.id(), now);
+		}
 		if (now < endpoint.coldUntilMillis) {
 			endpoint.nextColdRequestAtMillis = now + coldIntervalMillis(endpoint);
 		}
 		EndpointEntry entry = endpoint.entry;
 		double rate = this.namedRates.rate(entry.id(), entry.startedAtMillis());
 		endpoint.slotRequested = !Double.isInfinite(rate);
-		return new Grant(entry.id(), entry.address(), entry.domain(), entry.startedAtMillis(), now, rate);
+		return new Grant(entry.id(), entry.address(), entry.domain(), entry.startedAtMillis(), now, rate,
+				(work != null) ? work.reservedTokens() : 0);
 	}
 
 	private boolean isRateLimited(EndpointState endpoint) {
@@ -791,9 +817,27 @@
 	 * process
 	 * @param requestsPerSecond the rate that the endpoint takes from all hosts together;
 	 * infinite if it named none
+	 * @param reservedTokens the number of tokens that the request may occupy in the
+	 * memory of the endpoint; 0 if unknown
 	 */
 	public record Grant(String id, String address, String domain, long startedAtMillis, long grantedAtMillis,
-			double requestsPerSecond) {
+			double requestsPerSecond, long reservedTokens) {
+
+		/**
+		 * Creates a grant for a request whose use of memory is not known.
+		 * @param id the endpoint
+		 * @param address {@code ip:port}
+		 * @param domain its failure domain
+		 * @param startedAtMillis its start time, in milliseconds since the epoch
+		 * @param grantedAtMillis the time of the choice, in milliseconds of the clock of
+		 * the process
+		 * @param requestsPerSecond the rate that the endpoint takes; infinite if it named
+		 * none
+		 */
+		public Grant(String id, String address, String domain, long startedAtMillis, long grantedAtMillis,
+				double requestsPerSecond) {
+			this(id, address, domain, startedAtMillis, grantedAtMillis, requestsPerSecond, 0);
+		}
 
 		/**
 		 * Returns whether the request needs a slot.
@@ -831,4 +875,26 @@
 			Map<String, PlacementReason> rejected) {
 	}
 
+	private static final class UnitTimeSummary {
+
+		private double fastest;
+
+		private double sum;
+
+		private int count;
+
+		private void add(double unitTime) {
+			if (unitTime > 0) {
+				this.fastest = (this.count == 0) ? unitTime : Math.min(this.fastest, unitTime);
+				this.sum += unitTime;
+				this.count++;
+			}
+		}
+
+		private PlacementPolicy.UnitTimes result() {
+			return new PlacementPolicy.UnitTimes(this.fastest, (this.count > 0) ? this.sum / this.count : 0);
+		}
+
+	}
+
 }
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EstimatedLoadPlacement.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EstimatedLoadPlacement.java
@@ -28,7 +28,7 @@
 		double bestScore = Double.MAX_VALUE;
 		C best = null;
 		for (C candidate : candidates) {
-			double score = score(candidate, request.requirements(), request.fastestUnitTime());
+			double score = score(candidate, request.requirements(), request.unitTimes().fastest());
 			if (score < bestScore) {
 				bestScore = score;
 				best = candidate;
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/PlacementCandidate.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/PlacementCandidate.java
@@ -55,4 +55,19 @@
 	 */
 	double currentPace(long nowMillis);
 
+	/**
+	 * Returns how long work usually takes at the endpoint, as it reports it.
+	 * @return the average of the reported factors
+	 */
+	double usualPace();
+
+	/**
+	 * Returns whether an item fits into the memory of the endpoint. An item fits into an
+	 * idle endpoint whatever its size is.
+	 * @param work the item
+	 * @param memory the memory of an endpoint of the service
+	 * @return whether the item fits
+	 */
+	boolean fits(ItemWork work, PlacementPolicy.Memory memory);
+
 }
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/PlacementPolicy.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/PlacementPolicy.java
@@ -1,6 +1,7 @@
 package org.bamboorelay.core.process;
 
 import java.util.List;
+import java.util.Map;
 
 import org.jspecify.annotations.Nullable;
 
@@ -28,11 +29,32 @@
 	 * A request with the figures that are common to all candidates.
 	 *
 	 * @param requirements the requirements of the request
-	 * @param fastestUnitTime the lowest average time per unit of work of all endpoints of
-	 * the service, in milliseconds; 0 if none is known
+	 * @param unitTimes the times per unit of work of all endpoints of the service
+	 * @param memory the memory of an endpoint of the service
+	 * @param promptHolders the endpoints that have prefilled the shared part of the
+	 * prompt, with the time of the last item
 	 * @param nowMillis the time of the choice, in milliseconds
 	 */
-	record Request(EndpointRequirements requirements, double fastestUnitTime, long nowMillis) {
+	record Request(EndpointRequirements requirements, UnitTimes unitTimes, Memory memory,
+			Map<String, Long> promptHolders, long nowMillis) {
+	}
+
+	/**
+	 * The average times per unit of work of the endpoints of a service.
+	 *
+	 * @param fastest the lowest time, in milliseconds; 0 if none is known
+	 * @param typical the mean of the times, in milliseconds; 0 if none is known
+	 */
+	record UnitTimes(double fastest, double typical) {
+	}
+
+	/**
+	 * The memory of an endpoint.
+	 *
+	 * @param capacity the number of tokens that fit into it; 0 if it is not limited
+	 * @param tokensPerRun the expected number of tokens of a run of another host
+	 */
+	record Memory(long capacity, double tokensPerRun) {
 	}
 
 	/**
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/PlacementReason.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/PlacementReason.java
@@ -15,6 +15,12 @@
 	 */
 	LEAST_DELAY,
 
+	/** Chosen: one of the engines that are expected to complete the item first. */
+	EARLIEST_COMPLETION,
+
+	/** Chosen: an engine that has prefilled the shared part of the item's prompt. */
+	SHARED_PROMPT,
+
 	/** Not chosen: another endpoint is preferred. */
 	OTHER_PREFERRED,
 
@@ -45,6 +51,9 @@
 	/** All its slots, or the places in its queue, are taken. */
 	NO_SLOT,
 
+	/** Its memory is taken by other items. */
+	NO_MEMORY,
+
 	/** It limits its request rate, and its next slot is not due. */
 	RATE_LIMITED;
 
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/request/SubmissionState.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/request/SubmissionState.java
@@ -119,19 +119,55 @@
 	 * @return the run, or null if no item is waiting
 	 */
 	public synchronized @Nullable Run startNext(long nowMillis) {
+		Run run = next(nowMillis);
+		return (run != null && start(run)) ? run : null;
+	}
+
+	/**
+	 * Returns the item that starts next, without starting it.
+	 * @param nowMillis the current wall-clock time, in milliseconds
+	 * @return the run, or null if no item is waiting
+	 */
+	public synchronized @Nullable Run next(long nowMillis) {
 		if (this.ended) {
 			return null;
 		}
 		for (int index : this.order) {
 			Item item = this.items.get(this.submission.items().get(index).id());
 			if (item != null && item.state == State.WAITING && nowMillis >= item.notBeforeMillis) {
-				item.state = State.RUNNING;
 				return new Run(item.item, item.text.lastEvent());
 			}
 		}
 		return null;
 	}
 
+	/**
+	 * Starts an item if it still waits.
+	 * @param run the run that {@link #next} returned
+	 * @return whether the run was started
+	 */
+	public synchronized boolean start(Run run) {
+		Item item = item(run.item().id());
+		if (this.ended || item.state != State.WAITING || item.text.lastEvent() != run.after()) {
+			return false;
+		}
+		item.state = State.RUNNING;
+		return true;
+	}
+
+	/**
+	 * Returns whether an item is the last one of its group that waits to be started.
+	 * @param id the id of the item
+	 * @return whether no other item of its group waits; false if it has no group
+	 */
+	public synchronized boolean isLastWaitingOfGroup(String id) {
+		String group = item(id).item.group();
+		return !group.isEmpty() && this.items.values()
+			.stream()
+			.noneMatch((other) -> other.state == State.WAITING && other.item.group().equals(group)
+					&& !other.item.id().equals(id));
+	}
+
 	/**
 	 * Returns whether an item is waiting for a slot.
 	 * @param nowMillis the current wall-clock time, in milliseconds
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/version/ServiceRule.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/version/ServiceRule.java
@@ -17,14 +17,36 @@
  * @param minEndpoints minimum number of endpoints per failure domain
  * @param maxEndpoints maximum number of endpoints per failure domain; 0 if the service is
  * not scalable
+ * @param tokenCapacity number of tokens that fit into the memory of one of its engines; 0
+ * if it is not limited
  */
 public record ServiceRule(String name, String healthPath, int maxConnections, double maxColdRequestsPerSecond,
-		List<String> models, int minEndpoints, int maxEndpoints) {
+		List<String> models, int minEndpoints, int maxEndpoints, long tokenCapacity) {
 
 	public ServiceRule {
 		Objects.requireNonNull(name, "name");
 		Objects.requireNonNull(healthPath, "healthPath");
 		models = List.copyOf(models);
+		if (tokenCapacity < 0) {
+			throw new IllegalArgumentException("tokenCapacity must not be negative: " + tokenCapacity);
+		}
+	}
+
+	/**
+	 * Creates the settings of a service whose engines have no limited memory.
+	 * @param name name of the service
+	 * @param healthPath path of the health check
+	 * @param maxConnections maximum number of connections of one endpoint
+	 * @param maxColdRequestsPerSecond maximum request rate of a cold endpoint, in
+	 * requests per second; 0 for no limit
+	 * @param models the models that its engines serve; empty for a plain service
+	 * @param minEndpoints minimum number of endpoints per failure domain
+	 * @param maxEndpoints maximum number of endpoints per failure domain; 0 if the
+	 * service is not scalable
+	 */
+	public ServiceRule(String name, String healthPath, int maxConnections, double maxColdRequestsPerSecond,
+			List<String> models, int minEndpoints, int maxEndpoints) {
+		this(name, healthPath, maxConnections, maxColdRequestsPerSecond, models, minEndpoints, maxEndpoints, 0);
 	}
 
 	/**
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/EndpointProtocol.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/EndpointProtocol.java
@@ -41,4 +41,13 @@
 	 */
 	long maxOutputTokens(Map<String, String> headers);
 
+	/**
+	 * Returns the number of tokens of the prompt of a request.
+	 * @param headers the headers of the request
+	 * @return the tokens; {@link PromptTokens#UNKNOWN} if the request does not name them
+	 */
+	default PromptTokens promptTokens(Map<String, String> headers) {
+		return PromptTokens.UNKNOWN;
+	}
+
 }
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ItemRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ItemRunner.java
@@ -12,6 +12,7 @@
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.message.BasicHeader;
 import org.bamboorelay.core.process.EndpointTable;
+import org.bamboorelay.core.process.ItemWork;
 import org.bamboorelay.core.request.RequestOrigin;
 import org.bamboorelay.core.request.Submission;
 import org.bamboorelay.core.request.SubmissionItem;
@@ -22,6 +23,7 @@
 import org.bamboorelay.host.connection.EndpointProtocol;
 import org.bamboorelay.host.connection.EndpointRequest;
 import org.bamboorelay.host.connection.EndpointResponse;
+import org.bamboorelay.host.connection.PromptTokens;
 import org.bamboorelay.host.process.EventLog;
 import org.bamboorelay.runtime.connection.ExchangeOptions;
 import org.bamboorelay.runtime.connection.HttpConnectionPool;
@@ -115,6 +117,23 @@
 		this.log = Objects.requireNonNull(log, "log");
 	}
 
+	/**
+	 * Returns the work of a run.
+	 * @param state the submission
+	 * @param run the run
+	 * @return the work that remains
+	 */
+	ItemWork work(SubmissionState state, SubmissionState.Run run) {
+		SubmissionItem item = run.item();
+		PromptTokens prompt = this.protocol.promptTokens(item.headers());
+		long expectedEvents = Math.min(Math.max(0, item.expectedUnits()),
+				this.protocol.maxOutputTokens(item.headers()));
+		String group = item.group().isEmpty() ? "" : state.submission().workspace() + '/' + item.group();
+		return new ItemWork(prompt.total(), prompt.shared(), Math.max(0, item.tokens()), expectedEvents, group,
+				state.isLastWaitingOfGroup(item.id()))
+			.after(run.after());
+	}
+
 	/**
 	 * Runs an item until its run ends, and requests the score if the text is complete.
 	 * @param active the submission
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
@@ -367,13 +367,16 @@
 
 	private void startItems(ActiveSubmission running, long now) {
 		Option<EndpointRequirements> requirements = running.requirements();
-		while (requirements.isDefined() && running.state().isWaiting(now)) {
-			EndpointTable.Grant grant = this.rateSlots.acquire(requirements.get());
+		while (requirements.isDefined()) {
+			SubmissionState.Run run = running.state().next(now);
+			if (run == null) {
+				return;
+			}
+			EndpointTable.Grant grant = this.rateSlots.acquire(withWork(requirements.get(), running, run));
 			if (grant == null) {
 				return;
 			}
-			SubmissionState.Run run = running.state().startNext(now);
-			if (run == null) {
+			if (!running.state().start(run)) {
 				this.table.release(grant, EndpointTable.Outcome.ABANDONED);
 				return;
 			}
@@ -384,6 +387,12 @@
 		}
 	}
 
+	private EndpointRequirements withWork(EndpointRequirements requirements, ActiveSubmission running,
+			SubmissionState.Run run) {
+		return this.table.reportsLoad(requirements.service())
+				? requirements.withWork(this.itemRunner.work(running.state(), run)) : requirements;
+	}
+
 	private void schedulePageWrite(ActiveSubmission running, long now) {
 		int unlisted = running.state().unlistedResults().size();
 		long oldestAgeMillis = running.oldestUnlistedAge(unlisted, now);
