Migrate runs only where they are expected to be completed sooner

Change: for services whose endpoints report their load, a run moves if its remaining events at the usual pace here exceed wait, prefill of the prompt and the text, and events elsewhere by 15% and 300 ms, and by twice that while items wait. Other services keep the ratios, and a run moves twice at most. Choices, reports and migrations are exported by reason.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
@@ -51,6 +51,15 @@
 	/** Number of requests that may queue at an endpoint, relative to its slots. */
 	private static final double QUEUE_TO_SLOTS_RATIO = 1.0;
 
+	/**
+	 * Minimum gain of a migration, in milliseconds. It exceeds the time until the run is
+	 * resumed elsewhere, and errors of the estimate.
+	 */
+	private static final long MIN_MIGRATION_GAIN_MILLIS = 300;
+
+	/** Minimum gain of a migration, as a share of the remaining time. */
+	private static final double MIN_MIGRATION_GAIN_SHARE = 0.15;
+
 	/** Weight of the newest item in the moving average of the tokens of an item. */
 	private static final double TOKENS_EWMA_WEIGHT = 0.05;
 
@@ -609,6 +618,40 @@
 					&& !isRateLimited(endpoint) && now >= endpoint.coldUntilMillis);
 	}
 
+	/**
+	 * Returns whether a run should be moved because it is expected to be completed sooner
+	 * elsewhere. A deviation of the current endpoint's pace from its usual one is no
+	 * reason, because it ends sooner than the move would pay off.
+	 * @param id the endpoint of the run
+	 * @param requirements the requirements of the run, with the work that remains
+	 * @param marginFactor factor on the gain that is required; at least 1
+	 * @return whether to cancel the run and resume it elsewhere
+	 */
+	public synchronized boolean isCompletedSoonerElsewhere(String id, EndpointRequirements requirements,
+			double marginFactor) {
+		EndpointState current = this.endpoints.get(id);
+		ItemWork work = requirements.work();
+		if (current == null || work == null || current.unitTime() == 0) {
+			return false;
+		}
+		long now = this.clock.millis();
+		double here = work.expectedEvents() * current.unitTime() * current.usualPace();
+		double latest = here - marginFactor * Math.max(MIN_MIGRATION_GAIN_MILLIS, MIN_MIGRATION_GAIN_SHARE * here);
+		if (latest <= 0) {
+			return false;
+		}
+		PlacementPolicy.Memory memory = memory(requirements.service());
+		Map<String, Long> holders = this.sharedPrompts.holders(work.group(), now);
+		// An endpoint whose pace is unknown is no reason to move.
+		return this.endpoints.values()
+			.stream()
+			.anyMatch((endpoint) -> endpoint != current && endpoint.unitTime() > 0 && now >= endpoint.coldUntilMillis
+					&& isAvailable(endpoint, requirements, now) && !isRateLimited(endpoint)
+					&& endpoint.fits(work, memory)
+					&& CompletionTime.of(endpoint, work, 0, holders.containsKey(endpoint.id()), now)
+						.totalMillis() < latest);
+	}
+
 	/**
 	 * Returns the endpoints that hold a model and are not leaving.
 	 * @param model the model
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/PlacementCounts.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/PlacementCounts.java
@@ -5,8 +5,8 @@
 import java.util.concurrent.atomic.LongAdder;
 
 /**
- * How often endpoints reported their load, and how often endpoints were chosen, by
- * reason.
+ * How often endpoints reported their load, how often endpoints were chosen and how often
+ * runs were migrated, by reason.
  * <p>
  * Thread-safe.
  */
@@ -16,7 +16,12 @@
 
 	private final Map<PlacementReason, LongAdder> choices = new EnumMap<>(PlacementReason.class);
 
+	private final Map<MigrationReason, LongAdder> migrations = new EnumMap<>(MigrationReason.class);
+
 	PlacementCounts() {
+		for (MigrationReason reason : MigrationReason.values()) {
+			this.migrations.put(reason, new LongAdder());
+		}
 		for (PlacementReason reason : PlacementReason.values()) {
 			this.choices.put(reason, new LongAdder());
 		}
@@ -39,6 +44,23 @@
 		return count(this.choices, reason);
 	}
 
+	/**
+	 * Returns how often a run was migrated for a reason.
+	 * @param reason the reason
+	 * @return the number of migrations
+	 */
+	public long migrations(MigrationReason reason) {
+		return count(this.migrations, reason);
+	}
+
+	/**
+	 * Counts the migration of a run.
+	 * @param reason the reason
+	 */
+	public void onMigrated(MigrationReason reason) {
+		add(this.migrations, reason);
+	}
+
 	void onReport() {
 		this.reports.increment();
 	}
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/PlacementReason.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/PlacementReason.java
@@ -1,6 +1,9 @@
 package org.bamboorelay.core.process;
 
+import java.util.Collections;
+import java.util.EnumSet;
 import java.util.Locale;
+import java.util.Set;
 
 /**
  * Why an endpoint was chosen for a request, or why it was not.
@@ -57,6 +60,10 @@
 	/** It limits its request rate, and its next slot is not due. */
 	RATE_LIMITED;
 
+	/** The reasons for which an endpoint is chosen. */
+	public static final Set<PlacementReason> CHOSEN = Collections
+		.unmodifiableSet(EnumSet.of(LOWEST_LOAD, LEAST_DELAY, EARLIEST_COMPLETION, SHARED_PROMPT));
+
 	/**
 	 * Returns the name for logs and metrics.
 	 * @return the name, in lower case with hyphens
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -30,6 +30,9 @@
 import org.bamboorelay.core.process.EndpointRequirements;
 import org.bamboorelay.core.process.EndpointTable;
 import org.bamboorelay.core.process.LeaseState;
+import org.bamboorelay.core.process.MigrationReason;
+import org.bamboorelay.core.process.PlacementCounts;
+import org.bamboorelay.core.process.PlacementReason;
 import org.bamboorelay.core.process.PoisonRequestDetector;
 import org.bamboorelay.core.process.WeightLoadScheduler;
 import org.bamboorelay.core.request.ItemOrder;
@@ -240,6 +243,7 @@
 			.contendingWhen(() -> this.clock.millis() - lastHeldMillis.get() > settings.leaseMillis()
 					&& this.mesh.dutyHolder() == null && this.mesh.mayHoldDuties());
 		this.lastHeldMillis = lastHeldMillis;
+		registerPlacementCounts();
 		EndpointNotices notices = new EndpointNotices(this.table, this.poisonRequests, this.mesh::publish, this.log);
 		PoisonGuard poisonGuard = new PoisonGuard(this.poisonRequests, this.table, this.mesh::publish, this.counters,
 				this.log);
@@ -267,6 +271,19 @@
 				this.usage, this.runner::demand, this.mesh::publish, this.executor, this.counters, this.log);
 	}
 
+	private void registerPlacementCounts() {
+		PlacementCounts counts = this.table.placementCounts();
+		this.counters.gauge("endpoint_load_reports_total", counts::reports);
+		for (PlacementReason reason : PlacementReason.CHOSEN) {
+			this.counters.gauge("endpoint_choices_total{reason=\"" + reason.label() + "\"}",
+					() -> counts.choices(reason));
+		}
+		for (MigrationReason reason : MigrationReason.values()) {
+			this.counters.gauge("item_migrations_total{reason=\"" + reason.label() + "\"}",
+					() -> counts.migrations(reason));
+		}
+	}
+
 	/**
 	 * Starts serving.
 	 * @throws IOException if an address cannot be bound
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ActiveSubmission.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ActiveSubmission.java
@@ -13,6 +13,8 @@
 import io.vavr.control.Option;
 import org.bamboorelay.core.process.EndpointRequirements;
 import org.bamboorelay.core.process.EndpointTable;
+import org.bamboorelay.core.process.ItemWork;
+import org.bamboorelay.core.process.MigrationReason;
 import org.bamboorelay.core.request.DurableTextPolicy;
 import org.bamboorelay.core.request.RequestOrigin;
 import org.bamboorelay.core.request.ResultLog;
@@ -43,6 +45,12 @@
 
 	private static final int MAX_MIGRATIONS_PER_ITEM = 2;
 
+	/**
+	 * Factor on the gain that a migration must bring while items wait for slots, which
+	 * would use the slot elsewhere too.
+	 */
+	private static final double WAITING_ITEMS_MARGIN_FACTOR = 2;
+
 	/**
 	 * Maximum heap memory of the texts in one message to another host, in bytes; the
 	 * message is smaller, and fits into a frame.
@@ -61,7 +69,7 @@
 
 	private final Map<String, Integer> migrationCounts = new ConcurrentHashMap<>();
 
-	private final Set<String> migratingItems = ConcurrentHashMap.newKeySet();
+	private final Map<String, MigrationReason> migratingItems = new ConcurrentHashMap<>();
 
 	private final Map<String, Long> replicatedEvents = new HashMap<>();
 
@@ -147,8 +155,8 @@
 				this.state.submission().model(), this.state.submission().minVersion(), 0, true, Set.of()));
 	}
 
-	void onRunStarted(String item, String endpoint, Runnable abort) {
-		this.runningItems.put(item, new RunningItem(endpoint, abort));
+	void onRunStarted(String item, String endpoint, ItemWork work, Runnable abort) {
+		this.runningItems.put(item, new RunningItem(endpoint, work, abort));
 		if (this.stopped || this.state.isEnded()) {
 			abort.run();
 		}
@@ -158,30 +166,49 @@
 		this.runningItems.remove(item);
 	}
 
-	boolean clearMigration(String item) {
-		return this.migratingItems.remove(item);
+	// Returns why a run was aborted to be migrated, or none if it was not.
+	Option<MigrationReason> clearMigration(String item) {
+		return Option.of(this.migratingItems.remove(item));
 	}
 
 	// Aborts runs on slow endpoints so that they resume on faster ones, where processing
-	// the text generated so far costs little. While items wait for slots, a run is
-	// migrated only from a much slower endpoint. Afterwards long runs, which determine
-	// when the training step ends, move to the fastest endpoint. The number of migrations
-	// of a run is limited so that it does not bounce between endpoints.
+	// the text generated so far costs little. If endpoints report their load, the
+	// expected completion here and elsewhere is compared. Otherwise, while items wait for
+	// slots, a run is migrated only from a much slower endpoint; afterwards long runs,
+	// which determine when the training step ends, move to the fastest endpoint. The
+	// number of migrations of a run is limited so that it does not bounce between
+	// endpoints.
 	void migrateSlowRuns(EndpointTable table, boolean itemsWaiting) {
-		requirements().forEach((requirements) -> migrateSlowRuns(table, requirements, itemsWaiting));
+		requirements().forEach((requirements) -> {
+			boolean reportsLoad = table.reportsLoad(requirements.service());
+			this.runningItems.forEach((item, run) -> {
+				int migrations = this.migrationCounts.getOrDefault(item, 0);
+				if (migrations < MAX_MIGRATIONS_PER_ITEM
+						&& (reportsLoad ? isCompletedSoonerElsewhere(table, requirements, item, run, itemsWaiting)
+								: isOnSlowEndpoint(table, requirements, item, run, itemsWaiting))) {
+					MigrationReason reason = reportsLoad ? MigrationReason.EARLIER_COMPLETION
+							: MigrationReason.SLOWER_PACE;
+					this.migrationCounts.put(item, migrations + 1);
+					this.migratingItems.put(item, reason);
+					table.placementCounts().onMigrated(reason);
+					run.abort().run();
+				}
+			});
+		});
 	}
 
-	private void migrateSlowRuns(EndpointTable table, EndpointRequirements requirements, boolean itemsWaiting) {
-		this.runningItems.forEach((item, run) -> {
-			int migrations = this.migrationCounts.getOrDefault(item, 0);
-			boolean isLong = this.state.eventCount(item) >= LONG_RUN_EVENTS;
-			double ratio = (itemsWaiting || !isLong) ? SLOW_PACE_RATIO : LONG_RUN_PACE_RATIO;
-			if (migrations < MAX_MIGRATIONS_PER_ITEM && table.isWorthMoving(run.endpoint(), requirements, ratio)) {
-				this.migrationCounts.put(item, migrations + 1);
-				this.migratingItems.add(item);
-				run.abort().run();
-			}
-		});
+	private boolean isCompletedSoonerElsewhere(EndpointTable table, EndpointRequirements requirements, String item,
+			RunningItem run, boolean itemsWaiting) {
+		return table.isCompletedSoonerElsewhere(run.endpoint(),
+				requirements.withWork(run.work().after(this.state.eventCount(item))),
+				itemsWaiting ? WAITING_ITEMS_MARGIN_FACTOR : 1);
+	}
+
+	private boolean isOnSlowEndpoint(EndpointTable table, EndpointRequirements requirements, String item,
+			RunningItem run, boolean itemsWaiting) {
+		boolean isLong = this.state.eventCount(item) >= LONG_RUN_EVENTS;
+		double ratio = (itemsWaiting || !isLong) ? SLOW_PACE_RATIO : LONG_RUN_PACE_RATIO;
+		return table.isWorthMoving(run.endpoint(), requirements, ratio);
 	}
 
 	long lastReplicationMillis() {
@@ -258,7 +285,7 @@
 		List.copyOf(this.runningItems.values()).forEach((run) -> run.abort().run());
 	}
 
-	private record RunningItem(String endpoint, Runnable abort) {
+	private record RunningItem(String endpoint, ItemWork work, Runnable abort) {
 	}
 
 }
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ItemRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ItemRunner.java
@@ -13,6 +13,7 @@
 import org.apache.hc.core5.http.message.BasicHeader;
 import org.bamboorelay.core.process.EndpointTable;
 import org.bamboorelay.core.process.ItemWork;
+import org.bamboorelay.core.process.MigrationReason;
 import org.bamboorelay.core.request.RequestOrigin;
 import org.bamboorelay.core.request.Submission;
 import org.bamboorelay.core.request.SubmissionItem;
@@ -124,14 +125,16 @@
 	 * @return the work that remains
 	 */
 	ItemWork work(SubmissionState state, SubmissionState.Run run) {
-		SubmissionItem item = run.item();
+		return work(state, run.item()).after(run.after());
+	}
+
+	private ItemWork work(SubmissionState state, SubmissionItem item) {
 		PromptTokens prompt = this.protocol.promptTokens(item.headers());
 		long expectedEvents = Math.min(Math.max(0, item.expectedUnits()),
 				this.protocol.maxOutputTokens(item.headers()));
 		String group = item.group().isEmpty() ? "" : state.submission().workspace() + '/' + item.group();
 		return new ItemWork(prompt.total(), prompt.shared(), Math.max(0, item.tokens()), expectedEvents, group,
-				state.isLastWaitingOfGroup(item.id()))
-			.after(run.after());
+				state.isLastWaitingOfGroup(item.id()));
 	}
 
 	/**
@@ -179,6 +182,7 @@
 		SubmissionItem item = run.item();
 		List<Header> headers = new ArrayList<>();
 		item.headers().forEach((name, value) -> headers.add(new BasicHeader(name, value)));
+		ItemWork work = work(active.state(), item);
 		long remainingMillis = Math.max(1, active.deadlineMillis() - System.currentTimeMillis());
 		EndpointRequest call = new EndpointRequest(item.id(), "POST", submission.host(), item.path(), headers,
 				submission.workspace().isEmpty() ? null : submission.workspace(), grant.id(), remainingMillis,
@@ -188,7 +192,7 @@
 				ExchangeOptions.of(true, EVENT_TIMEOUT_MILLIS)
 					.withTag(item.id())
 					.withTotalTimeoutMillis(EVENT_TIMEOUT_MILLIS),
-				(abort) -> active.onRunStarted(item.id(), grant.id(), abort));
+				(abort) -> active.onRunStarted(item.id(), grant.id(), work, abort));
 		if (result.isLeft()) {
 			return new RunOutcome(EndpointTable.Outcome.FAILED, false, false, result.getLeft().code(), 0,
 					result.getLeft().detail());
@@ -274,8 +278,10 @@
 			if (!active.state().mayContinue(item.id())) {
 				return new RunOutcome(EndpointTable.Outcome.ABANDONED, false, false, "abandoned", events);
 			}
-			if (active.clearMigration(item.id())) {
-				return new RunOutcome(EndpointTable.Outcome.ABANDONED, false, false, "moved", events);
+			Option<MigrationReason> migration = active.clearMigration(item.id());
+			if (migration.isDefined()) {
+				return new RunOutcome(EndpointTable.Outcome.ABANDONED, false, false, "moved", events,
+						migration.get().label());
 			}
 			return new RunOutcome(EndpointTable.Outcome.FAILED, false, false, "stream-broke", events,
 					String.valueOf(ex));
