Measure and reduce the cost of a choice of an endpoint

Change: the time of the next outdated report and the endpoints of each service are kept between choices. EndpointTableTests, ReportedLoadPlacementTests and WeightLoadSchedulerTests pass.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
@@ -96,6 +96,9 @@
 
 	private final List<EndpointState> candidates = new ArrayList<>();
 
+	/** The endpoints by service, in the order of the table; cleared when it changes. */
+	private final Map<String, List<EndpointState>> byService = new HashMap<>();
+
 	private int hostCount = 1;
 
 	private EndpointTable(Clock clock, RandomGenerator random) {
@@ -156,9 +159,7 @@
 	 * @return whether the choices for the service use reported load
 	 */
 	public synchronized boolean reportsLoad(String service) {
-		return this.endpoints.values()
-			.stream()
-			.anyMatch((endpoint) -> endpoint.reportsLoad() && endpoint.entry.service().equals(service));
+		return endpointsOf(service).stream().anyMatch(EndpointState::reportsLoad);
 	}
 
 	/**
@@ -198,8 +199,12 @@
 				replacement.reservedTokens = existing.reservedTokens;
 			}
 			this.endpoints.put(entry.id(), replacement);
+			this.byService.clear();
 			return;
 		}
+		if (!existing.entry.service().equals(entry.service())) {
+			this.byService.clear();
+		}
 		existing.entry = entry;
 		existing.coldUntilMillis = now + entry.coldRemainingMillis();
 		entry.versions().forEach((model, version) -> existing.versions.merge(model, version, Math::max));
@@ -211,6 +216,7 @@
 	 */
 	public synchronized void remove(String id) {
 		this.endpoints.remove(id);
+		this.byService.clear();
 	}
 
 	/**
@@ -690,10 +696,7 @@
 		this.candidates.clear();
 		UnitTimeSummary unitTimes = new UnitTimeSummary();
 		boolean reportsLoad = false;
-		for (EndpointState endpoint : this.endpoints.values()) {
-			if (!endpoint.entry.service().equals(requirements.service())) {
-				continue;
-			}
+		for (EndpointState endpoint : endpointsOf(requirements.service())) {
 			unitTimes.add(endpoint.unitTime());
 			reportsLoad |= endpoint.reportsLoad();
 			PlacementReason obstacle = obstacle(endpoint, requirements, now);
@@ -708,6 +711,14 @@
 		return policy.choose(request(requirements, unitTimes, now), this.candidates, rejections);
 	}
 
+	private List<EndpointState> endpointsOf(String service) {
+		return this.byService.computeIfAbsent(service,
+				(name) -> this.endpoints.values()
+					.stream()
+					.filter((endpoint) -> endpoint.entry.service().equals(name))
+					.toList());
+	}
+
 	private PlacementPolicy.Request request(EndpointRequirements requirements, UnitTimeSummary unitTimes, long now) {
 		ItemWork work = requirements.work();
 		return new PlacementPolicy.Request(requirements, unitTimes.result(), memory(requirements.service()),
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/PeerLoads.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/PeerLoads.java
@@ -22,6 +22,9 @@
 	/** The last report of each peer, oldest first. */
 	private final Map<String, Report> reports = new LinkedHashMap<>();
 
+	/** Time from which the oldest report is outdated, in milliseconds. */
+	private long nextExpiryMillis = Long.MAX_VALUE;
+
 	private final Map<String, Integer> sums = new HashMap<>();
 
 	private final ObjIntConsumer<String> onChanged;
@@ -48,6 +51,7 @@
 		Report report = new Report(Map.copyOf(running), nowMillis);
 		this.reports.put(host, report);
 		report.running().forEach(this::add);
+		updateNextExpiry();
 	}
 
 	/**
@@ -55,13 +59,11 @@
 	 * @param nowMillis the time, in milliseconds
 	 */
 	void expire(long nowMillis) {
-		while (!this.reports.isEmpty()) {
+		while (nowMillis >= this.nextExpiryMillis) {
 			Map.Entry<String, Report> oldest = this.reports.entrySet().iterator().next();
-			if (nowMillis - oldest.getValue().atMillis() < MAX_AGE_MILLIS) {
-				return;
-			}
 			this.reports.remove(oldest.getKey());
 			oldest.getValue().running().forEach((endpoint, count) -> add(endpoint, -count));
+			updateNextExpiry();
 		}
 	}
 
@@ -74,6 +76,11 @@
 		return this.sums.getOrDefault(endpoint, 0);
 	}
 
+	private void updateNextExpiry() {
+		this.nextExpiryMillis = this.reports.isEmpty() ? Long.MAX_VALUE
+				: this.reports.values().iterator().next().atMillis() + MAX_AGE_MILLIS;
+	}
+
 	private void add(String endpoint, int count) {
 		int sum = this.sums.merge(endpoint, count, Integer::sum);
 		if (sum == 0) {
