--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointState.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointState.java
@@ -150,8 +150,9 @@
 
 	// 1 for a report that just arrived, 0 for none or one that is ignored.
 	private double freshness(long nowMillis) {
-		return (this.reported == null) ? 0
-				: Math.max(0, 1 - (double) (nowMillis - this.reportedAtMillis) / REPORT_MAX_AGE_MILLIS);
+		long ageMillis = nowMillis - this.reportedAtMillis;
+		return (this.reported == null || ageMillis >= REPORT_MAX_AGE_MILLIS) ? 0
+				: 1 - (double) ageMillis / REPORT_MAX_AGE_MILLIS;
 	}
 
 	long nextSlotMillis(EndpointRequirements requirements) {
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/request/SubmissionStateTests.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/request/SubmissionStateTests.java
@@ -37,6 +37,16 @@
 			.containsExactly(new ItemResult("i0", true, "a\nb\nc", List.of(1L, 2L), "seal"));
 	}
 
+	@Test
+	void itemIsNotStartedTwiceWhileAnEndpointIsChosenForIt() {
+		SubmissionState plan = plan(1, items(2), 3);
+		SubmissionState.Run next = plan.next(0);
+		assertThat(plan.isLastWaitingOfGroup(next.item().id())).isFalse();
+		assertThat(plan.start(next)).isTrue();
+		assertThat(plan.start(next)).isFalse();
+		assertThat(plan.isLastWaitingOfGroup(plan.next(0).item().id())).isTrue();
+	}
+
 	@Test
 	void eventIsRejectedWhenItIsNotTheNextOne() {
 		// A missing or duplicate event would produce a sample that no engine generated.
