Avoid lookups of endpoints in empty collections during a choice

Cause: of the time of a choice among 1,000 endpoints, a large part was spent on collections that are usually empty. Change: these are checked for being empty first. EndpointTableTests, ReportedLoadPlacementTests and WeightLoadSchedulerTests pass.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/CompletionTime.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/CompletionTime.java
@@ -41,12 +41,12 @@
 	static CompletionTime of(PlacementCandidate candidate, ItemWork work, double typicalUnitTime,
 			boolean isSharedPartCached, long nowMillis) {
 		double usual = usualRunMillis(candidate, work, typicalUnitTime, isSharedPartCached);
-		double load = candidate.expectedLoad(nowMillis);
-		double wait = Math.max(0, load + 1 - candidate.slots()) / candidate.slots() * usual;
+		double loadPerSlot = candidate.expectedLoad(nowMillis) / candidate.slots();
+		double wait = Math.max(0, loadPerSlot + 1.0 / candidate.slots() - 1) * usual;
 		double pace = candidate.currentPace(nowMillis) / candidate.usualPace();
 		double deviation = (usual * pace <= PACE_DEVIATION_MILLIS) ? usual * (pace - 1)
 				: PACE_DEVIATION_MILLIS * (1 - 1 / pace);
-		return new CompletionTime(wait, usual + deviation, usual * LOAD_SHARE * Math.min(1, load / candidate.slots()));
+		return new CompletionTime(wait, usual + deviation, usual * LOAD_SHARE * Math.min(1, loadPerSlot));
 	}
 
 	/**
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
@@ -750,7 +750,7 @@
 		if (isLeaving(endpoint)) {
 			return PlacementReason.LEAVING;
 		}
-		if (this.disabledDomains.contains(endpoint.entry.domain())) {
+		if (!this.disabledDomains.isEmpty() && this.disabledDomains.contains(endpoint.entry.domain())) {
 			return PlacementReason.DOMAIN_DISABLED;
 		}
 		boolean holdsWeights = requirements.model() == null || endpoint.versions.getOrDefault(requirements.model(),
@@ -808,16 +808,17 @@
 		if (now < endpoint.backoffUntilMillis) {
 			return PlacementReason.BACKOFF;
 		}
-		if (this.loading.contains(endpoint.entry.id())) {
+		if (!this.loading.isEmpty() && this.loading.contains(endpoint.entry.id())) {
 			return PlacementReason.LOADING_WEIGHTS;
 		}
-		if (requirements.excluded().contains(endpoint.entry.id())) {
+		if (!requirements.excluded().isEmpty() && requirements.excluded().contains(endpoint.entry.id())) {
 			return PlacementReason.EXCLUDED;
 		}
 		if (now < endpoint.coldUntilMillis && now < endpoint.nextColdRequestAtMillis) {
 			return PlacementReason.COLD;
 		}
-		Long silentSince = this.silentSinceMillis.get(endpoint.entry.domain());
+		Long silentSince = this.silentSinceMillis.isEmpty() ? null
+				: this.silentSinceMillis.get(endpoint.entry.domain());
 		if (silentSince != null && endpoint.lastResponseMillis < silentSince && endpoint.running > 0) {
 			return PlacementReason.DOMAIN_SILENT;
 		}
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/LeavingEndpoints.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/LeavingEndpoints.java
@@ -63,7 +63,8 @@
 	 * @return whether it announced this since that start
 	 */
 	boolean contains(String id, long startedAtMillis) {
-		Start known = this.starts.get(id);
+		// Usually there is none; then the id is not read.
+		Start known = this.starts.isEmpty() ? null : this.starts.get(id);
 		return known != null && known.startedAtMillis() >= startedAtMillis;
 	}
 
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/NamedRates.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/NamedRates.java
@@ -67,7 +67,8 @@
 	 * it names no rate
 	 */
 	double rate(String id, long startedAtMillis) {
-		NamedRate known = this.rates.get(id);
+		// Usually there is none; then the id is not read.
+		NamedRate known = this.rates.isEmpty() ? null : this.rates.get(id);
 		return (known != null && known.startedAtMillis() == startedAtMillis) ? known.requestsPerSecond()
 				: Double.POSITIVE_INFINITY;
 	}
