--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
@@ -8,8 +8,10 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.TreeSet;
 import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
 
 import org.bamboorelay.core.connection.PeerMessage;
 import org.bamboorelay.core.time.Clock;
@@ -50,28 +52,23 @@
 	/** Number of requests that may queue at an endpoint, relative to its slots. */
 	private static final double QUEUE_TO_SLOTS_RATIO = 1.0;
 
-	/** Weight of the newest measurement in the moving average of the time per unit. */
-	private static final double UNIT_TIME_EWMA_WEIGHT = 0.2;
-
-	/** Maximum load difference that affinity outweighs, in slots. */
-	private static final double MAX_AFFINITY_BONUS_SLOTS = 2.0;
-
 	/**
-	 * Load added to the score of an endpoint that is assigned to another model, as a
-	 * share of its slots.
+	 * Minimum gain of a migration, in milliseconds. It exceeds the time until the run is
+	 * resumed elsewhere, and errors of the estimate.
 	 */
-	private static final double OTHER_MODEL_PENALTY = 0.7;
+	private static final long MIN_MIGRATION_GAIN_MILLIS = 300;
 
-	/**
-	 * Maximum age of the load reported by a peer, in milliseconds; older load is ignored.
-	 */
-	private static final long PEER_LOAD_MAX_AGE_MILLIS = 2_500;
+	/** Minimum gain of a migration, as a share of the remaining time. */
+	private static final double MIN_MIGRATION_GAIN_SHARE = 0.15;
+
+	/** Weight of the newest item in the moving average of the tokens of an item. */
+	private static final double TOKENS_EWMA_WEIGHT = 0.05;
 
 	private final Clock clock;
 
 	private final Map<String, EndpointState> endpoints = new HashMap<>();
 
-	private final Map<String, PeerLoad> peerLoads = new HashMap<>();
+	private final PeerLoads peerLoads = new PeerLoads(this::onPeerLoad);
 
 	private final Map<String, ServiceRule> services = new HashMap<>();
 
@@ -87,23 +84,86 @@
 
 	private final NamedRates namedRates = new NamedRates();
 
+	private final PlacementPolicy estimatedLoadPlacement = new EstimatedLoadPlacement();
+
+	private final PlacementPolicy reportedLoadPlacement;
+
+	private final SharedPrompts sharedPrompts = new SharedPrompts();
+
+	/** The average number of tokens that an item occupies, by service. */
+	private final Map<String, Double> tokensPerRun = new HashMap<>();
+
+	private final PlacementCounts placementCounts = new PlacementCounts();
+
+	private final List<EndpointState> candidates = new ArrayList<>();
+
+	/** The endpoints by service, in the order of the table; cleared when it changes. */
+	private final Map<String, List<EndpointState>> byService = new HashMap<>();
+
 	private int hostCount = 1;
 
 	private volatile Consumer<Release> onRelease = (release) -> {
 	};
 
-	private EndpointTable(Clock clock) {
+	private EndpointTable(Clock clock, RandomGenerator random) {
 		this.clock = Objects.requireNonNull(clock, "clock");
+		this.reportedLoadPlacement = new ReportedLoadPlacement(random);
 		this.leaving = new LeavingEndpoints(clock);
 	}
 
 	/**
-	 * Creates an empty table.
+	 * Creates an empty table whose random choices are the same in each process.
 	 * @param clock the monotonic clock of the process
 	 * @return the table
 	 */
 	public static EndpointTable create(Clock clock) {
-		return new EndpointTable(clock);
+		return create(clock, new SplittableRandom(0));
+	}
+
+	/**
+	 * Creates an empty table.
+	 * @param clock the monotonic clock of the process
+	 * @param random the source of randomness, which differs between hosts
+	 * @return the table
+	 */
+	public static EndpointTable create(Clock clock, RandomGenerator random) {
+		return new EndpointTable(clock, random);
+	}
+
+	/**
+	 * Returns how often endpoints were chosen and runs were migrated, by reason.
+	 * @return the counts
+	 */
+	public PlacementCounts placementCounts() {
+		return this.placementCounts;
+	}
+
+	/**
+	 * Records the load that an endpoint reports in a response.
+	 * @param grant the grant of the request
+	 * @param load the load
+	 * @return whether this is the first report of any endpoint of the service
+	 */
+	public synchronized boolean onLoadReported(Grant grant, ReportedLoad load) {
+		EndpointState endpoint = this.endpoints.get(grant.id());
+		if (endpoint == null || endpoint.entry.startedAtMillis() != grant.startedAtMillis()) {
+			return false;
+		}
+		long now = this.clock.millis();
+		this.peerLoads.expire(now);
+		boolean isFirst = !reportsLoad(endpoint.entry.service());
+		endpoint.onLoadReported(load, now);
+		this.placementCounts.onReport();
+		return isFirst;
+	}
+
+	/**
+	 * Returns whether an endpoint of a service reported its load.
+	 * @param service the service
+	 * @return whether the choices for the service use reported load
+	 */
+	public synchronized boolean reportsLoad(String service) {
+		return endpointsOf(service).stream().anyMatch(EndpointState::reportsLoad);
 	}
 
 	/**
@@ -136,12 +196,19 @@
 			EndpointState replacement = new EndpointState(entry);
 			replacement.coldUntilMillis = now + entry.coldRemainingMillis();
 			replacement.versions.putAll(entry.versions());
+			replacement.peerRunning = this.peerLoads.sum(entry.id());
+			replacement.assignedModel = this.assignedModels.get(entry.id());
 			if (existing != null) {
 				replacement.running = existing.running;
+				replacement.reservedTokens = existing.reservedTokens;
 			}
 			this.endpoints.put(entry.id(), replacement);
+			this.byService.clear();
 			return;
 		}
+		if (!existing.entry.service().equals(entry.service())) {
+			this.byService.clear();
+		}
 		existing.entry = entry;
 		existing.coldUntilMillis = now + entry.coldRemainingMillis();
 		entry.versions().forEach((model, version) -> existing.versions.merge(model, version, Math::max));
@@ -153,6 +220,7 @@
 	 */
 	public synchronized void remove(String id) {
 		this.endpoints.remove(id);
+		this.byService.clear();
 	}
 
 	/**
@@ -181,7 +249,7 @@
 	 * @param running the number of requests by endpoint
 	 */
 	public synchronized void peerLoad(String host, Map<String, Integer> running) {
-		this.peerLoads.put(host, new PeerLoad(Map.copyOf(running), this.clock.millis()));
+		this.peerLoads.put(host, running, this.clock.millis());
 	}
 
 	/**
@@ -274,20 +342,28 @@
 	 */
 	public synchronized @Nullable Grant acquire(EndpointRequirements requirements) {
 		long now = this.clock.millis();
-		double fastestUnitTime = fastestUnitTime(requirements.service());
-		double bestScore = Double.MAX_VALUE;
-		EndpointState best = null;
-		for (EndpointState endpoint : this.endpoints.values()) {
-			if (!isAvailable(endpoint, requirements, now)) {
-				continue;
-			}
-			double score = score(endpoint, requirements, fastestUnitTime, now);
-			if (score < bestScore) {
-				bestScore = score;
-				best = endpoint;
-			}
+		PlacementPolicy.Choice<EndpointState> choice = choose(requirements, now,
+				PlacementPolicy.RejectionListener.NONE);
+		if (choice == null) {
+			return null;
 		}
-		return (best != null) ? grant(best, now) : null;
+		this.placementCounts.onChoice(choice.reason());
+		return grant(choice.candidate(), requirements, now);
+	}
+
+	/**
+	 * Returns which endpoint a request would get now, and why, without sending it.
+	 * @param requirements the requirements of the request
+	 * @return the endpoint that would be chosen, and the reasons against the others
+	 */
+	public synchronized Explanation explain(EndpointRequirements requirements) {
+		Map<String, PlacementReason> rejected = new HashMap<>();
+		PlacementPolicy.Choice<EndpointState> choice = choose(requirements, this.clock.millis(), rejected::put);
+		String chosen = (choice != null) ? choice.candidate().id() : null;
+		this.candidates.stream()
+			.filter((candidate) -> !candidate.id().equals(chosen))
+			.forEach((candidate) -> rejected.putIfAbsent(candidate.id(), PlacementReason.OTHER_PREFERRED));
+		return new Explanation(chosen, (choice != null) ? choice.reason() : null, Map.copyOf(rejected));
 	}
 
 	/**
@@ -308,7 +384,7 @@
 				next = endpoint;
 			}
 		}
-		return (next != null) ? grant(next, now) : null;
+		return (next != null) ? grant(next, requirements, now) : null;
 	}
 
 	/**
@@ -324,7 +400,7 @@
 		if (endpoint != null) {
 			endpoint.slotRequested = false;
 			if (!slot.granted()) {
-				endpoint.running = Math.max(0, endpoint.running - 1);
+				endpoint.onEnded(grant);
 				endpoint.nextSlotMillis(requirements, this.clock.millis() + slot.delayMillis());
 			}
 		}
@@ -406,7 +482,7 @@
 				continue;
 			}
 			slots += entry.slots();
-			freeSlots += (int) Math.max(0, entry.slots() - load(endpoint, now));
+			freeSlots += Math.max(0, entry.slots() - load(endpoint, now));
 		}
 		return new HedgeTargets(freeSlots, slots, excluded);
 	}
@@ -458,7 +534,7 @@
 		if (endpoint == null) {
 			return null;
 		}
-		endpoint.running = Math.max(0, endpoint.running - 1);
+		endpoint.onEnded(grant);
 		long now = this.clock.millis();
 		if (outcome == Outcome.SERVED || outcome == Outcome.REFUSED) {
 			endpoint.lastResponseMillis = now;
@@ -526,9 +602,7 @@
 	public synchronized void unitTime(String id, double millisPerUnit) {
 		EndpointState endpoint = this.endpoints.get(id);
 		if (endpoint != null) {
-			endpoint.lastResponseMillis = this.clock.millis();
-			endpoint.unitTime = (endpoint.unitTime == 0) ? millisPerUnit
-					: endpoint.unitTime + UNIT_TIME_EWMA_WEIGHT * (millisPerUnit - endpoint.unitTime);
+			endpoint.onUnitTime(millisPerUnit, this.clock.millis());
 		}
 	}
 
@@ -611,6 +685,7 @@
 	public synchronized void assignedModels(Map<String, String> models) {
 		this.assignedModels.clear();
 		this.assignedModels.putAll(models);
+		this.endpoints.forEach((id, endpoint) -> endpoint.assignedModel = models.get(id));
 	}
 
 	/**
@@ -634,6 +709,40 @@
 					&& !isRateLimited(endpoint) && now >= endpoint.coldUntilMillis);
 	}
 
+	/**
+	 * Returns whether a run should be moved because it is expected to be completed sooner
+	 * elsewhere. A deviation of the current endpoint's pace from its usual one is no
+	 * reason, because it ends sooner than the move would pay off.
+	 * @param id the endpoint of the run
+	 * @param requirements the requirements of the run, with the work that remains
+	 * @param marginFactor factor on the gain that is required; at least 1
+	 * @return whether to cancel the run and resume it elsewhere
+	 */
+	public synchronized boolean isCompletedSoonerElsewhere(String id, EndpointRequirements requirements,
+			double marginFactor) {
+		EndpointState current = this.endpoints.get(id);
+		ItemWork work = requirements.work();
+		if (current == null || work == null || current.unitTime() == 0) {
+			return false;
+		}
+		long now = this.clock.millis();
+		double here = work.expectedEvents() * current.unitTime() * current.usualPace();
+		double latest = here - marginFactor * Math.max(MIN_MIGRATION_GAIN_MILLIS, MIN_MIGRATION_GAIN_SHARE * here);
+		if (latest <= 0) {
+			return false;
+		}
+		PlacementPolicy.Memory memory = memory(requirements.service());
+		Map<String, Long> holders = this.sharedPrompts.holders(work.group(), now);
+		// An endpoint whose pace is unknown is no reason to move.
+		return this.endpoints.values()
+			.stream()
+			.anyMatch((endpoint) -> endpoint != current && endpoint.unitTime() > 0 && now >= endpoint.coldUntilMillis
+					&& isAvailable(endpoint, requirements, now) && !isRateLimited(endpoint)
+					&& endpoint.fits(work, memory)
+					&& CompletionTime.of(endpoint, work, 0, holders.containsKey(endpoint.id()), now)
+						.totalMillis() < latest);
+	}
+
 	/**
 	 * Returns the endpoints that hold a model and are not leaving.
 	 * @param model the model
@@ -646,8 +755,7 @@
 			Long version = endpoint.versions.get(model);
 			if (version != null && !isLeaving(endpoint)) {
 				holders.add(new ModelHolder(endpoint.entry.id(), endpoint.entry.address(), endpoint.entry.domain(),
-						endpoint.entry.startedAtMillis(), version, Map.copyOf(endpoint.versions),
-						(int) load(endpoint, now)));
+						endpoint.entry.startedAtMillis(), version, Map.copyOf(endpoint.versions), load(endpoint, now)));
 			}
 		}
 		return holders;
@@ -667,29 +775,91 @@
 		return counts;
 	}
 
+	private PlacementPolicy.@Nullable Choice<EndpointState> choose(EndpointRequirements requirements, long now,
+			PlacementPolicy.RejectionListener rejections) {
+		this.peerLoads.expire(now);
+		this.candidates.clear();
+		UnitTimeSummary unitTimes = new UnitTimeSummary();
+		boolean reportsLoad = false;
+		for (EndpointState endpoint : endpointsOf(requirements.service())) {
+			unitTimes.add(endpoint.unitTime());
+			reportsLoad |= endpoint.reportsLoad();
+			PlacementReason obstacle = obstacle(endpoint, requirements, now);
+			if (obstacle == null) {
+				this.candidates.add(endpoint);
+			}
+			else {
+				rejections.onRejected(endpoint.id(), obstacle);
+			}
+		}
+		PlacementPolicy policy = reportsLoad ? this.reportedLoadPlacement : this.estimatedLoadPlacement;
+		return policy.choose(request(requirements, unitTimes, now), this.candidates, rejections);
+	}
+
+	private List<EndpointState> endpointsOf(String service) {
+		return this.byService.computeIfAbsent(service,
+				(name) -> this.endpoints.values()
+					.stream()
+					.filter((endpoint) -> endpoint.entry.service().equals(name))
+					.toList());
+	}
+
+	private PlacementPolicy.Request request(EndpointRequirements requirements, UnitTimeSummary unitTimes, long now) {
+		ItemWork work = requirements.work();
+		return new PlacementPolicy.Request(requirements, unitTimes.result(), memory(requirements.service()),
+				(work != null) ? this.sharedPrompts.holders(work.group(), now) : Map.of(), now);
+	}
+
+	private PlacementPolicy.Memory memory(String service) {
+		ServiceRule rule = this.services.get(service);
+		return new PlacementPolicy.Memory((rule != null) ? rule.tokenCapacity() : 0,
+				this.tokensPerRun.getOrDefault(service, 0.0));
+	}
+
+	private void onPeerLoad(String id, int running) {
+		EndpointState endpoint = this.endpoints.get(id);
+		if (endpoint != null) {
+			endpoint.peerRunning = running;
+		}
+	}
+
 	private boolean isLeaving(EndpointState endpoint) {
 		return endpoint.entry.leaving() || this.leaving.contains(endpoint.entry.id(), endpoint.entry.startedAtMillis());
 	}
 
 	private boolean isEligible(EndpointState endpoint, EndpointRequirements requirements) {
-		EndpointEntry entry = endpoint.entry;
-		if (!entry.service().equals(requirements.service()) || isLeaving(endpoint)
-				|| this.disabledDomains.contains(entry.domain())) {
-			return false;
+		return endpoint.entry.service().equals(requirements.service()) && ineligibility(endpoint, requirements) == null;
+	}
+
+	private @Nullable PlacementReason ineligibility(EndpointState endpoint, EndpointRequirements requirements) {
+		if (isLeaving(endpoint)) {
+			return PlacementReason.LEAVING;
+		}
+		if (!this.disabledDomains.isEmpty() && this.disabledDomains.contains(endpoint.entry.domain())) {
+			return PlacementReason.DOMAIN_DISABLED;
 		}
-		return requirements.model() == null || endpoint.versions.getOrDefault(requirements.model(),
+		boolean holdsWeights = requirements.model() == null || endpoint.versions.getOrDefault(requirements.model(),
 				requirements.minVersion()) >= requirements.minVersion();
+		return holdsWeights ? null : PlacementReason.OLD_WEIGHTS;
 	}
 
-	private Grant grant(EndpointState endpoint, long now) {
+	private Grant grant(EndpointState endpoint, EndpointRequirements requirements, long now) {
 		endpoint.running++;
+		ItemWork work = requirements.work();
+		if (work != null) {
+			endpoint.reservedTokens += work.reservedTokens();
+			this.tokensPerRun.merge(requirements.service(), (double) work.reservedTokens(),
+					(average, tokens) -> average + TOKENS_EWMA_WEIGHT * (tokens - average));
+			this.sharedPrompts.put(work.group(), endpoint.id(), now);
+		}
 		if (now < endpoint.coldUntilMillis) {
 			endpoint.nextColdRequestAtMillis = now + coldIntervalMillis(endpoint);
 		}
 		EndpointEntry entry = endpoint.entry;
 		double rate = this.namedRates.rate(entry.id(), entry.startedAtMillis());
 		endpoint.slotRequested = !Double.isInfinite(rate);
-		return new Grant(entry.id(), entry.address(), entry.domain(), entry.startedAtMillis(), now, rate);
+		return new Grant(entry.id(), entry.address(), entry.domain(), entry.startedAtMillis(), now, rate,
+				(work != null) ? work.reservedTokens() : 0);
 	}
 
 	private boolean isRateLimited(EndpointState endpoint) {
@@ -697,67 +867,53 @@
 	}
 
 	private boolean isAvailable(EndpointState endpoint, EndpointRequirements requirements, long now) {
-		return isAvailableApartFromSlots(endpoint, requirements, now) && (!isRateLimited(endpoint)
-				|| (!endpoint.slotRequested && now >= endpoint.nextSlotMillis(requirements)));
+		return endpoint.entry.service().equals(requirements.service()) && obstacle(endpoint, requirements, now) == null;
 	}
 
-	private boolean isAvailableApartFromSlots(EndpointState endpoint, EndpointRequirements requirements, long now) {
-		if (!isEligible(endpoint, requirements) || now < endpoint.backoffUntilMillis
-				|| this.loading.contains(endpoint.entry.id())
-				|| requirements.excluded().contains(endpoint.entry.id())) {
-			return false;
-		}
-		if (now < endpoint.coldUntilMillis && now < endpoint.nextColdRequestAtMillis) {
-			return false;
-		}
-		Long silentSince = this.silentSinceMillis.get(endpoint.entry.domain());
-		if (silentSince != null && endpoint.lastResponseMillis < silentSince && endpoint.running > 0) {
-			return false;
+	private @Nullable PlacementReason obstacle(EndpointState endpoint, EndpointRequirements requirements, long now) {
+		PlacementReason obstacle = obstacleApartFromSlots(endpoint, requirements, now);
+		if (obstacle == null && isRateLimited(endpoint)
+				&& (endpoint.slotRequested || now < endpoint.nextSlotMillis(requirements))) {
+			return PlacementReason.RATE_LIMITED;
 		}
-		double limit = endpoint.entry.slots() * (requirements.slotsOnly() ? 1.0 : 1.0 + QUEUE_TO_SLOTS_RATIO);
-		return load(endpoint, now) < limit;
+		return obstacle;
+	}
+
+	private boolean isAvailableApartFromSlots(EndpointState endpoint, EndpointRequirements requirements, long now) {
+		return endpoint.entry.service().equals(requirements.service())
+				&& obstacleApartFromSlots(endpoint, requirements, now) == null;
 	}
 
-	private double score(EndpointState endpoint, EndpointRequirements requirements, double fastestUnitTime, long now) {
-		double slots = endpoint.entry.slots();
-		double score = (load(endpoint, now) + 1) / slots;
-		if (endpoint.unitTime > 0 && fastestUnitTime > 0) {
-			score *= Math.max(1.0, endpoint.unitTime / fastestUnitTime);
+	private @Nullable PlacementReason obstacleApartFromSlots(EndpointState endpoint, EndpointRequirements requirements,
+			long now) {
+		PlacementReason ineligibility = ineligibility(endpoint, requirements);
+		if (ineligibility != null) {
+			return ineligibility;
 		}
-		String model = this.assignedModels.get(endpoint.entry.id());
-		if (model != null && requirements.model() != null && !model.equals(requirements.model())) {
-			score += OTHER_MODEL_PENALTY;
+		if (now < endpoint.backoffUntilMillis) {
+			return PlacementReason.BACKOFF;
 		}
-		if (requirements.affinity() != 0) {
-			long hash = requirements.affinity() * 31 + endpoint.entry.id().hashCode();
-			hash ^= hash >>> 29;
-			hash *= 0xBF58476D1CE4E5B9L;
-			hash ^= hash >>> 32;
-			score -= MAX_AFFINITY_BONUS_SLOTS / slots * ((hash & 0xFFFF) / 65536.0);
+		if (!this.loading.isEmpty() && this.loading.contains(endpoint.entry.id())) {
+			return PlacementReason.LOADING_WEIGHTS;
 		}
-		return score;
-	}
-
-	// The lowest average time per unit of a service, which all healthy endpoints
-	// approach.
-	private double fastestUnitTime(String service) {
-		double lowest = 0;
-		for (EndpointState endpoint : this.endpoints.values()) {
-			if (endpoint.unitTime > 0 && endpoint.entry.service().equals(service)) {
-				lowest = (lowest == 0) ? endpoint.unitTime : Math.min(lowest, endpoint.unitTime);
-			}
+		if (!requirements.excluded().isEmpty() && requirements.excluded().contains(endpoint.entry.id())) {
+			return PlacementReason.EXCLUDED;
 		}
-		return lowest;
+		if (now < endpoint.coldUntilMillis && now < endpoint.nextColdRequestAtMillis) {
+			return PlacementReason.COLD;
+		}
+		Long silentSince = this.silentSinceMillis.isEmpty() ? null
+				: this.silentSinceMillis.get(endpoint.entry.domain());
+		if (silentSince != null && endpoint.lastResponseMillis < silentSince && endpoint.running > 0) {
+			return PlacementReason.DOMAIN_SILENT;
+		}
+		double limit = endpoint.entry.slots() * (requirements.slotsOnly() ? 1.0 : 1.0 + QUEUE_TO_SLOTS_RATIO);
+		return (load(endpoint, now) < limit) ? null : PlacementReason.NO_SLOT;
 	}
 
-	private double load(EndpointState endpoint, long now) {
-		int load = endpoint.running;
-		for (PeerLoad peer : this.peerLoads.values()) {
-			if (now - peer.atMillis() < PEER_LOAD_MAX_AGE_MILLIS) {
-				load += peer.running().getOrDefault(endpoint.entry.id(), 0);
-			}
-		}
-		return load;
+	private int load(EndpointState endpoint, long now) {
+		this.peerLoads.expire(now);
+		return endpoint.load();
 	}
 
 	private long coldIntervalMillis(EndpointState endpoint) {
@@ -811,9 +967,27 @@
 	 * process
 	 * @param requestsPerSecond the rate that the endpoint takes from all hosts together;
 	 * infinite if it named none
+	 * @param reservedTokens the number of tokens that the request may occupy in the
+	 * memory of the endpoint; 0 if unknown
 	 */
 	public record Grant(String id, String address, String domain, long startedAtMillis, long grantedAtMillis,
-			double requestsPerSecond) {
+			double requestsPerSecond, long reservedTokens) {
+
+		/**
+		 * Creates a grant for a request whose use of memory is not known.
+		 * @param id the endpoint
+		 * @param address {@code ip:port}
+		 * @param domain its failure domain
+		 * @param startedAtMillis its start time, in milliseconds since the epoch
+		 * @param grantedAtMillis the time of the choice, in milliseconds of the clock of
+		 * the process
+		 * @param requestsPerSecond the rate that the endpoint takes; infinite if it named
+		 * none
+		 */
+		public Grant(String id, String address, String domain, long startedAtMillis, long grantedAtMillis,
+				double requestsPerSecond) {
+			this(id, address, domain, startedAtMillis, grantedAtMillis, requestsPerSecond, 0);
+		}
 
 		/**
 		 * Returns whether the request needs a slot.
@@ -855,56 +1029,35 @@
 
 	}
 
-	private record PeerLoad(Map<String, Integer> running, long atMillis) {
+	/**
+	 * Which endpoint a request would get, and why.
+	 *
+	 * @param chosen the endpoint; null if none can accept the request
+	 * @param reason why it would be chosen; null if there is none
+	 * @param rejected why each other endpoint of the service would not be chosen
+	 */
+	public record Explanation(@Nullable String chosen, @Nullable PlacementReason reason,
+			Map<String, PlacementReason> rejected) {
 	}
 
-	private static final class EndpointState {
-
-		private EndpointEntry entry;
-
-		private final Map<String, Long> versions = new HashMap<>();
+	private static final class UnitTimeSummary {
 
-		private int running;
+		private double fastest;
 
-		private int failures;
+		private double sum;
 
-		private int timeouts;
+		private int count;
 
-		private long backoffUntilMillis;
-
-		private long coldUntilMillis;
-
-		private long nextColdRequestAtMillis;
-
-		private double unitTime;
-
-		private long lastResponseMillis = Long.MIN_VALUE;
-
-		/**
-		 * Whether a slot at this endpoint was requested and not yet refused or granted.
-		 */
-		private boolean slotRequested;
-
-		private long nextInteractiveSlotMillis;
-
-		private long nextBackgroundSlotMillis;
-
-		private EndpointState(EndpointEntry entry) {
-			this.entry = entry;
-		}
-
-		private long nextSlotMillis(EndpointRequirements requirements) {
-			return requirements.origin().isInteractive() ? this.nextInteractiveSlotMillis
-					: this.nextBackgroundSlotMillis;
+		private void add(double unitTime) {
+			if (unitTime > 0) {
+				this.fastest = (this.count == 0) ? unitTime : Math.min(this.fastest, unitTime);
+				this.sum += unitTime;
+				this.count++;
+			}
 		}
 
-		private void nextSlotMillis(EndpointRequirements requirements, long millis) {
-			if (requirements.origin().isInteractive()) {
-				this.nextInteractiveSlotMillis = millis;
-			}
-			else {
-				this.nextBackgroundSlotMillis = millis;
-			}
+		private PlacementPolicy.UnitTimes result() {
+			return new PlacementPolicy.UnitTimes(this.fastest, (this.count > 0) ? this.sum / this.count : 0);
 		}
 
 	}
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/request/SubmissionState.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/request/SubmissionState.java
@@ -130,6 +130,17 @@
 	 * @return the run, or null if no item is waiting
 	 */
 	public synchronized @Nullable Run startNext(DueTime due, long nowMillis) {
+		Run run = next(due, nowMillis);
+		return (run != null && start(run)) ? run : null;
+	}
+
+	/**
+	 * Returns the item that starts next, without starting it.
+	 * @param due when the results are due, and how long an item takes
+	 * @param nowMillis the current wall-clock time, in milliseconds
+	 * @return the run, or null if no item is waiting
+	 */
+	public synchronized @Nullable Run next(DueTime due, long nowMillis) {
 		if (this.ended) {
 			return null;
 		}
@@ -154,7 +165,6 @@
 		if (next == null) {
 			return null;
 		}
-		next.state = State.RUNNING;
 		boolean isInTime = inTime.computeIfAbsent(next.item.group(), (name) -> due == DueTime.NONE);
 		return new Run(next.item, next.text.lastEvent(), isInTime);
 	}
@@ -210,6 +220,33 @@
 			.orElse(0);
 	}
 
+	/**
+	 * Starts an item if it still waits.
+	 * @param run the run that {@link #next} returned
+	 * @return whether the run was started
+	 */
+	public synchronized boolean start(Run run) {
+		Item item = item(run.item().id());
+		if (this.ended || item.state != State.WAITING || item.text.lastEvent() != run.after()) {
+			return false;
+		}
+		item.state = State.RUNNING;
+		return true;
+	}
+
+	/**
+	 * Returns whether an item is the last one of its group that waits to be started.
+	 * @param id the id of the item
+	 * @return whether no other item of its group waits; false if it has no group
+	 */
+	public synchronized boolean isLastWaitingOfGroup(String id) {
+		String group = item(id).item.group();
+		return !group.isEmpty() && this.items.values()
+			.stream()
+			.noneMatch((other) -> other.state == State.WAITING && other.item.group().equals(group)
+					&& !other.item.id().equals(id));
+	}
+
 	/**
 	 * Returns whether an item is waiting for a slot.
 	 * @param nowMillis the current wall-clock time, in milliseconds
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/request/SubmissionStateTests.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/request/SubmissionStateTests.java
@@ -60,6 +60,16 @@
 		return plan.startNext(due, 0).item().id();
 	}
 
+	@Test
+	void itemIsNotStartedTwiceWhileAnEndpointIsChosenForIt() {
+		SubmissionState plan = plan(1, items(2), 3);
+		SubmissionState.Run next = plan.next(DueTime.NONE, 0);
+		assertThat(plan.isLastWaitingOfGroup(next.item().id())).isFalse();
+		assertThat(plan.start(next)).isTrue();
+		assertThat(plan.start(next)).isFalse();
+		assertThat(plan.isLastWaitingOfGroup(plan.next(DueTime.NONE, 0).item().id())).isTrue();
+	}
+
 	@Test
 	void eventIsRejectedWhenItIsNotTheNextOne() {
 		// A missing or duplicate event would produce a sample that no engine generated.
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
@@ -388,14 +388,16 @@
 
 	private void startItems(ActiveSubmission running, long now) {
 		Option<EndpointRequirements> requirements = running.requirements();
-		while (requirements.isDefined() && running.state().isWaiting(now)
-				&& this.itemStarts.mayStart(running, requirements.get(), this.table)) {
-			EndpointTable.Grant grant = this.rateSlots.acquire(requirements.get());
+		while (requirements.isDefined() && this.itemStarts.mayStart(running, requirements.get(), this.table)) {
+			SubmissionState.Run run = running.state().next(this.itemStarts.due(running), now);
+			if (run == null) {
+				return;
+			}
+			EndpointTable.Grant grant = this.rateSlots.acquire(withWork(requirements.get(), running, run));
 			if (grant == null) {
 				return;
 			}
-			SubmissionState.Run run = running.state().startNext(this.itemStarts.due(running), now);
-			if (run == null) {
+			if (!running.state().start(run)) {
 				this.table.release(grant, EndpointTable.Outcome.ABANDONED);
 				return;
 			}
@@ -410,6 +412,12 @@
 		}
 	}
 
+	private EndpointRequirements withWork(EndpointRequirements requirements, ActiveSubmission running,
+			SubmissionState.Run run) {
+		return this.table.reportsLoad(requirements.service())
+				? requirements.withWork(this.itemRunner.work(running.state(), run)) : requirements;
+	}
+
 	private void schedulePageWrite(ActiveSubmission running, long now) {
 		int unlisted = running.state().unlistedResults().size();
 		long oldestAgeMillis = running.oldestUnlistedAge(unlisted, now);
--- a/bamboorelay-host/src/test/java/org/bamboorelay/host/request/SubmissionDirectoryTests.java
+++ b/bamboorelay-host/src/test/java/org/bamboorelay/host/request/SubmissionDirectoryTests.java
@@ -134,7 +134,7 @@
 		HttpConnectionPool pool = new HttpConnectionPool();
 		UnusedEndpointProtocol protocol = new UnusedEndpointProtocol();
 		PoisonRequestDetector poisonRequests = PoisonRequestDetector.create(Clock.monotonic());
-		EndpointNotices notices = new EndpointNotices(table, poisonRequests, (message) -> {
+		EndpointNotices notices = new EndpointNotices(table, poisonRequests, true, (message) -> {
 		}, this.log);
 		PoisonGuard guard = new PoisonGuard(poisonRequests, table, (message) -> {
 		}, counters, this.log);
