Migrate one run of a submission at a time by expected completion

Cause: all runs of a slow engine saw the same free slot elsewhere and would have been aborted for it together. Change: where endpoints report their load, each search migrates at most the run with the most remaining events. The rule by ratios is unchanged. Runs: SubmissionDirectoryTests, ActiveSubmissionTests, PlatformFormatTests and ReportedLoadPlacementTests pass; the effect was not measured.

--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ActiveSubmission.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ActiveSubmission.java
@@ -1,5 +1,6 @@
 package org.bamboorelay.host.request;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -180,27 +181,44 @@
 	// endpoints.
 	void migrateSlowRuns(EndpointTable table, boolean itemsWaiting) {
 		requirements().forEach((requirements) -> {
-			boolean reportsLoad = table.reportsLoad(requirements.service());
+			if (table.reportsLoad(requirements.service())) {
+				// A slot that is free elsewhere is free for one run only.
+				this.runningItems.entrySet()
+					.stream()
+					.filter((entry) -> mayMigrate(entry.getKey()) && isCompletedSoonerElsewhere(table, requirements,
+							entry.getKey(), entry.getValue(), itemsWaiting))
+					.max(Comparator
+						.comparingLong((entry) -> remainingWork(entry.getKey(), entry.getValue()).expectedEvents()))
+					.ifPresent((entry) -> migrate(table, entry.getKey(), entry.getValue(),
+							MigrationReason.EARLIER_COMPLETION));
+				return;
+			}
 			this.runningItems.forEach((item, run) -> {
-				int migrations = this.migrationCounts.getOrDefault(item, 0);
-				if (migrations < MAX_MIGRATIONS_PER_ITEM
-						&& (reportsLoad ? isCompletedSoonerElsewhere(table, requirements, item, run, itemsWaiting)
-								: isOnSlowEndpoint(table, requirements, item, run, itemsWaiting))) {
-					MigrationReason reason = reportsLoad ? MigrationReason.EARLIER_COMPLETION
-							: MigrationReason.SLOWER_PACE;
-					this.migrationCounts.put(item, migrations + 1);
-					this.migratingItems.put(item, reason);
-					table.placementCounts().onMigrated(reason);
-					run.abort().run();
+				if (mayMigrate(item) && isOnSlowEndpoint(table, requirements, item, run, itemsWaiting)) {
+					migrate(table, item, run, MigrationReason.SLOWER_PACE);
 				}
 			});
 		});
 	}
 
+	private boolean mayMigrate(String item) {
+		return this.migrationCounts.getOrDefault(item, 0) < MAX_MIGRATIONS_PER_ITEM;
+	}
+
+	private void migrate(EndpointTable table, String item, RunningItem run, MigrationReason reason) {
+		this.migrationCounts.merge(item, 1, Integer::sum);
+		this.migratingItems.put(item, reason);
+		table.placementCounts().onMigrated(reason);
+		run.abort().run();
+	}
+
+	private ItemWork remainingWork(String item, RunningItem run) {
+		return run.work().after(this.state.eventCount(item));
+	}
+
 	private boolean isCompletedSoonerElsewhere(EndpointTable table, EndpointRequirements requirements, String item,
 			RunningItem run, boolean itemsWaiting) {
-		return table.isCompletedSoonerElsewhere(run.endpoint(),
-				requirements.withWork(run.work().after(this.state.eventCount(item))),
+		return table.isCompletedSoonerElsewhere(run.endpoint(), requirements.withWork(remainingWork(item, run)),
 				itemsWaiting ? WAITING_ITEMS_MARGIN_FACTOR : 1);
 	}
 
