--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/version/ServiceRule.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/version/ServiceRule.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Objects;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * Settings of a service.
  * <p>
@@ -17,9 +19,10 @@
  * @param minEndpoints minimum number of endpoints per failure domain
  * @param maxEndpoints maximum number of endpoints per failure domain; 0 if the service is
  * not scalable
+ * @param spotScaling times and prices of spot endpoints; null if the service has none
  */
 public record ServiceRule(String name, String healthPath, int maxConnections, double maxColdRequestsPerSecond,
-		List<String> models, int minEndpoints, int maxEndpoints) {
+		List<String> models, int minEndpoints, int maxEndpoints, @Nullable SpotScaling spotScaling) {
 
 	public ServiceRule {
 		Objects.requireNonNull(name, "name");
@@ -27,6 +30,21 @@
 		models = List.copyOf(models);
 	}
 
+	/**
+	 * Creates the settings of a service without spot endpoints.
+	 * @param name name of the service
+	 * @param healthPath path of the health check
+	 * @param maxConnections maximum number of connections of one endpoint
+	 * @param maxColdRequestsPerSecond maximum request rate of a cold endpoint
+	 * @param models the models that its engines serve
+	 * @param minEndpoints minimum number of endpoints per failure domain
+	 * @param maxEndpoints maximum number of endpoints per failure domain
+	 */
+	public ServiceRule(String name, String healthPath, int maxConnections, double maxColdRequestsPerSecond,
+			List<String> models, int minEndpoints, int maxEndpoints) {
+		this(name, healthPath, maxConnections, maxColdRequestsPerSecond, models, minEndpoints, maxEndpoints, null);
+	}
+
 	/**
 	 * Returns whether the platform starts endpoints of this service on request.
 	 * @return true if endpoints can be ordered
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/PlatformCalls.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/PlatformCalls.java
@@ -29,10 +29,12 @@
 	 * @param holder the holder of the duty
 	 * @param service the service
 	 * @param domain the failure domain
-	 * @param count the number of endpoints
-	 * @return the status code of the response
+	 * @param spot whether the number is that of spot endpoints
+	 * @param count the number of endpoints of that kind
+	 * @return the response
 	 */
-	Either<HttpFailure, Integer> orderEndpoints(DutyHolder holder, String service, String domain, int count);
+	Either<HttpFailure, OrderReply> orderEndpoints(DutyHolder holder, String service, String domain, boolean spot,
+			int count);
 
 	/**
 	 * Orders an endpoint to load a weight version, while its runs continue.
@@ -72,6 +74,24 @@
 
 	}
 
+	/**
+	 * Response to an order for endpoints.
+	 *
+	 * @param status the status code of the response
+	 * @param noneAvailable whether it says that no such endpoints are available there now
+	 */
+	record OrderReply(int status, boolean noneAvailable) {
+
+		/**
+		 * Returns whether the order was accepted.
+		 * @return whether the status code is that of a success
+		 */
+		public boolean isAccepted() {
+			return this.status >= 200 && this.status < 300;
+		}
+
+	}
+
 	/**
 	 * State of an engine, up to some hundred milliseconds old.
 	 *
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/DutyLoop.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/DutyLoop.java
@@ -216,7 +216,7 @@
 
 	// Performs a call of a duty and counts it while it is in flight. No call starts once
 	// the loop is ending.
-	private Either<HttpFailure, Integer> performCall(Supplier<Either<HttpFailure, Integer>> call) {
+	private <T> Either<HttpFailure, T> performCall(Supplier<Either<HttpFailure, T>> call) {
 		this.callsInFlight.incrementAndGet();
 		try {
 			return this.closed ? Either.left(new HttpFailure.NotSent("this host is shutting down")) : call.get();
@@ -323,10 +323,11 @@
 				if (fencing == 0) {
 					return;
 				}
-				Either<HttpFailure, Integer> response = performCall(() -> this.calls.orderEndpoints(dutyHolder(fencing),
-						order.service(), order.domain(), order.count()));
+				Either<HttpFailure, PlatformCalls.OrderReply> response = performCall(() -> this.calls
+					.orderEndpoints(dutyHolder(fencing), order.service(), order.domain(), false, order.count()));
 				this.log.info("endpoints-ordered", "service", order.service(), "domain", order.domain(), "count",
-						order.count(), "demand", demand, "outcome", response.fold(HttpFailure::code, String::valueOf));
+						order.count(), "demand", demand, "outcome",
+						response.fold(HttpFailure::code, (reply) -> String.valueOf(reply.status())));
 			}
 		}
 	}
