Order endpoints for due work where spot endpoints have a price

Endpoints were ordered by the peak number of items, all of them on-demand and divided evenly among the failure domains. For services with a spot price, hosts now report the work that is due within each of the coming seconds, from expected lengths and the measured time of an event. The holder of the duties orders what completes it in time, considering the time that a new endpoint needs. Services without a spot price keep EndpointAutoscaler.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerMessage.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerMessage.java
@@ -462,12 +462,19 @@
 	 * endpoint that recently announced to the sender that it is leaving
 	 * @param usage number of requests that started to run, by window, incarnation and
 	 * workspace, for the newest windows
+	 * @param work work of the items at the sender that is due within each of the coming
+	 * seconds, in milliseconds of one slot, by service; only for services with spot
+	 * endpoints, and empty in messages of earlier releases
 	 */
 	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
 	record HostStatus(boolean leaving, boolean holdsDuties, long leaseVersion, boolean reachesStore,
 			Map<String, Integer> demand, List<String> loading, Map<String, String> assigned,
 			Map<String, Integer> running, Map<String, Long> leavingEndpoints,
-			Map<Long, Map<String, Map<String, Long>>> usage) implements PeerMessage {
+			Map<Long, Map<String, Map<String, Long>>> usage, Map<String, List<Long>> work) implements PeerMessage {
+
+		public HostStatus {
+			work = (work != null) ? work : Map.of();
+		}
 
 		/**
 		 * Returns a copy without usage, for hosts that do not aggregate usage.
@@ -475,7 +482,7 @@
 		 */
 		public HostStatus withoutUsage() {
 			return new HostStatus(this.leaving, this.holdsDuties, this.leaseVersion, this.reachesStore, this.demand,
-					this.loading, this.assigned, this.running, this.leavingEndpoints, Map.of());
+					this.loading, this.assigned, this.running, this.leavingEndpoints, Map.of(), this.work);
 		}
 	}
 
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
@@ -582,6 +582,37 @@
 		return counts;
 	}
 
+	/**
+	 * Counts the endpoints of a service in each failure domain by their kind.
+	 * @param service the service
+	 * @return the endpoints that are not leaving, by domain
+	 */
+	public synchronized Map<String, EndpointCounts> countsByDomain(String service) {
+		long now = this.clock.millis();
+		Map<String, EndpointCounts> counts = new HashMap<>();
+		this.endpoints.values()
+			.stream()
+			.filter((endpoint) -> endpoint.entry.service().equals(service) && !isLeaving(endpoint))
+			.forEach((endpoint) -> counts.compute(endpoint.entry.domain(),
+					(domain, before) -> ((before != null) ? before : EndpointCounts.NONE).plusOne(endpoint.entry.spot(),
+							load(endpoint, now) == 0)));
+		return counts;
+	}
+
+	/**
+	 * Returns the mean time that the endpoints of a service need for a unit of work.
+	 * @param service the service
+	 * @return the time, in milliseconds; 0 if it is unknown
+	 */
+	public synchronized double meanUnitTime(String service) {
+		return this.endpoints.values()
+			.stream()
+			.filter((endpoint) -> endpoint.unitTime > 0 && endpoint.entry.service().equals(service))
+			.mapToDouble((endpoint) -> endpoint.unitTime)
+			.average()
+			.orElse(0);
+	}
+
 	private boolean isLeaving(EndpointState endpoint) {
 		return endpoint.entry.leaving() || this.leaving.contains(endpoint.entry.id(), endpoint.entry.startedAtMillis());
 	}
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/request/SubmissionState.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/request/SubmissionState.java
@@ -389,6 +389,32 @@
 			.count();
 	}
 
+	/**
+	 * Returns the expected number of events that the items without a complete text still
+	 * have to generate.
+	 * @param lengths estimates the length of items
+	 * @return the number of events
+	 */
+	public synchronized double remainingEvents(LengthEstimate lengths) {
+		return this.items.values()
+			.stream()
+			.filter((item) -> item.state == State.WAITING || item.state == State.RUNNING)
+			.mapToDouble((item) -> lengths.remainingEvents(item.item.expectedUnits(), item.text.lastEvent()))
+			.sum();
+	}
+
+	/**
+	 * Records the length of an item whose text is complete.
+	 * @param id the id of the item
+	 * @param lengths estimates the length of items
+	 */
+	public synchronized void recordLength(String id, LengthEstimate lengths) {
+		Item item = item(id);
+		if ((item.state == State.SCORING || item.state == State.FINISHED) && item.text.lastEvent() > 0) {
+			lengths.onCompleted(item.item.expectedUnits(), item.text.lastEvent());
+		}
+	}
+
 	/**
 	 * Returns whether the run of an item may continue.
 	 * @param id the id of the item
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/DutyLoop.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/DutyLoop.java
@@ -106,6 +106,10 @@
 
 	private final Supplier<Map<String, Integer>> ownDemand;
 
+	private final Supplier<Map<String, List<Long>>> ownWork;
+
+	private final SpotOrders spotOrders;
+
 	private final Consumer<PeerMessage> publisher;
 
 	private final StoreCleanup cleanup;
@@ -135,6 +139,8 @@
 	 * @param usage the usage counts
 	 * @param ownDemand supplies the number of items that run or wait at this host, by
 	 * service
+	 * @param ownWork supplies the work of these items that is due within each of the
+	 * coming seconds, by service
 	 * @param publisher sends a message to all other hosts without blocking
 	 * @param executor the threads that execute weight orders
 	 * @param counters the metrics of the process
@@ -142,8 +148,8 @@
 	 */
 	public DutyLoop(HostSettings settings, LeaseState lease, WatchableStore store, PlatformCalls calls,
 			EndpointTable table, WeightLoadScheduler weightLoadScheduler, UsageMeter usage,
-			Supplier<Map<String, Integer>> ownDemand, Consumer<PeerMessage> publisher, ExecutorService executor,
-			Counters counters, EventLog log) {
+			Supplier<Map<String, Integer>> ownDemand, Supplier<Map<String, List<Long>>> ownWork,
+			Consumer<PeerMessage> publisher, ExecutorService executor, Counters counters, EventLog log) {
 		this.publisher = Objects.requireNonNull(publisher, "publisher");
 		this.ownDemand = Objects.requireNonNull(ownDemand, "ownDemand");
 		this.settings = Objects.requireNonNull(settings, "settings");
@@ -157,15 +163,20 @@
 		this.executor = Objects.requireNonNull(executor, "executor");
 		this.counters = Objects.requireNonNull(counters, "counters");
 		this.log = Objects.requireNonNull(log, "log");
+		this.ownWork = Objects.requireNonNull(ownWork, "ownWork");
+		this.spotOrders = new SpotOrders(Clock.monotonic(), table, counters, log);
 	}
 
 	/**
 	 * Updates the demand that another host reported.
 	 * @param host the host
 	 * @param demand the number of items that run or wait there, by service
+	 * @param work the work of these items that is due within each of the coming seconds,
+	 * by service
 	 */
-	public void updateDemand(String host, Map<String, Integer> demand) {
+	public void updateDemand(String host, Map<String, Integer> demand, Map<String, List<Long>> work) {
 		this.demandByHost.put(host, Map.copyOf(demand));
+		this.spotOrders.update(host, demand, work);
 	}
 
 	@Override
@@ -312,19 +323,23 @@
 			return;
 		}
 		this.nextScalingMillis = now + SCALING_INTERVAL_MILLIS;
-		this.demandByHost.put(this.settings.host(), this.ownDemand.get());
+		updateDemand(this.settings.host(), this.ownDemand.get(), this.ownWork.get());
 		for (ServiceRule rule : this.table.serviceRules()) {
 			int demand = this.demandByHost.values().stream().mapToInt((map) -> map.getOrDefault(rule.name(), 0)).sum();
 			Set<String> domains = new HashSet<>(this.settings.domains());
 			domains.removeAll(this.table.disabledDomains());
+			if (rule.spotScaling() != null) {
+				this.spotOrders.order(rule, domains,
+						(order) -> sendOrder(order.service(), order.domain(), order.spot(), order.count()));
+				continue;
+			}
 			for (EndpointAutoscaler.Order order : this.autoscaler.nextOrders(rule, demand,
 					this.table.slots(rule.name()), this.table.countByDomain(rule.name()), domains)) {
-				long fencing = this.lease.fencing();
-				if (fencing == 0) {
+				if (this.lease.fencing() == 0) {
 					return;
 				}
-				Either<HttpFailure, PlatformCalls.OrderReply> response = performCall(() -> this.calls
-					.orderEndpoints(dutyHolder(fencing), order.service(), order.domain(), false, order.count()));
+				Either<HttpFailure, PlatformCalls.OrderReply> response = sendOrder(order.service(), order.domain(),
+						false, order.count());
 				this.log.info("endpoints-ordered", "service", order.service(), "domain", order.domain(), "count",
 						order.count(), "demand", demand, "outcome",
 						response.fold(HttpFailure::code, (reply) -> String.valueOf(reply.status())));
@@ -332,6 +347,15 @@
 		}
 	}
 
+	private Either<HttpFailure, PlatformCalls.OrderReply> sendOrder(String service, String domain, boolean spot,
+			int count) {
+		long fencing = this.lease.fencing();
+		if (fencing == 0) {
+			return Either.left(new HttpFailure.NotSent("this host does not hold the duties"));
+		}
+		return performCall(() -> this.calls.orderEndpoints(dutyHolder(fencing), service, domain, spot, count));
+	}
+
 	private void reportUsage(long now) {
 		long windowMillis = this.settings.usageWindowMillis();
 		long newest = (now - WINDOW_SETTLE_MILLIS) / windowMillis - 1;
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.stream.Collectors;
 
 import io.vavr.control.Either;
 import io.vavr.control.Option;
@@ -41,6 +42,7 @@
 import org.bamboorelay.core.time.SuspendAwareClock;
 import org.bamboorelay.core.version.CoreJson;
 import org.bamboorelay.core.version.RoutingTable;
+import org.bamboorelay.core.version.ServiceRule;
 import org.bamboorelay.host.connection.CallerProtocol;
 import org.bamboorelay.host.connection.EndpointProtocol;
 import org.bamboorelay.host.connection.HostMesh;
@@ -263,7 +265,8 @@
 				submissionHandler, this.callerMonitor, this.usage, this.shutdownAdmission, this.clock, this.counters,
 				this.log);
 		this.duties = new DutyLoop(settings, this.lease, this.store, calls, this.table, this.weightLoadScheduler,
-				this.usage, this.runner::demand, this.mesh::publish, this.executor, this.counters, this.log);
+				this.usage, this.runner::demand, this::ownWork, this.mesh::publish, this.executor, this.counters,
+				this.log);
 	}
 
 	/**
@@ -277,7 +280,7 @@
 			this.table.peerLoad(host, status.running());
 			this.table.leaving(status.leavingEndpoints());
 			this.usage.merge(status.usage());
-			this.duties.updateDemand(host, status.demand());
+			this.duties.updateDemand(host, status.demand(), status.work());
 			if (status.holdsDuties()) {
 				this.lease.onVersionAnnounced(status.leaseVersion());
 				this.table.loading(Set.copyOf(status.loading()));
@@ -675,7 +678,15 @@
 		return new PeerMessage.HostStatus(this.shuttingDown, this.lease.isHeld(), this.lease.heldVersion(),
 				this.store.isDirectlyReachable(), this.runner.demand(), List.copyOf(this.weightLoadScheduler.loading()),
 				this.lease.isHeld() ? this.weightLoadScheduler.assignedModels() : Map.of(),
-				new HashMap<>(this.table.ownLoad()), this.table.leaving(), usageCounts);
+				new HashMap<>(this.table.ownLoad()), this.table.leaving(), usageCounts, ownWork());
+	}
+
+	private Map<String, List<Long>> ownWork() {
+		return this.runner.work(this.table.serviceRules()
+			.stream()
+			.filter((rule) -> rule.spotScaling() != null)
+			.map(ServiceRule::name)
+			.collect(Collectors.toSet()));
 	}
 
 	private static void pause(long millis) {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ActiveSubmission.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ActiveSubmission.java
@@ -57,6 +57,8 @@
 
 	private final long deadlineMillis;
 
+	private final long dueMillis;
+
 	private final Map<String, RunningItem> runningItems = new ConcurrentHashMap<>();
 
 	private final Map<String, Integer> migrationCounts = new ConcurrentHashMap<>();
@@ -87,11 +89,12 @@
 	// The service is that of the routes in force, which may move to another one while the
 	// submission runs.
 	ActiveSubmission(SubmissionState state, ResultLog results, Supplier<Option<String>> service, long deadlineMillis,
-			long storedTextsVersion, long nowMillis) {
+			long dueMillis, long storedTextsVersion, long nowMillis) {
 		this.state = Objects.requireNonNull(state, "state");
 		this.results = Objects.requireNonNull(results, "results");
 		this.service = Objects.requireNonNull(service, "service");
 		this.deadlineMillis = deadlineMillis;
+		this.dueMillis = dueMillis;
 		this.storedTextsVersion = storedTextsVersion;
 		this.lastTextWriteMillis = nowMillis;
 	}
@@ -109,6 +112,11 @@
 		return this.deadlineMillis;
 	}
 
+	// Returns when the results are due, wall clock in milliseconds.
+	long dueMillis() {
+		return this.dueMillis;
+	}
+
 	AtomicBoolean pageWriteInProgress() {
 		return this.pageWriteInProgress;
 	}
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
@@ -18,12 +18,14 @@
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import org.bamboorelay.core.connection.PeerMessage;
+import org.bamboorelay.core.process.DueWork;
 import org.bamboorelay.core.process.EndpointRequirements;
 import org.bamboorelay.core.process.EndpointTable;
 import org.bamboorelay.core.process.MemoryBudget;
 import org.bamboorelay.core.request.DurableTextPolicy;
 import org.bamboorelay.core.request.ItemOrder;
 import org.bamboorelay.core.request.ItemText;
+import org.bamboorelay.core.request.LengthEstimate;
 import org.bamboorelay.core.request.PageWritePolicy;
 import org.bamboorelay.core.request.ReplicatedTexts;
 import org.bamboorelay.core.request.ResultLog;
@@ -85,6 +87,9 @@
 	 */
 	private static final long ROUTE_POLL_INTERVAL_MILLIS = 500;
 
+	/** Time of an event before any was measured, in milliseconds. */
+	private static final double UNKNOWN_EVENT_MILLIS = 50;
+
 	/**
 	 * Number of item ids of earlier submissions that are remembered to recognize
 	 * resubmitted items; the set is cleared when it exceeds this number.
@@ -123,6 +128,8 @@
 
 	private final Map<String, ActiveSubmission> activeSubmissions = new ConcurrentHashMap<>();
 
+	private final LengthEstimate lengths = new LengthEstimate();
+
 	private final Set<String> rememberedItems = new HashSet<>();
 
 	private final Object wakeUp = new Object();
@@ -297,6 +304,28 @@
 		return demand;
 	}
 
+	/**
+	 * Returns the work of the items that run or wait on this host.
+	 * @param services the services to report
+	 * @return the work due within each of the coming seconds, in milliseconds of one
+	 * slot, by service
+	 */
+	public Map<String, List<Long>> work(Set<String> services) {
+		long now = System.currentTimeMillis();
+		Map<String, DueWork> work = new HashMap<>();
+		for (ActiveSubmission running : this.activeSubmissions.values()) {
+			running.service().filter(services::contains).forEach((service) -> {
+				double eventMillis = this.table.meanUnitTime(service);
+				double workMillis = running.state().remainingEvents(this.lengths)
+						* ((eventMillis > 0) ? eventMillis : UNKNOWN_EVENT_MILLIS);
+				work.merge(service, DueWork.NONE.plus(running.dueMillis() - now, (long) workMillis), DueWork::plus);
+			});
+		}
+		Map<String, List<Long>> figures = new HashMap<>();
+		work.forEach((service, due) -> figures.put(service, due.slotMillis()));
+		return figures;
+	}
+
 	/**
 	 * Aborts all runs, waits until the available results are listed, and replicates the
 	 * partial texts to the successor hosts.
@@ -379,6 +408,7 @@
 			}
 			this.executor.execute(() -> {
 				this.itemRunner.run(running, run, grant);
+				running.state().recordLength(run.item().id(), this.lengths);
 				wake();
 			});
 		}
@@ -576,8 +606,8 @@
 		// The items share the cached parts of their prompts, so they stay together.
 		double share = Math.random();
 		ActiveSubmission running = new ActiveSubmission(state, results,
-				() -> route(record).map((current) -> current.service(share)), deadline, texts.version(),
-				System.currentTimeMillis());
+				() -> route(record).map((current) -> current.service(share)), deadline,
+				record.acceptedMillis() + dueMillis(route), texts.version(), System.currentTimeMillis());
 		boolean added = this.activeSubmissions.putIfAbsent(submission.id(), running) == null;
 		if (!added) {
 			running.stop();
@@ -594,6 +624,12 @@
 		}
 	}
 
+	private static long dueMillis(RouteRule route) {
+		long dueMillis = (route.resultDueMillis() < Long.MAX_VALUE) ? route.resultDueMillis()
+				: DueWork.DEFAULT_DUE_MILLIS;
+		return Math.min(dueMillis, route.maxAgeMillis());
+	}
+
 	private Set<String> findResubmittedItems(Submission submission) {
 		Set<String> resubmittedItems = new HashSet<>();
 		synchronized (this.rememberedItems) {
--- a/bamboorelay-host/src/test/java/org/bamboorelay/host/connection/HostMeshTests.java
+++ b/bamboorelay-host/src/test/java/org/bamboorelay/host/connection/HostMeshTests.java
@@ -45,7 +45,7 @@
 	private static final int MANY_HOSTS = 20;
 
 	private static final PeerMessage.HostStatus IDLE = new PeerMessage.HostStatus(false, false, 0, true, Map.of(),
-			List.of(), Map.of(), Map.of(), Map.of(), Map.of());
+			List.of(), Map.of(), Map.of(), Map.of(), Map.of(), Map.of());
 
 	private final ExecutorService executor = Executors.newCachedThreadPool();
 
@@ -144,7 +144,7 @@
 		HostMesh other = linkedMesh();
 		assertThat(this.mesh.haveOutsideHostsLeft()).isFalse();
 		PeerMessage.HostStatus leaving = new PeerMessage.HostStatus(true, false, 0, true, Map.of(), List.of(), Map.of(),
-				Map.of(), Map.of(), Map.of());
+				Map.of(), Map.of(), Map.of(), Map.of());
 		other.sendStatus(() -> leaving);
 		awaitCondition(this.mesh::haveOutsideHostsLeft, TIMEOUT_MILLIS);
 		assertThat(this.mesh.haveOutsideHostsLeft()).isTrue();
--- a/bamboorelay-host/src/test/java/org/bamboorelay/host/request/ActiveSubmissionTests.java
+++ b/bamboorelay-host/src/test/java/org/bamboorelay/host/request/ActiveSubmissionTests.java
@@ -77,7 +77,7 @@
 				List.of(new SubmissionItem("i0", "/i", Map.of(), new byte[0], 1, "g", 1, null)));
 		SubmissionState state = SubmissionState.of(submission, 3, false, 0, Long.MAX_VALUE, ItemOrder.AS_SUBMITTED,
 				Set.of(), MemoryBudget.unlimited());
-		return new ActiveSubmission(state, new ResultLog(), () -> Option.some("engines"), Long.MAX_VALUE,
+		return new ActiveSubmission(state, new ResultLog(), () -> Option.some("engines"), Long.MAX_VALUE, 8_000,
 				storedTextsVersion, 0);
 	}
 
