Move runs off endpoints that the platform reclaims

A spot endpoint leaves 2 to 3 s after its notice. The directory watch already stopped new work there, but runs stayed until their streams broke. Runs that the endpoint can't complete are now aborted at once, all others 400 ms before the end, and resume elsewhere from the events made so far. Entries that are draining without a remaining time keep their runs, as before. Metrics and log lines name notices, moved runs, and the endpoints by domain and kind.

Statuses with fewer and with more fields are decoded, so hosts of different releases can link.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
@@ -132,6 +132,7 @@
 			EndpointState replacement = new EndpointState(entry);
 			replacement.coldUntilMillis = now + entry.coldRemainingMillis();
 			replacement.versions.putAll(entry.versions());
+			replacement.onNotice(now);
 			if (existing != null) {
 				replacement.running = existing.running;
 			}
@@ -139,6 +140,7 @@
 			return;
 		}
 		existing.entry = entry;
+		existing.onNotice(now);
 		existing.coldUntilMillis = now + entry.coldRemainingMillis();
 		entry.versions().forEach((model, version) -> existing.versions.merge(model, version, Math::max));
 	}
@@ -599,6 +601,21 @@
 		return counts;
 	}
 
+	/**
+	 * Returns the endpoints that the platform gave notice to reclaim.
+	 * @return the endpoints by id
+	 */
+	public synchronized Map<String, ReclaimedEndpoint> reclaimed() {
+		long now = this.clock.millis();
+		Map<String, ReclaimedEndpoint> reclaimed = new HashMap<>();
+		this.endpoints.forEach((id, endpoint) -> {
+			if (endpoint.reclaimedAtMillis != Long.MAX_VALUE) {
+				reclaimed.put(id, new ReclaimedEndpoint(endpoint.reclaimedAtMillis - now, endpoint.unitTime));
+			}
+		});
+		return reclaimed;
+	}
+
 	/**
 	 * Returns the mean time that the endpoints of a service need for a unit of work.
 	 * @param service the service
@@ -776,6 +793,16 @@
 			Map<String, Long> versions, int running) {
 	}
 
+	/**
+	 * An endpoint that the platform is about to reclaim.
+	 *
+	 * @param noticeMillis its remaining time, in milliseconds; negative if it has passed
+	 * @param unitMillis the time that it needs for a unit of work, in milliseconds; 0 if
+	 * it is unknown
+	 */
+	public record ReclaimedEndpoint(long noticeMillis, double unitMillis) {
+	}
+
 	private record PeerLoad(Map<String, Integer> running, long atMillis) {
 	}
 
@@ -810,10 +837,18 @@
 
 		private long nextBackgroundSlotMillis;
 
+		private long reclaimedAtMillis = Long.MAX_VALUE;
+
 		private EndpointState(EndpointEntry entry) {
 			this.entry = entry;
 		}
 
+		// Repetitions of a notice don't extend it.
+		private void onNotice(long now) {
+			this.reclaimedAtMillis = this.entry.isReclaimed()
+					? Math.min(this.reclaimedAtMillis, now + this.entry.leavesMillis()) : Long.MAX_VALUE;
+		}
+
 		private long nextSlotMillis(EndpointRequirements requirements) {
 			return requirements.origin().isInteractive() ? this.nextInteractiveSlotMillis
 					: this.nextBackgroundSlotMillis;
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/request/SubmissionState.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/request/SubmissionState.java
@@ -403,6 +403,17 @@
 			.sum();
 	}
 
+	/**
+	 * Returns the expected number of events that an item still has to generate.
+	 * @param id the id of the item
+	 * @param lengths estimates the length of items
+	 * @return the number of events
+	 */
+	public synchronized double remainingEvents(String id, LengthEstimate lengths) {
+		Item item = item(id);
+		return lengths.remainingEvents(item.item.expectedUnits(), item.text.lastEvent());
+	}
+
 	/**
 	 * Records the length of an item whose text is complete.
 	 * @param id the id of the item
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/process/EndpointTableTests.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/process/EndpointTableTests.java
@@ -28,6 +28,26 @@
 		this.table.services(List.of(new ServiceRule("s", "/health", 100, 10, List.of("m"), 1, 6)));
 	}
 
+	@Test
+	void reclaimNoticeStopsNewRequestsAndIsNotExtendedByItsRepetition() {
+		// A host that lists the directory reads the same notice again.
+		this.table.put(spotEntry(EndpointEntry.NOT_RECLAIMED));
+		assertThat(this.table.countsByDomain("s2")).containsEntry("a", new EndpointCounts(0, 1, 0, 1));
+		assertThat(this.table.reclaimed()).isEmpty();
+		this.table.put(spotEntry(2_500));
+		this.clock.advance(1_000);
+		this.table.put(spotEntry(2_500));
+		assertThat(this.table.reclaimed().get("spot").noticeMillis()).isEqualTo(1_500);
+		assertThat(this.table.countsByDomain("s2")).isEmpty();
+		assertThat(this.table.acquire(new EndpointRequirements(RequestOrigin.ITEM, "s2", null, 0, 0, true, Set.of())))
+			.isNull();
+	}
+
+	private static EndpointEntry spotEntry(long leavesMillis) {
+		return new EndpointEntry("spot", "s2", "10.0.0.9:80", "a", 4, leavesMillis >= 0, 0, 1, Map.of(), true,
+				leavesMillis);
+	}
+
 	@Test
 	void leavingEndpointAndDisabledDomainGetNoRequest() {
 		this.table.put(entry("a", "zone-a", true, 0, 1));
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -26,6 +26,7 @@
 import org.bamboorelay.core.connection.PeerMessage;
 import org.bamboorelay.core.process.DomainCutOff;
 import org.bamboorelay.core.process.DomainIsolation;
+import org.bamboorelay.core.process.EndpointCounts;
 import org.bamboorelay.core.process.EndpointEntry;
 import org.bamboorelay.core.process.EndpointRequirements;
 import org.bamboorelay.core.process.EndpointTable;
@@ -276,6 +277,7 @@
 	public void start() throws IOException {
 		this.log.info("process-starting", "host", this.settings.host(), "domain", this.settings.domain(), "incarnation",
 				this.incarnation, "options", this.options.toString());
+		registerCapacityMetrics();
 		this.mesh.onStatus((host, status) -> {
 			this.table.peerLoad(host, status.running());
 			this.table.leaving(status.leavingEndpoints());
@@ -301,7 +303,7 @@
 		this.peerAddress = this.mesh.open(this.settings.peerAddress());
 		startWatcher(this.format.routingKind(), false, true, this::onRouting, (name) -> {
 		});
-		startWatcher(this.format.endpointKind(), true, true, this::onEndpoint, this.table::remove);
+		startWatcher(this.format.endpointKind(), true, true, this::onEndpoint, this::onEndpointRemoved);
 		startWatcher(this.format.weightKind(), false, false, this::onWeights, (name) -> {
 		});
 		startWatcher(this.format.disabledDomainKind(), false, true, (name, object) -> {
@@ -534,11 +536,48 @@
 			this.log.info("endpoint-unusable", "endpoint", name, "detail", read.getLeft().detail());
 			return;
 		}
+		noteReclaim(read.get());
 		this.table.put(read.get());
 		this.log.info("endpoint-learned", "endpoint", name, "service", read.get().service(), "leaving",
 				read.get().leaving(), "cold_ms", read.get().coldRemainingMillis(), "versions", read.get().versions());
 	}
 
+	private void noteReclaim(EndpointEntry entry) {
+		boolean known = this.table.reclaimed().containsKey(entry.id());
+		if (entry.isReclaimed() && !known) {
+			this.counters.counter("reclaim_notices_total").inc();
+			this.log.info("endpoint-reclaim-noticed", "endpoint", entry.id(), "domain", entry.domain(), "leaves_ms",
+					entry.leavesMillis());
+		}
+		else if (!entry.isReclaimed() && known) {
+			this.log.info("endpoint-reclaim-ended", "endpoint", entry.id(), "reason", "ready-again");
+		}
+	}
+
+	private void onEndpointRemoved(String name) {
+		if (this.table.reclaimed().containsKey(name)) {
+			this.log.info("endpoint-reclaim-ended", "endpoint", name, "reason", "removed");
+		}
+		this.table.remove(name);
+	}
+
+	private void registerCapacityMetrics() {
+		for (String domain : this.settings.domains()) {
+			for (boolean spot : new boolean[] { false, true }) {
+				this.counters.gauge(
+						"scalable_endpoints{domain=\"" + domain + "\",kind=\"" + (spot ? "spot" : "on-demand") + "\"}",
+						() -> this.table.serviceRules()
+							.stream()
+							.filter((rule) -> rule.spotScaling() != null)
+							.mapToLong((rule) -> this.table.countsByDomain(rule.name())
+								.getOrDefault(domain, EndpointCounts.NONE)
+								.count(spot))
+							.sum());
+			}
+		}
+		this.counters.gauge("reclaimed_runs_moved_total", this.runner::movedCount);
+	}
+
 	private void onWeights(String name, StoredObject object) {
 		Either<JsonFailure, DirectoryFormat.LatestWeights> read = this.format.weights(object.body());
 		if (read.isLeft()) {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ActiveSubmission.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ActiveSubmission.java
@@ -7,13 +7,16 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import org.bamboorelay.core.process.EndpointRequirements;
 import org.bamboorelay.core.process.EndpointTable;
+import org.bamboorelay.core.process.ReclaimPolicy;
 import org.bamboorelay.core.request.DurableTextPolicy;
+import org.bamboorelay.core.request.LengthEstimate;
 import org.bamboorelay.core.request.RequestOrigin;
 import org.bamboorelay.core.request.ResultLog;
 import org.bamboorelay.core.request.SubmissionState;
@@ -164,6 +167,7 @@
 
 	void onRunEnded(String item) {
 		this.runningItems.remove(item);
+		this.migratingItems.remove(item);
 	}
 
 	boolean clearMigration(String item) {
@@ -192,6 +196,25 @@
 		});
 	}
 
+	// Aborts runs at endpoints that the platform reclaims, so that they resume elsewhere
+	// in time. Returns the number of aborted runs.
+	int moveReclaimedRuns(Map<String, EndpointTable.ReclaimedEndpoint> reclaimed, LengthEstimate lengths) {
+		AtomicInteger moved = new AtomicInteger();
+		this.runningItems.forEach((item, run) -> {
+			EndpointTable.ReclaimedEndpoint endpoint = reclaimed.get(run.endpoint());
+			if (endpoint == null) {
+				return;
+			}
+			double remainingMillis = (endpoint.unitMillis() > 0)
+					? this.state.remainingEvents(item, lengths) * endpoint.unitMillis() : Double.POSITIVE_INFINITY;
+			if (ReclaimPolicy.mustMove(endpoint.noticeMillis(), remainingMillis) && this.migratingItems.add(item)) {
+				moved.incrementAndGet();
+				run.abort().run();
+			}
+		});
+		return moved.get();
+	}
+
 	long lastReplicationMillis() {
 		return this.lastReplicationMillis;
 	}
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
@@ -128,6 +129,8 @@
 
 	private final Map<String, ActiveSubmission> activeSubmissions = new ConcurrentHashMap<>();
 
+	private final AtomicLong movedCount = new AtomicLong();
+
 	private final LengthEstimate lengths = new LengthEstimate();
 
 	private final Set<String> rememberedItems = new HashSet<>();
@@ -304,6 +307,15 @@
 		return demand;
 	}
 
+	/**
+	 * Returns the number of runs that were moved off endpoints that the platform
+	 * reclaimed.
+	 * @return the number since the start of the process
+	 */
+	public long movedCount() {
+		return this.movedCount.get();
+	}
+
 	/**
 	 * Returns the work of the items that run or wait on this host.
 	 * @param services the services to report
@@ -364,6 +376,7 @@
 		long now = System.currentTimeMillis();
 		List<ActiveSubmission> all = new ArrayList<>(this.activeSubmissions.values());
 		all.sort(Comparator.comparingLong((ActiveSubmission running) -> running.state().acceptedMillis()));
+		moveReclaimedRuns(all);
 		boolean busy = false;
 		boolean migrationDue = now >= this.nextMigrationMillis;
 		for (ActiveSubmission running : all) {
@@ -394,6 +407,16 @@
 		}
 	}
 
+	private void moveReclaimedRuns(List<ActiveSubmission> all) {
+		Map<String, EndpointTable.ReclaimedEndpoint> reclaimed = this.table.reclaimed();
+		int moved = reclaimed.isEmpty() ? 0
+				: all.stream().mapToInt((running) -> running.moveReclaimedRuns(reclaimed, this.lengths)).sum();
+		if (moved > 0) {
+			this.movedCount.addAndGet(moved);
+			this.log.info("reclaimed-runs-moved", "runs", moved, "reclaimed_endpoints", reclaimed.size());
+		}
+	}
+
 	private void startItems(ActiveSubmission running, long now) {
 		Option<EndpointRequirements> requirements = running.requirements();
 		while (requirements.isDefined() && running.state().isWaiting(now)) {
--- a/bamboorelay-host/src/test/java/org/bamboorelay/host/request/ActiveSubmissionTests.java
+++ b/bamboorelay-host/src/test/java/org/bamboorelay/host/request/ActiveSubmissionTests.java
@@ -3,10 +3,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import io.vavr.control.Option;
+import org.bamboorelay.core.process.EndpointTable;
 import org.bamboorelay.core.process.MemoryBudget;
 import org.bamboorelay.core.request.ItemOrder;
+import org.bamboorelay.core.request.LengthEstimate;
 import org.bamboorelay.core.request.ResultLog;
 import org.bamboorelay.core.request.Submission;
 import org.bamboorelay.core.request.SubmissionItem;
@@ -65,6 +68,32 @@
 		assertThat(this.store.texts("s1").get().texts()).hasSize(1);
 	}
 
+	@Test
+	void runLeavesAReclaimedEndpointUnlessItCompletesThere() {
+		// The item has 10 events left of 50 ms. Work that stays until the endpoint ends
+		// is interrupted without a place to resume.
+		ActiveSubmission running = active(0, 40);
+		generate(running, 1, 30);
+		AtomicInteger aborts = new AtomicInteger();
+		running.onRunStarted("i0", "e", aborts::incrementAndGet);
+		LengthEstimate lengths = new LengthEstimate();
+		assertThat(running.moveReclaimedRuns(Map.of("other", reclaimed(0, 50)), lengths)).isZero();
+		assertThat(running.moveReclaimedRuns(Map.of("e", reclaimed(2_000, 50)), lengths)).isZero();
+		assertThat(running.moveReclaimedRuns(Map.of("e", reclaimed(2_000, 200)), lengths)).isOne();
+		assertThat(running.moveReclaimedRuns(Map.of("e", reclaimed(1_900, 200)), lengths)).isZero();
+		assertThat(aborts).hasValue(1);
+		running.onRunEnded("i0");
+		running.onRunStarted("i0", "e", aborts::incrementAndGet);
+		assertThat(running.moveReclaimedRuns(Map.of("e", reclaimed(400, 1)), lengths)).isOne();
+		running.onRunEnded("i0");
+		running.onRunStarted("i0", "e", aborts::incrementAndGet);
+		assertThat(running.moveReclaimedRuns(Map.of("e", reclaimed(60_000, 0)), lengths)).isOne();
+	}
+
+	private static EndpointTable.ReclaimedEndpoint reclaimed(long noticeMillis, double unitMillis) {
+		return new EndpointTable.ReclaimedEndpoint(noticeMillis, unitMillis);
+	}
+
 	private static void generate(ActiveSubmission running, int first, int last) {
 		running.state().startNext(0);
 		for (int event = first; event <= last; event++) {
@@ -73,8 +102,12 @@
 	}
 
 	private static ActiveSubmission active(long storedTextsVersion) {
+		return active(storedTextsVersion, 1);
+	}
+
+	private static ActiveSubmission active(long storedTextsVersion, long expectedUnits) {
 		Submission submission = new Submission("s1", "w", "example", "/in/s1", "m", 0, 1, 1,
-				List.of(new SubmissionItem("i0", "/i", Map.of(), new byte[0], 1, "g", 1, null)));
+				List.of(new SubmissionItem("i0", "/i", Map.of(), new byte[0], 1, "g", expectedUnits, null)));
 		SubmissionState state = SubmissionState.of(submission, 3, false, 0, Long.MAX_VALUE, ItemOrder.AS_SUBMITTED,
 				Set.of(), MemoryBudget.unlimited());
 		return new ActiveSubmission(state, new ResultLog(), () -> Option.some("engines"), Long.MAX_VALUE, 8_000,
--- a/bamboorelay-runtime/src/test/java/org/bamboorelay/runtime/connection/PeerCodecTests.java
+++ b/bamboorelay-runtime/src/test/java/org/bamboorelay/runtime/connection/PeerCodecTests.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 
 import io.vavr.control.Either;
 import org.bamboorelay.core.connection.PeerMessage;
@@ -79,6 +80,25 @@
 		assertThat(read(frame(0, fields)).isRight()).isTrue();
 	}
 
+	/**
+	 * Guards against a release that closes its links to hosts of the previous one, whose
+	 * statuses name no work.
+	 */
+	@Test
+	void statusesOfOtherReleasesAreDecoded() throws IOException {
+		int type = PeerProtocol.TYPES.indexOf(PeerMessage.HostStatus.class);
+		List<Object> fields = new ArrayList<>(
+				List.of(false, false, 0, true, Map.of("s", 2), List.of(), Map.of(), Map.of(), Map.of(), Map.of()));
+		PeerMessage.HostStatus older = (PeerMessage.HostStatus) read(frame(type, fields)).get().message();
+		assertThat(older.demand()).containsEntry("s", 2);
+		assertThat(older.work()).isEmpty();
+		fields.add(Map.of("s", List.of(1, 2)));
+		PeerMessage.HostStatus current = (PeerMessage.HostStatus) read(frame(type, fields)).get().message();
+		assertThat(current.work()).containsEntry("s", List.of(1L, 2L));
+		fields.add("a field of a later release");
+		assertThat(read(frame(type, fields)).isRight()).isTrue();
+	}
+
 	private static byte[] frame(int type, List<Object> fields) throws IOException {
 		byte[] body = new MessagePackMapper().writeValueAsBytes(List.of(1, type, 0, fields));
 		return ByteBuffer.allocate(4 + body.length).putInt(body.length).put(body).array();
