--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/SpotCapacityPlanner.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/SpotCapacityPlanner.java
@@ -93,6 +93,13 @@
 	 */
 	private static final double BASE_SHARE = 1.0 / 3;
 
+	/**
+	 * Minimum share of the required endpoints that counts as required for urgent work,
+	 * because work of a burst becomes urgent only seconds after its endpoints are
+	 * ordered.
+	 */
+	private static final double MIN_URGENT_SHARE = 0.5;
+
 	/** Share of an even division among the domains that each domain gets. */
 	private static final double MIN_DOMAIN_SHARE = 1.0 / 3;
 
@@ -386,7 +393,7 @@
 			this.scaling = scaling;
 			this.service = service;
 			this.required = required;
-			this.urgent = urgent;
+			this.urgent = Math.max(urgent, (int) Math.ceil(required * MIN_URGENT_SHARE));
 			this.base = (int) Math.ceil(urgent * BASE_SHARE);
 			this.now = now;
 			pools.forEach((pool) -> this.planned.put(pool, service.pool(pool).expected()));
@@ -414,23 +421,44 @@
 
 		// An endpoint is added only where it reduces what is missing.
 		private boolean canAdd(Pool pool) {
-			if (total(pool.domain()) >= this.rule.maxEndpoints()
-					|| this.now < this.service.pool(pool).blockedUntilMillis) {
+			if (!hasRoom(pool)) {
 				return false;
 			}
 			return total() < this.required || total(pool.domain()) < this.rule.minEndpoints()
-					|| (!pool.spot() && onDemand() < this.base) || (remaining(null) < this.urgent && !isExposed(pool));
+					|| (!pool.spot() && onDemand() < this.base) || (remaining() < this.urgent && !isExposed(pool));
 		}
 
-		// Returns whether one more endpoint is of no use after the loss of the spot
-		// endpoints of a domain, while that loss would leave too few.
+		// Returns whether one more endpoint would be lost with too many others of its
+		// domain. Beyond the number that may be lost, spot endpoints are added evenly, as
+		// long as the additional ones cost less than on-demand endpoints.
 		private boolean isExposed(Pool pool) {
-			boolean baseShort = pool.spot() && onDemand() < this.base;
-			return baseShort || (remaining(null) < this.urgent && remaining(pool) == remaining(null));
+			if (!pool.spot()) {
+				return false;
+			}
+			if (onDemand() < this.base) {
+				return true;
+			}
+			int count = this.planned.get(pool);
+			if (count < Math.max(this.required, total() + 1) - this.urgent) {
+				return false;
+			}
+			List<Integer> others = this.planned.keySet()
+				.stream()
+				.filter((other) -> other.spot() && !other.equals(pool) && hasRoom(other))
+				.map(this.planned::get)
+				.toList();
+			double addedShare = (others.size() + 1.0) / Math.max(1, others.size());
+			return others.isEmpty() || addedShare * this.scaling.spotPrice() >= 1
+					|| others.stream().anyMatch((other) -> other < count);
+		}
+
+		private boolean hasRoom(Pool pool) {
+			return total(pool.domain()) < this.rule.maxEndpoints()
+					&& this.now >= this.service.pool(pool).blockedUntilMillis;
 		}
 
 		private boolean isShort() {
-			return total() < this.required || onDemand() < this.base || remaining(null) < this.urgent
+			return total() < this.required || onDemand() < this.base || remaining() < this.urgent
 					|| this.planned.keySet()
 						.stream()
 						.anyMatch((pool) -> total(pool.domain()) < this.rule.minEndpoints());
@@ -460,7 +488,7 @@
 				return false;
 			}
 			this.planned.merge(pool, -1, Integer::sum);
-			boolean sufficient = remaining(null) >= this.urgent;
+			boolean sufficient = remaining() >= this.urgent;
 			this.planned.merge(pool, 1, Integer::sum);
 			return sufficient;
 		}
@@ -483,16 +511,14 @@
 		}
 
 		// Returns the number of endpoints that remain if the domain with the most spot
-		// endpoints loses them, with one more endpoint if a pool is given.
-		private int remaining(@Nullable Pool added) {
-			int total = total() + ((added != null) ? 1 : 0);
-			int most = this.planned.entrySet()
+		// endpoints loses them.
+		private int remaining() {
+			return total() - this.planned.entrySet()
 				.stream()
 				.filter((entry) -> entry.getKey().spot())
-				.mapToInt((entry) -> entry.getValue() + (entry.getKey().equals(added) ? 1 : 0))
+				.mapToInt(Map.Entry::getValue)
 				.max()
 				.orElse(0);
-			return total - most;
 		}
 
 	}
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/process/SpotCapacityPlannerTests.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/process/SpotCapacityPlannerTests.java
@@ -96,6 +96,18 @@
 		assertThat(replaced.onTimeShare()).isGreaterThanOrEqualTo(undisturbed.onTimeShare() - 0.01);
 	}
 
+	@Test
+	void spotEndpointsOfABurstAreDividedBeforeItsWorkIsUrgent() {
+		// The cheapest domain would get all endpoints, and lose them together.
+		SpotCapacityPlanner planner = SpotCapacityPlanner.of(ManualClock.of(100_000));
+		List<SpotCapacityPlanner.Order> orders = planner.nextOrders(RULE, DueWork.NONE.plus(DUE_MILLIS, 400_000), SLOTS,
+				Map.of("a", new EndpointCounts(1, 0, 0, 0)), DOMAINS);
+		int total = orders.stream().mapToInt(SpotCapacityPlanner.Order::count).sum();
+		assertThat(orders).filteredOn(SpotCapacityPlanner.Order::spot)
+			.isNotEmpty()
+			.allSatisfy((order) -> assertThat(order.count()).isLessThanOrEqualTo(total / 2 + 1));
+	}
+
 	@Test
 	void sufficientEndpointsAreLeftAlone() {
 		Simulation planned = new Simulation(true, 33);
--- a/bamboorelay-host/src/test/java/org/bamboorelay/host/request/ActiveSubmissionTests.java
+++ b/bamboorelay-host/src/test/java/org/bamboorelay/host/request/ActiveSubmissionTests.java
@@ -77,6 +77,9 @@
 		AtomicInteger aborts = new AtomicInteger();
 		running.onRunStarted("i0", "e", aborts::incrementAndGet);
 		LengthEstimate lengths = new LengthEstimate();
+		for (int completed = 0; completed < 16; completed++) {
+			lengths.onCompleted(40, 40);
+		}
 		assertThat(running.moveReclaimedRuns(Map.of("other", reclaimed(0, 50)), lengths)).isZero();
 		assertThat(running.moveReclaimedRuns(Map.of("e", reclaimed(2_000, 50)), lengths)).isZero();
 		assertThat(running.moveReclaimedRuns(Map.of("e", reclaimed(2_000, 200)), lengths)).isOne();
