--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/process/SpotCapacityPlannerTests.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/process/SpotCapacityPlannerTests.java
@@ -39,12 +39,12 @@
 	void lossOfAllSpotEndpointsOfADomainTwiceKeepsDueWorkInTime() {
 		// The loss of a domain's spot endpoints, without replacements for 11 s, must not
 		// make due work late that on-demand endpoints alone would complete in time.
-		Simulation today = new Simulation(false, 10);
-		Simulation planned = new Simulation(true, 10);
+		Simulation today = new Simulation(false, 3);
+		Simulation planned = new Simulation(true, 3);
 		for (Simulation simulation : List.of(today, planned)) {
 			simulation.reclaims.put(30_000L, 11_000L);
 			simulation.reclaims.put(46_000L, 11_000L);
-			simulation.run(80_000, (millis) -> ITEMS_PER_BURST);
+			simulation.run(80_000, (millis) -> 3 * ITEMS_PER_BURST);
 		}
 		print("reclaim twice", today, planned);
 		assertThat(planned.reclaimed).isPositive();
@@ -144,7 +144,7 @@
 	private static void print(String name, Simulation reference, Simulation planned) {
 		System.out.printf("%s: reference %.4f in time, cost %.1f, %d orders; planner %.4f, cost %.1f, %d orders%n",
 				name, reference.onTimeShare(), reference.cost, reference.orders, planned.onTimeShare(), planned.cost,
-				planned.orders);
+				planned.orders, planned.reclaimed);
 	}
 
 	// A platform that starts and reclaims endpoints, and hosts that submit a burst of
