--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerMessage.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerMessage.java
@@ -464,15 +464,20 @@
 	 * workspace, for the newest windows
 	 * @param trainers the items that wait or run at the sender, by trainer; empty if it
 	 * is a release without this field
+	 * @param work work of the items at the sender that is due within each of the coming
+	 * seconds, in milliseconds of one slot, by service; only for services with spot
+	 * endpoints, and empty in messages of earlier releases
 	 */
 	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
 	record HostStatus(boolean leaving, boolean holdsDuties, long leaseVersion, boolean reachesStore,
 			Map<String, Integer> demand, List<String> loading, Map<String, String> assigned,
 			Map<String, Integer> running, Map<String, Long> leavingEndpoints,
-			Map<Long, Map<String, Map<String, Long>>> usage, List<TrainerLoad> trainers) implements PeerMessage {
+			Map<Long, Map<String, Map<String, Long>>> usage, List<TrainerLoad> trainers,
+			Map<String, List<Long>> work) implements PeerMessage {
 
 		public HostStatus {
 			trainers = (trainers != null) ? List.copyOf(trainers) : List.of();
+			work = (work != null) ? work : Map.of();
 		}
 
 		/**
@@ -481,7 +486,8 @@
 		 */
 		public HostStatus withoutUsage() {
 			return new HostStatus(this.leaving, this.holdsDuties, this.leaseVersion, this.reachesStore, this.demand,
-					this.loading, this.assigned, this.running, this.leavingEndpoints, Map.of(), this.trainers);
+					this.loading, this.assigned, this.running, this.leavingEndpoints, Map.of(), this.trainers,
+					this.work);
 		}
 	}
 
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointState.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointState.java
@@ -69,10 +69,18 @@
 
 	private long nextBackgroundSlotMillis;
 
+	long reclaimedAtMillis = Long.MAX_VALUE;
+
 	EndpointState(EndpointEntry entry) {
 		this.entry = entry;
 	}
 
+	// Repetitions of a notice don't extend it.
+	void onNotice(long now) {
+		this.reclaimedAtMillis = this.entry.isReclaimed()
+				? Math.min(this.reclaimedAtMillis, now + this.entry.leavesMillis()) : Long.MAX_VALUE;
+	}
+
 	@Override
 	public String id() {
 		return this.entry.id();
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/EndpointTable.java
@@ -198,6 +198,7 @@
 			replacement.versions.putAll(entry.versions());
 			replacement.peerRunning = this.peerLoads.sum(entry.id());
 			replacement.assignedModel = this.assignedModels.get(entry.id());
+			replacement.onNotice(now);
 			if (existing != null) {
 				replacement.running = existing.running;
 				replacement.reservedTokens = existing.reservedTokens;
@@ -210,6 +211,7 @@
 			this.byService.clear();
 		}
 		existing.entry = entry;
+		existing.onNotice(now);
 		existing.coldUntilMillis = now + entry.coldRemainingMillis();
 		entry.versions().forEach((model, version) -> existing.versions.merge(model, version, Math::max));
 	}
@@ -823,6 +825,52 @@
 		}
 	}
 
+	/**
+	 * Counts the endpoints of a service in each failure domain by their kind.
+	 * @param service the service
+	 * @return the endpoints that are not leaving, by domain
+	 */
+	public synchronized Map<String, EndpointCounts> countsByDomain(String service) {
+		long now = this.clock.millis();
+		Map<String, EndpointCounts> counts = new HashMap<>();
+		this.endpoints.values()
+			.stream()
+			.filter((endpoint) -> endpoint.entry.service().equals(service) && !isLeaving(endpoint))
+			.forEach((endpoint) -> counts.compute(endpoint.entry.domain(),
+					(domain, before) -> ((before != null) ? before : EndpointCounts.NONE).plusOne(endpoint.entry.spot(),
+							load(endpoint, now) == 0)));
+		return counts;
+	}
+
+	/**
+	 * Returns the endpoints that the platform gave notice to reclaim.
+	 * @return the endpoints by id
+	 */
+	public synchronized Map<String, ReclaimedEndpoint> reclaimed() {
+		long now = this.clock.millis();
+		Map<String, ReclaimedEndpoint> reclaimed = new HashMap<>();
+		this.endpoints.forEach((id, endpoint) -> {
+			if (endpoint.reclaimedAtMillis != Long.MAX_VALUE) {
+				reclaimed.put(id, new ReclaimedEndpoint(endpoint.reclaimedAtMillis - now, endpoint.unitTime()));
+			}
+		});
+		return reclaimed;
+	}
+
+	/**
+	 * Returns the mean time that the endpoints of a service need for a unit of work.
+	 * @param service the service
+	 * @return the time, in milliseconds; 0 if it is unknown
+	 */
+	public synchronized double meanUnitTime(String service) {
+		return this.endpoints.values()
+			.stream()
+			.filter((endpoint) -> endpoint.unitTime() > 0 && endpoint.entry.service().equals(service))
+			.mapToDouble(EndpointState::unitTime)
+			.average()
+			.orElse(0);
+	}
+
 	private boolean isLeaving(EndpointState endpoint) {
 		return endpoint.entry.leaving() || this.leaving.contains(endpoint.entry.id(), endpoint.entry.startedAtMillis());
 	}
@@ -1029,6 +1077,16 @@
 
 	}
 
+	/**
+	 * An endpoint that the platform is about to reclaim.
+	 *
+	 * @param noticeMillis its remaining time, in milliseconds; negative if it has passed
+	 * @param unitMillis the time that it needs for a unit of work, in milliseconds; 0 if
+	 * it is unknown
+	 */
+	public record ReclaimedEndpoint(long noticeMillis, double unitMillis) {
+	}
+
 	/**
 	 * Which endpoint a request would get, and why.
 	 *
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/ItemWork.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/ItemWork.java
@@ -3,8 +3,7 @@
 import java.util.Objects;
 
 /**
- * The work that an engine has to do for an item of a submission. An event is expected for
- * each output token.
+ * The work that an engine has to do for an item of a submission.
  * <p>
  * Immutable and thread-safe.
  *
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/MigrationReason.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/MigrationReason.java
@@ -14,7 +14,10 @@
 	SLOWER_PACE,
 
 	/** It is expected to be completed sooner elsewhere. */
-	EARLIER_COMPLETION;
+	EARLIER_COMPLETION,
+
+	/** The platform reclaims its endpoint. */
+	RECLAIMED_ENDPOINT;
 
 	/**
 	 * Returns the name for logs and metrics.
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/version/ServiceRule.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/version/ServiceRule.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Objects;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * Settings of a service.
  * <p>
@@ -19,9 +21,11 @@
  * not scalable
  * @param tokenCapacity number of tokens that fit into the memory of one of its engines; 0
  * if it is not limited
+ * @param spotScaling times and prices of spot endpoints; null if the service has none
  */
 public record ServiceRule(String name, String healthPath, int maxConnections, double maxColdRequestsPerSecond,
-		List<String> models, int minEndpoints, int maxEndpoints, long tokenCapacity) {
+		List<String> models, int minEndpoints, int maxEndpoints, long tokenCapacity,
+		@Nullable SpotScaling spotScaling) {
 
 	public ServiceRule {
 		Objects.requireNonNull(name, "name");
@@ -33,20 +37,28 @@
 	}
 
 	/**
-	 * Creates the settings of a service whose engines have no limited memory.
+	 * Creates the settings of a service without spot endpoints, whose engines have no
+	 * limited memory.
 	 * @param name name of the service
 	 * @param healthPath path of the health check
 	 * @param maxConnections maximum number of connections of one endpoint
-	 * @param maxColdRequestsPerSecond maximum request rate of a cold endpoint, in
-	 * requests per second; 0 for no limit
-	 * @param models the models that its engines serve; empty for a plain service
+	 * @param maxColdRequestsPerSecond maximum request rate of a cold endpoint
+	 * @param models the models that its engines serve
 	 * @param minEndpoints minimum number of endpoints per failure domain
-	 * @param maxEndpoints maximum number of endpoints per failure domain; 0 if the
-	 * service is not scalable
+	 * @param maxEndpoints maximum number of endpoints per failure domain
 	 */
 	public ServiceRule(String name, String healthPath, int maxConnections, double maxColdRequestsPerSecond,
 			List<String> models, int minEndpoints, int maxEndpoints) {
-		this(name, healthPath, maxConnections, maxColdRequestsPerSecond, models, minEndpoints, maxEndpoints, 0);
+		this(name, healthPath, maxConnections, maxColdRequestsPerSecond, models, minEndpoints, maxEndpoints, 0, null);
+	}
+
+	/**
+	 * Returns a copy without spot endpoints.
+	 * @return the rule of a service that uses on-demand endpoints only
+	 */
+	public ServiceRule withoutSpot() {
+		return new ServiceRule(this.name, this.healthPath, this.maxConnections, this.maxColdRequestsPerSecond,
+				this.models, this.minEndpoints, this.maxEndpoints, this.tokenCapacity, null);
 	}
 
 	/**
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/process/EndpointTableBenchmark.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/process/EndpointTableBenchmark.java
@@ -47,7 +47,7 @@
 		ManualClock clock = ManualClock.of(10_000);
 		SplittableRandom random = new SplittableRandom(size);
 		EndpointTable table = EndpointTable.create(clock, random);
-		table.services(List.of(new ServiceRule("s", "/health", 100, 0, List.of("m"), 1, 6, 60_000)));
+		table.services(List.of(new ServiceRule("s", "/health", 100, 0, List.of("m"), 1, 6, 60_000, null)));
 		for (int i = 0; i < size; i++) {
 			String id = "endpoint-" + i;
 			table.put(new EndpointEntry(id, "s", "10.0.0.1:80", "zone-a", SLOTS, false, 0, 1, Map.of("m", 1L)));
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/process/ReportedLoadPlacementTests.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/process/ReportedLoadPlacementTests.java
@@ -136,7 +136,7 @@
 	@Test
 	void itemsThatDoNotFitIntoTheMemoryOfAnEngineWait() {
 		// An engine whose memory runs out preempts the newest requests.
-		this.table.services(List.of(new ServiceRule("s", "/health", 100, 0, List.of("m"), 1, 6, 2_700)));
+		this.table.services(List.of(new ServiceRule("s", "/health", 100, 0, List.of("m"), 1, 6, 2_700, null)));
 		this.table.put(entry("a"));
 		report("a", new ReportedLoad(0, 0, 6, 1));
 		EndpointTable.Grant first = this.table.acquire(item(10, false));
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.stream.Collectors;
 
 import io.vavr.control.Either;
 import io.vavr.control.Option;
@@ -26,6 +27,7 @@
 import org.bamboorelay.core.connection.PeerMessage;
 import org.bamboorelay.core.process.DomainCutOff;
 import org.bamboorelay.core.process.DomainIsolation;
+import org.bamboorelay.core.process.EndpointCounts;
 import org.bamboorelay.core.process.EndpointEntry;
 import org.bamboorelay.core.process.EndpointRequirements;
 import org.bamboorelay.core.process.EndpointTable;
@@ -47,6 +49,7 @@
 import org.bamboorelay.core.time.SuspendAwareClock;
 import org.bamboorelay.core.version.CoreJson;
 import org.bamboorelay.core.version.RoutingTable;
+import org.bamboorelay.core.version.ServiceRule;
 import org.bamboorelay.host.connection.CallerProtocol;
 import org.bamboorelay.host.connection.EndpointProtocol;
 import org.bamboorelay.host.connection.HostMesh;
@@ -285,7 +288,8 @@
 				submissionHandler, this.callerMonitor, this.usage, this.shutdownAdmission, this.clock, this.counters,
 				this.log);
 		this.duties = new DutyLoop(settings, this.lease, this.store, calls, this.table, this.weightLoadScheduler,
-				this.usage, this.runner::demand, this.mesh::publish, this.executor, this.counters, this.log);
+				this.usage, this.runner::demand, this::ownWork, this.mesh::publish, this.executor, this.counters,
+				this.log);
 	}
 
 	private void registerPlacementCounts() {
@@ -308,11 +312,12 @@
 	public void start() throws IOException {
 		this.log.info("process-starting", "host", this.settings.host(), "domain", this.settings.domain(), "incarnation",
 				this.incarnation, "options", this.options.toString());
+		registerCapacityMetrics();
 		this.mesh.onStatus((host, status) -> {
 			this.table.peerLoad(host, status.running());
 			this.table.leaving(status.leavingEndpoints());
 			this.usage.merge(status.usage());
-			this.duties.updateDemand(host, status.demand());
+			this.duties.updateDemand(host, status.demand(), status.work());
 			this.runner.onTrainerLoads(host, status.trainers());
 			if (status.holdsDuties()) {
 				this.lease.onVersionAnnounced(status.leaseVersion());
@@ -334,7 +339,7 @@
 		this.peerAddress = this.mesh.open(this.settings.peerAddress());
 		startWatcher(this.format.routingKind(), false, true, this::onRouting, (name) -> {
 		});
-		startWatcher(this.format.endpointKind(), true, true, this::onEndpoint, this.table::remove);
+		startWatcher(this.format.endpointKind(), true, true, this::onEndpoint, this::onEndpointRemoved);
 		startWatcher(this.format.weightKind(), false, false, this::onWeights, (name) -> {
 		});
 		startWatcher(this.format.disabledDomainKind(), false, true, (name, object) -> {
@@ -559,7 +564,8 @@
 			this.log.warn("configuration-older", "version", next.version(), "in_force", currentRouting.version());
 			return;
 		}
-		this.table.services(next.services());
+		this.table.services(this.options.schedulingOrDefaults().spotCapacity() ? next.services()
+				: next.services().stream().map(ServiceRule::withoutSpot).toList());
 		this.routing.set(next);
 		this.log.info("configuration-in-force", "version", next.version(), "revision", object.version());
 		HedgingSettings hedging = this.options.hedging();
@@ -577,11 +583,48 @@
 			this.log.info("endpoint-unusable", "endpoint", name, "detail", read.getLeft().detail());
 			return;
 		}
+		noteReclaim(read.get());
 		this.table.put(read.get());
 		this.log.info("endpoint-learned", "endpoint", name, "service", read.get().service(), "leaving",
 				read.get().leaving(), "cold_ms", read.get().coldRemainingMillis(), "versions", read.get().versions());
 	}
 
+	private void noteReclaim(EndpointEntry entry) {
+		boolean known = this.table.reclaimed().containsKey(entry.id());
+		if (entry.isReclaimed() && !known) {
+			this.counters.counter("reclaim_notices_total").inc();
+			this.log.info("endpoint-reclaim-noticed", "endpoint", entry.id(), "domain", entry.domain(), "leaves_ms",
+					entry.leavesMillis());
+		}
+		else if (!entry.isReclaimed() && known) {
+			this.log.info("endpoint-reclaim-ended", "endpoint", entry.id(), "reason", "ready-again");
+		}
+	}
+
+	private void onEndpointRemoved(String name) {
+		if (this.table.reclaimed().containsKey(name)) {
+			this.log.info("endpoint-reclaim-ended", "endpoint", name, "reason", "removed");
+		}
+		this.table.remove(name);
+	}
+
+	private void registerCapacityMetrics() {
+		for (String domain : this.settings.domains()) {
+			for (boolean spot : new boolean[] { false, true }) {
+				this.counters.gauge(
+						"scalable_endpoints{domain=\"" + domain + "\",kind=\"" + (spot ? "spot" : "on-demand") + "\"}",
+						() -> this.table.serviceRules()
+							.stream()
+							.filter((rule) -> rule.spotScaling() != null)
+							.mapToLong((rule) -> this.table.countsByDomain(rule.name())
+								.getOrDefault(domain, EndpointCounts.NONE)
+								.count(spot))
+							.sum());
+			}
+		}
+		this.counters.gauge("reclaimed_runs_moved_total", this.runner::movedCount);
+	}
+
 	private void onWeights(String name, StoredObject object) {
 		Either<JsonFailure, DirectoryFormat.LatestWeights> read = this.format.weights(object.body());
 		if (read.isLeft()) {
@@ -725,7 +768,16 @@
 		return new PeerMessage.HostStatus(this.shuttingDown, this.lease.isHeld(), this.lease.heldVersion(),
 				this.store.isDirectlyReachable(), this.runner.demand(), List.copyOf(this.weightLoadScheduler.loading()),
 				this.lease.isHeld() ? this.weightLoadScheduler.assignedModels() : Map.of(),
-				new HashMap<>(this.table.ownLoad()), this.table.leaving(), usageCounts, this.runner.trainerLoads());
+				new HashMap<>(this.table.ownLoad()), this.table.leaving(), usageCounts, this.runner.trainerLoads(),
+				ownWork());
+	}
+
+	private Map<String, List<Long>> ownWork() {
+		return this.runner.work(this.table.serviceRules()
+			.stream()
+			.filter((rule) -> rule.spotScaling() != null)
+			.map(ServiceRule::name)
+			.collect(Collectors.toSet()));
 	}
 
 	private static void pause(long millis) {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ActiveSubmission.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ActiveSubmission.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 
 import io.vavr.control.Either;
@@ -16,7 +17,9 @@
 import org.bamboorelay.core.process.EndpointTable;
 import org.bamboorelay.core.process.ItemWork;
 import org.bamboorelay.core.process.MigrationReason;
+import org.bamboorelay.core.process.ReclaimPolicy;
 import org.bamboorelay.core.request.DurableTextPolicy;
+import org.bamboorelay.core.request.LengthEstimate;
 import org.bamboorelay.core.request.RequestOrigin;
 import org.bamboorelay.core.request.ResultLog;
 import org.bamboorelay.core.request.SubmissionState;
@@ -66,6 +69,8 @@
 
 	private final long deadlineMillis;
 
+	private final long dueMillis;
+
 	private final Map<String, RunningItem> runningItems = new ConcurrentHashMap<>();
 
 	private final Map<String, Integer> migrationCounts = new ConcurrentHashMap<>();
@@ -96,11 +101,12 @@
 	// The service is that of the routes in force, which may move to another one while the
 	// submission runs.
 	ActiveSubmission(SubmissionState state, ResultLog results, Supplier<Option<String>> service, long deadlineMillis,
-			long storedTextsVersion, long nowMillis) {
+			long dueMillis, long storedTextsVersion, long nowMillis) {
 		this.state = Objects.requireNonNull(state, "state");
 		this.results = Objects.requireNonNull(results, "results");
 		this.service = Objects.requireNonNull(service, "service");
 		this.deadlineMillis = deadlineMillis;
+		this.dueMillis = dueMillis;
 		this.storedTextsVersion = storedTextsVersion;
 		this.lastTextWriteMillis = nowMillis;
 	}
@@ -118,6 +124,11 @@
 		return this.deadlineMillis;
 	}
 
+	// Returns when the results are due, wall clock in milliseconds.
+	long dueMillis() {
+		return this.dueMillis;
+	}
+
 	AtomicBoolean pageWriteInProgress() {
 		return this.pageWriteInProgress;
 	}
@@ -165,6 +176,7 @@
 
 	void onRunEnded(String item) {
 		this.runningItems.remove(item);
+		this.migratingItems.remove(item);
 	}
 
 	// Returns why a run was aborted to be migrated, or none if it was not.
@@ -229,6 +241,26 @@
 		return table.isWorthMoving(run.endpoint(), requirements, ratio);
 	}
 
+	// Aborts runs at endpoints that the platform reclaims, so that they resume elsewhere
+	// in time. Returns the number of aborted runs.
+	int moveReclaimedRuns(Map<String, EndpointTable.ReclaimedEndpoint> reclaimed, LengthEstimate lengths) {
+		AtomicInteger moved = new AtomicInteger();
+		this.runningItems.forEach((item, run) -> {
+			EndpointTable.ReclaimedEndpoint endpoint = reclaimed.get(run.endpoint());
+			if (endpoint == null) {
+				return;
+			}
+			double remainingMillis = (endpoint.unitMillis() > 0)
+					? this.state.remainingEvents(item, lengths) * endpoint.unitMillis() : Double.POSITIVE_INFINITY;
+			if (ReclaimPolicy.mustMove(endpoint.noticeMillis(), remainingMillis)
+					&& this.migratingItems.putIfAbsent(item, MigrationReason.RECLAIMED_ENDPOINT) == null) {
+				moved.incrementAndGet();
+				run.abort().run();
+			}
+		});
+		return moved.get();
+	}
+
 	long lastReplicationMillis() {
 		return this.lastReplicationMillis;
 	}
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ItemRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ItemRunner.java
@@ -15,6 +15,7 @@
 import org.bamboorelay.core.process.ItemWork;
 import org.bamboorelay.core.process.MigrationReason;
 import org.bamboorelay.core.request.EnginePriority;
+import org.bamboorelay.core.request.LengthEstimate;
 import org.bamboorelay.core.request.RequestOrigin;
 import org.bamboorelay.core.request.Submission;
 import org.bamboorelay.core.request.SubmissionItem;
@@ -77,6 +78,8 @@
 
 	private final EndpointTable table;
 
+	private final LengthEstimate lengths = new LengthEstimate();
+
 	private final EndpointNotices notices;
 
 	private final EndpointProtocol protocol;
@@ -119,6 +122,14 @@
 		this.log = Objects.requireNonNull(log, "log");
 	}
 
+	/**
+	 * Returns the estimate of the lengths of items, from those that were completed.
+	 * @return the estimate
+	 */
+	LengthEstimate lengths() {
+		return this.lengths;
+	}
+
 	/**
 	 * Returns the work of a run.
 	 * @param state the submission
@@ -131,7 +142,7 @@
 
 	private ItemWork work(SubmissionState state, SubmissionItem item) {
 		PromptTokens prompt = this.protocol.promptTokens(item.headers());
-		long expectedEvents = Math.min(Math.max(0, item.expectedUnits()),
+		long expectedEvents = Math.min(Math.round(this.lengths.remainingEvents(item.expectedUnits(), 0)),
 				this.protocol.maxOutputTokens(item.headers()));
 		String group = item.group().isEmpty() ? "" : state.submission().workspace() + '/' + item.group();
 		return new ItemWork(prompt.total(), prompt.shared(), Math.max(0, item.tokens()), expectedEvents, group,
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
@@ -16,6 +17,7 @@
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import org.bamboorelay.core.connection.PeerMessage;
+import org.bamboorelay.core.process.DueWork;
 import org.bamboorelay.core.process.EndpointRequirements;
 import org.bamboorelay.core.process.EndpointTable;
 import org.bamboorelay.core.process.EngineShares;
@@ -23,6 +25,7 @@
 import org.bamboorelay.core.request.DurableTextPolicy;
 import org.bamboorelay.core.request.ItemOrder;
 import org.bamboorelay.core.request.ItemText;
+import org.bamboorelay.core.request.LengthEstimate;
 import org.bamboorelay.core.request.PageWritePolicy;
 import org.bamboorelay.core.request.ReplicatedTexts;
 import org.bamboorelay.core.request.ResultLog;
@@ -85,6 +88,9 @@
 	 */
 	private static final long ROUTE_POLL_INTERVAL_MILLIS = 500;
 
+	/** Time of an event before any was measured, in milliseconds. */
+	private static final double UNKNOWN_EVENT_MILLIS = 50;
+
 	/**
 	 * Number of item ids of earlier submissions that are remembered to recognize
 	 * resubmitted items; the set is cleared when it exceeds this number.
@@ -125,6 +131,10 @@
 
 	private final Map<String, ActiveSubmission> activeSubmissions = new ConcurrentHashMap<>();
 
+	private final AtomicLong movedCount = new AtomicLong();
+
+	private final LengthEstimate lengths;
+
 	private final Set<String> rememberedItems = new HashSet<>();
 
 	private final Object wakeUp = new Object();
@@ -173,6 +183,7 @@
 		this.table = Objects.requireNonNull(table, "table");
 		this.rateSlots = Objects.requireNonNull(rateSlots, "rateSlots");
 		this.itemRunner = Objects.requireNonNull(itemRunner, "itemRunner");
+		this.lengths = itemRunner.lengths();
 		this.routing = Objects.requireNonNull(routing, "routing");
 		this.itemOrder = Objects.requireNonNull(itemOrder, "itemOrder");
 		this.itemStarts = new ItemStarts(EngineShares.create(Clock.monotonic()), sharesEngines, Clock.monotonic(), log);
@@ -318,6 +329,37 @@
 		this.itemStarts.peer(peer, loads);
 	}
 
+	/**
+	 * Returns the number of runs that were moved off endpoints that the platform
+	 * reclaimed.
+	 * @return the number since the start of the process
+	 */
+	public long movedCount() {
+		return this.movedCount.get();
+	}
+
+	/**
+	 * Returns the work of the items that run or wait on this host.
+	 * @param services the services to report
+	 * @return the work due within each of the coming seconds, in milliseconds of one
+	 * slot, by service
+	 */
+	public Map<String, List<Long>> work(Set<String> services) {
+		long now = System.currentTimeMillis();
+		Map<String, DueWork> work = new HashMap<>();
+		for (ActiveSubmission running : this.activeSubmissions.values()) {
+			running.service().filter(services::contains).forEach((service) -> {
+				double eventMillis = this.table.meanUnitTime(service);
+				double workMillis = running.state().remainingEvents(this.lengths)
+						* ((eventMillis > 0) ? eventMillis : UNKNOWN_EVENT_MILLIS);
+				work.merge(service, DueWork.NONE.plus(running.dueMillis() - now, (long) workMillis), DueWork::plus);
+			});
+		}
+		Map<String, List<Long>> figures = new HashMap<>();
+		work.forEach((service, due) -> figures.put(service, due.slotMillis()));
+		return figures;
+	}
+
 	/**
 	 * Aborts all runs, waits until the available results are listed, and replicates the
 	 * partial texts to the successor hosts.
@@ -356,6 +398,7 @@
 		long now = System.currentTimeMillis();
 		List<ActiveSubmission> all = this.itemStarts.startOrder(List.copyOf(this.activeSubmissions.values()),
 				this.table::slotCount, this.mesh.knownHostCount(), now);
+		moveReclaimedRuns(all);
 		boolean busy = false;
 		boolean migrationDue = now >= this.nextMigrationMillis;
 		for (ActiveSubmission running : all) {
@@ -386,6 +429,16 @@
 		}
 	}
 
+	private void moveReclaimedRuns(List<ActiveSubmission> all) {
+		Map<String, EndpointTable.ReclaimedEndpoint> reclaimed = this.table.reclaimed();
+		int moved = reclaimed.isEmpty() ? 0
+				: all.stream().mapToInt((running) -> running.moveReclaimedRuns(reclaimed, this.lengths)).sum();
+		if (moved > 0) {
+			this.movedCount.addAndGet(moved);
+			this.log.info("reclaimed-runs-moved", "runs", moved, "reclaimed_endpoints", reclaimed.size());
+		}
+	}
+
 	private void startItems(ActiveSubmission running, long now) {
 		Option<EndpointRequirements> requirements = running.requirements();
 		while (requirements.isDefined() && this.itemStarts.mayStart(running, requirements.get(), this.table)) {
@@ -407,6 +460,7 @@
 				if (run.after() == 0 && running.state().isFinished(run.item().id())) {
 					this.itemStarts.onGenerated(run.item(), System.currentTimeMillis() - now);
 				}
+				running.state().recordLength(run.item().id(), this.lengths);
 				wake();
 			});
 		}
@@ -610,8 +664,8 @@
 		// The items share the cached parts of their prompts, so they stay together.
 		double share = Math.random();
 		ActiveSubmission running = new ActiveSubmission(state, results,
-				() -> route(record).map((current) -> current.service(share)), deadline, texts.version(),
-				System.currentTimeMillis());
+				() -> route(record).map((current) -> current.service(share)), deadline,
+				record.acceptedMillis() + dueMillis(route), texts.version(), System.currentTimeMillis());
 		boolean added = this.activeSubmissions.putIfAbsent(submission.id(), running) == null;
 		if (!added) {
 			running.stop();
@@ -629,6 +683,12 @@
 		}
 	}
 
+	private static long dueMillis(RouteRule route) {
+		long dueMillis = (route.resultDueMillis() < Long.MAX_VALUE) ? route.resultDueMillis()
+				: DueWork.DEFAULT_DUE_MILLIS;
+		return Math.min(dueMillis, route.maxAgeMillis());
+	}
+
 	private Set<String> findResubmittedItems(Submission submission) {
 		Set<String> resubmittedItems = new HashSet<>();
 		synchronized (this.rememberedItems) {
--- a/bamboorelay-host/src/test/java/org/bamboorelay/host/request/HedgeRaceTests.java
+++ b/bamboorelay-host/src/test/java/org/bamboorelay/host/request/HedgeRaceTests.java
@@ -115,7 +115,7 @@
 
 	private static CallResult response(int status) {
 		return new CallResult.Responded(
-				new EndpointResponse(status, "id", false, false, Double.POSITIVE_INFINITY, "seal", 0, List.of()),
+				new EndpointResponse(status, "id", false, false, Double.POSITIVE_INFINITY, null, "seal", 0, List.of()),
 				new byte[0]);
 	}
 
