--- a/bamboorelay-runtime/src/test/java/org/bamboorelay/runtime/connection/PeerCodecTests.java
+++ b/bamboorelay-runtime/src/test/java/org/bamboorelay/runtime/connection/PeerCodecTests.java
@@ -91,7 +91,9 @@
 				List.of(false, false, 0, true, Map.of("s", 2), List.of(), Map.of(), Map.of(), Map.of(), Map.of()));
 		PeerMessage.HostStatus older = (PeerMessage.HostStatus) read(frame(type, fields)).get().message();
 		assertThat(older.demand()).containsEntry("s", 2);
+		assertThat(older.trainers()).isEmpty();
 		assertThat(older.work()).isEmpty();
+		fields.add(List.of());
 		fields.add(Map.of("s", List.of(1, 2)));
 		PeerMessage.HostStatus current = (PeerMessage.HostStatus) read(frame(type, fields)).get().message();
 		assertThat(current.work()).containsEntry("s", List.of(1L, 2L));
