Bound the memory and the connections of callers

Cause: a host buffered each body completely before it looked at its key or route, without a bound on all of them together, and gave a stalled caller 60 s per read. Many bodies that stopped just short filled the heap.

Change: key, route, workspace and limits are checked on the head. The heads and bodies of requests are reserved in one account as they arrive, with shares by workspace and client address. When it is exhausted, the newest unfinished request of the largest consumer is shed and refused with 503. header_timeout_ms and idle_timeout_ms of the configuration, and a minimum rate of bodies, are enforced by the clock. Writes have a time limit. The number of connections follows from max_fds and memory_mb of the settings file and from the heap; idle connections are closed before new ones are refused. A failure to accept a connection, for example for lack of descriptors, no longer ends the accepting loop of HttpCore. A head is bounded by max_header_bytes instead of 100 lines: HttpCore 5.4.4 creates the parser of requests without the configuration of the connection, so the parser had used its default of 100 lines in any case.

--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -62,6 +62,7 @@
 import org.bamboorelay.host.version.SubmissionStore;
 import org.bamboorelay.runtime.connection.HttpConnectionPool;
 import org.bamboorelay.runtime.connection.HttpListener;
+import org.bamboorelay.runtime.connection.ListenerOptions;
 import org.bamboorelay.runtime.process.Counters;
 import org.bamboorelay.runtime.request.JsonFailure;
 import org.jspecify.annotations.Nullable;
@@ -170,6 +171,8 @@
 
 	private final CallerMonitor callerMonitor = new CallerMonitor(this.log);
 
+	private final CallerLimiter callerLimiter;
+
 	private final CallerRequestHandler callerRequestHandler;
 
 	private final DutyLoop duties;
@@ -178,7 +181,7 @@
 
 	private volatile String peerAddress = "";
 
-	private @Nullable HttpListener frontListener;
+	private volatile @Nullable HttpListener frontListener;
 
 	private volatile boolean shuttingDown;
 
@@ -259,9 +262,11 @@
 				this.directory, this.runner, this.log);
 		StreamRelay streamRelay = new StreamRelay(this.table, rateSlots, poisonGuard, notices, endpoints, pool,
 				this.usage, this.clock, this.log);
-		this.callerRequestHandler = new CallerRequestHandler(this.routing::get, callers, endpointClient, streamRelay,
-				submissionHandler, this.callerMonitor, this.usage, this.shutdownAdmission, this.clock, this.counters,
+		this.callerLimiter = new CallerLimiter(settings, options, this.routing::get, this.clock, this.counters,
 				this.log);
+		this.callerRequestHandler = new CallerRequestHandler(this.routing::get, callers, endpointClient, streamRelay,
+				submissionHandler, this.callerMonitor, this.usage, this.shutdownAdmission, this.callerLimiter.memory(),
+				this.clock, this.counters, this.log);
 		this.duties = new DutyLoop(settings, this.lease, this.store, calls, this.table, this.weightLoadScheduler,
 				this.usage, this.runner::demand, this.mesh::publish, this.executor, this.counters, this.log);
 	}
@@ -322,10 +327,14 @@
 		this.executor.execute(this::maintenanceLoop);
 		this.executor.execute(this.runner::runLoop);
 		this.executor.execute(this.duties);
-		this.frontListener = listen(this.settings.frontAddress(), this.callerRequestHandler);
-		listen(this.settings.readyAddress(), this::answerReady);
+		HttpListener listener = listen(this.settings.frontAddress(), this.callerRequestHandler,
+				this.callerLimiter.callerOptions());
+		this.callerLimiter.observe(listener);
+		this.frontListener = listener;
+		listen(this.settings.readyAddress(), this::answerReady, this.callerLimiter.probeOptions());
 		listen(this.settings.metricsAddress(),
-				(request, responder) -> responder.send(200, "text/plain", this.counters.text()));
+				(request, responder) -> responder.send(200, "text/plain", this.counters.text()),
+				this.callerLimiter.probeOptions());
 	}
 
 	/**
@@ -470,11 +479,12 @@
 		return (listener != null) ? listener.activeRequests() : 0;
 	}
 
-	private HttpListener listen(String address, HttpListener.HttpHandler handler) throws IOException {
+	private HttpListener listen(String address, HttpListener.HttpHandler handler, ListenerOptions options)
+			throws IOException {
 		int colon = address.lastIndexOf(':');
 		HttpListener listener = HttpListener.open(address.substring(0, colon),
 				Integer.parseInt(address.substring(colon + 1)), handler,
-				(error) -> this.counters.counter("broken_connections_total").inc());
+				(error) -> this.counters.counter("broken_connections_total").inc(), options);
 		this.listeners.add(listener);
 		return listener;
 	}
@@ -621,6 +631,10 @@
 			confirmRunning();
 		}
 		this.callerMonitor.checkAll();
+		HttpListener listener = this.frontListener;
+		if (listener != null) {
+			this.callerLimiter.check(listener);
+		}
 		pause(CallerMonitor.CHECK_INTERVAL_MILLIS);
 	}
 
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostSettings.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostSettings.java
@@ -24,10 +24,14 @@
  * @param usageLateMillis the time after the end of a window by which its report is due
  * @param graceMillis the time between the termination signal and the kill signal
  * @param statusMillis the time for which results stay readable after their submission
+ * @param maxDescriptors the number of descriptors that the process may open; 0 if not
+ * known
+ * @param memoryBytes the memory of the machine, in bytes; 0 if not known
  */
 public record HostSettings(String host, String domain, Set<String> domains, double processors, String frontAddress,
 		String readyAddress, String peerAddress, String metricsAddress, String storeAddress, String dutyAddress,
-		long leaseMillis, long usageWindowMillis, long usageLateMillis, long graceMillis, long statusMillis) {
+		long leaseMillis, long usageWindowMillis, long usageLateMillis, long graceMillis, long statusMillis,
+		int maxDescriptors, long memoryBytes) {
 
 	public HostSettings {
 		Objects.requireNonNull(host, "host");
@@ -40,6 +44,10 @@
 			throw new IllegalArgumentException("durations must be positive: usage window " + usageWindowMillis
 					+ " ms, lease " + leaseMillis + " ms");
 		}
+		if (maxDescriptors < 0 || memoryBytes < 0) {
+			throw new IllegalArgumentException("resources must not be negative: " + maxDescriptors + " descriptors, "
+					+ memoryBytes + " bytes of memory");
+		}
 	}
 
 }
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/CallerRequestHandler.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/CallerRequestHandler.java
@@ -1,11 +1,9 @@
 package org.bamboorelay.host.request;
 
 import java.io.IOException;
-import java.io.InputStream;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
-import java.util.Locale;
 import java.util.Objects;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 import io.vavr.control.Option;
@@ -17,6 +15,8 @@
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
 import org.apache.hc.core5.http.message.BasicClassicHttpResponse;
+import org.bamboorelay.core.process.MemoryAccount;
+import org.bamboorelay.core.process.MemoryOrigin;
 import org.bamboorelay.core.request.RequestOrigin;
 import org.bamboorelay.core.request.ShutdownAdmission;
 import org.bamboorelay.core.time.Clock;
@@ -41,6 +41,10 @@
  */
 public final class CallerRequestHandler implements HttpListener.HttpHandler {
 
+	private static final int STATUS_REQUEST_TIMEOUT = 408;
+
+	private static final int STATUS_BODY_TOO_LARGE = 413;
+
 	private static final int STATUS_GATEWAY_ERROR = 502;
 
 	private static final int STATUS_GATEWAY_TIMEOUT = 504;
@@ -89,6 +93,8 @@
 
 	private final ShutdownAdmission shutdownAdmission;
 
+	private final MemoryAccount memory;
+
 	private final Clock clock;
 
 	private final Counters counters;
@@ -105,14 +111,15 @@
 	 * @param callerMonitor detects callers that disconnect
 	 * @param usageMeter counts requests by workspace
 	 * @param shutdownAdmission decides which requests are accepted during a shutdown
+	 * @param memory the account of the bytes held for callers
 	 * @param clock the monotonic clock of the process
 	 * @param counters the metrics of the process
 	 * @param log the log of the process
 	 */
 	public CallerRequestHandler(Supplier<@Nullable RoutingTable> routing, CallerProtocol protocol,
 			EndpointClient endpointClient, StreamRelay streamRelay, SubmissionHandler submissionHandler,
-			CallerMonitor callerMonitor, UsageMeter usageMeter, ShutdownAdmission shutdownAdmission, Clock clock,
-			Counters counters, EventLog log) {
+			CallerMonitor callerMonitor, UsageMeter usageMeter, ShutdownAdmission shutdownAdmission,
+			MemoryAccount memory, Clock clock, Counters counters, EventLog log) {
 		this.routing = Objects.requireNonNull(routing, "routing");
 		this.protocol = Objects.requireNonNull(protocol, "protocol");
 		this.endpointClient = Objects.requireNonNull(endpointClient, "endpointClient");
@@ -121,6 +128,7 @@
 		this.callerMonitor = Objects.requireNonNull(callerMonitor, "callerMonitor");
 		this.usageMeter = Objects.requireNonNull(usageMeter, "usageMeter");
 		this.shutdownAdmission = Objects.requireNonNull(shutdownAdmission, "shutdownAdmission");
+		this.memory = Objects.requireNonNull(memory, "memory");
 		this.clock = Objects.requireNonNull(clock, "clock");
 		this.counters = Objects.requireNonNull(counters, "counters");
 		this.log = Objects.requireNonNull(log, "log");
@@ -135,11 +143,6 @@
 			refuse(responder, head, "starting", STARTING_RETRY_AFTER_MILLIS);
 			return;
 		}
-		byte[] body = readBody(request, table.limits().maxBodyBytes());
-		if (body == null) {
-			reject(responder, head, 413, "body-too-large", table);
-			return;
-		}
 		SubmissionCall submissionCall = this.protocol.decodeSubmissionCall(head);
 		if (submissionCall.kind() != SubmissionCall.Kind.NONE && !table.submissionRoutes(head.host()).isEmpty()) {
 			Option<String> workspace = findWorkspace(table, head, false);
@@ -164,24 +167,40 @@
 			reject(responder, head, 401, "unknown-key", table);
 			return;
 		}
+		responder.reservation().assign(workspace.get());
+		if (isTooLarge(request, table)) {
+			rejectBody(responder, head, table);
+			return;
+		}
 		if (route.get().kind() == RouteKind.SUBMISSION) {
 			if (refuseUnless(this.shutdownAdmission.admits(SUBMISSION_CALLS, SUBMISSION_CALL_MILLIS), head,
 					responder)) {
-				this.submissionHandler.accept(head, workspace.get(), route.get(), body, responder);
-				this.shutdownAdmission.onServed(SUBMISSION_CALLS, this.clock.millis() - startMillis);
+				byte[] body = readBody(request, responder, head, table);
+				if (body != null) {
+					this.submissionHandler.accept(head, workspace.get(), route.get(), body, responder);
+					this.shutdownAdmission.onServed(SUBMISSION_CALLS, this.clock.millis() - startMillis);
+				}
 			}
 			return;
 		}
 		long allowedMillis = Math.min(Math.min(head.remainingMillis(), route.get().timeoutMillis()),
 				MAX_REQUEST_MILLIS);
-		boolean admitted = (route.get().kind() == RouteKind.EVENT_STREAM)
-				? this.shutdownAdmission.admitsStream(route.get().name(), allowedMillis)
-				: this.shutdownAdmission.admits(route.get().name(), allowedMillis);
-		if (refuseUnless(admitted, head, responder)) {
+		if (!refuseUnless(admits(route.get(), allowedMillis), head, responder)) {
+			return;
+		}
+		byte[] body = readBody(request, responder, head, table);
+		// The shutdown may have begun while the body arrived.
+		if (body != null && refuseUnless(admits(route.get(), allowedMillis), head, responder)) {
 			relay(head, route.get(), workspace.get(), body, startMillis, allowedMillis, responder);
 		}
 	}
 
+	private boolean admits(RouteRule route, long allowedMillis) {
+		return (route.kind() == RouteKind.EVENT_STREAM)
+				? this.shutdownAdmission.admitsStream(route.name(), allowedMillis)
+				: this.shutdownAdmission.admits(route.name(), allowedMillis);
+	}
+
 	private boolean refuseUnless(boolean admitted, CallerRequest head, HttpListener.Responder responder)
 			throws HttpException, IOException {
 		if (!admitted) {
@@ -235,7 +254,14 @@
 				}
 			}
 			response.setEntity(new ByteArrayEntity(responded.body(), type));
-			responder.send(response);
+			try (MemoryAccount.Reservation held = this.memory.open(MemoryOrigin.CALLER_RESPONSES, "", () -> {
+			})) {
+				held.finish();
+				// A response that was received is delivered in any case; a response that
+				// finds no room appears in the metric of refused bytes.
+				held.reserve(responded.body().length);
+				responder.send(response);
+			}
 			this.counters.histogram("answer_millis").update(this.clock.millis() - startMillis);
 		}
 		else if (result instanceof CallResult.NotRun notRun) {
@@ -260,10 +286,15 @@
 
 	private void reject(HttpListener.Responder responder, CallerRequest head, int status, String reason,
 			RoutingTable table) throws HttpException, IOException {
+		reject(responder, head, status, reason, reason, table);
+	}
+
+	private void reject(HttpListener.Responder responder, CallerRequest head, int status, String reason, String detail,
+			RoutingTable table) throws HttpException, IOException {
 		this.counters.counter("requests_refused_total", "reason", reason).inc();
 		this.log.info("request-rejected", "request_id", head.id(), "status", status, "reason", reason, "configuration",
 				table.version());
-		responder.send(status, "text/plain", reason);
+		responder.send(status, "text/plain", detail);
 	}
 
 	/**
@@ -274,8 +305,7 @@
 	 */
 	static ClassicHttpResponse refusal(String reason, long retryAfterMillis) {
 		ClassicHttpResponse response = new BasicClassicHttpResponse(STATUS_UNAVAILABLE);
-		double seconds = retryAfterMillis / (double) TimeUnit.SECONDS.toMillis(1);
-		response.setHeader(HttpHeaders.RETRY_AFTER, String.format(Locale.ROOT, "%.2f", seconds));
+		response.setHeader(HttpHeaders.RETRY_AFTER, HttpListener.retryAfter(retryAfterMillis));
 		response.setEntity(new ByteArrayEntity(reason.getBytes(StandardCharsets.UTF_8), ContentType.TEXT_PLAIN));
 		return response;
 	}
@@ -291,19 +321,57 @@
 		return table.workspace(KeyHash.ofKey(key)).map(RoutingTable.Workspace::name);
 	}
 
-	private static byte @Nullable [] readBody(ClassicHttpRequest request, long limit) throws IOException {
+	private static boolean isTooLarge(ClassicHttpRequest request, RoutingTable table) {
+		HttpEntity entity = request.getEntity();
+		return entity != null && entity.getContentLength() > table.limits().maxBodyBytes();
+	}
+
+	// Reads the body, or responds and returns null if that fails.
+	private byte @Nullable [] readBody(ClassicHttpRequest request, HttpListener.Responder responder, CallerRequest head,
+			RoutingTable table) throws HttpException, IOException {
 		HttpEntity entity = request.getEntity();
+		MemoryAccount.Reservation reservation = responder.reservation();
 		if (entity == null) {
+			if (!reservation.finish()) {
+				refuse(responder, head, "memory", responder.retryAfterMillis());
+				return null;
+			}
 			return new byte[0];
 		}
-		if (entity.getContentLength() > limit) {
+		RequestBody body = new RequestBody(reservation);
+		responder.onDiscard(body::discard);
+		int maxBytes = (int) Math.min(table.limits().maxBodyBytes(), Integer.MAX_VALUE - 16);
+		RequestBody.Outcome outcome;
+		try {
+			outcome = body.read(entity.getContent(), entity.getContentLength(), maxBytes);
+		}
+		catch (SocketTimeoutException ex) {
+			reject(responder, head, STATUS_REQUEST_TIMEOUT, "body-too-slow", String.valueOf(ex.getMessage()), table);
 			return null;
 		}
-		try (InputStream in = entity.getContent()) {
-			int maxBytes = (int) Math.min(limit, Integer.MAX_VALUE - 16);
-			byte[] bytes = in.readNBytes(maxBytes + 1);
-			return (bytes.length > maxBytes) ? null : bytes;
+		catch (IOException ex) {
+			if (!reservation.isShed()) {
+				throw ex;
+			}
+			// The listener ended the read to shed this request.
+			outcome = RequestBody.Outcome.SHED;
+		}
+		switch (outcome) {
+			case COMPLETE:
+				return body.takeBytes();
+			case TOO_LARGE:
+				rejectBody(responder, head, table);
+				return null;
+			default:
+				refuse(responder, head, "memory", responder.retryAfterMillis());
+				return null;
 		}
 	}
 
+	private void rejectBody(HttpListener.Responder responder, CallerRequest head, RoutingTable table)
+			throws HttpException, IOException {
+		reject(responder, head, STATUS_BODY_TOO_LARGE, "body-too-large",
+				"the request body exceeds max_body_bytes = " + table.limits().maxBodyBytes(), table);
+	}
+
 }
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/CompleteHeads.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/CompleteHeads.java
@@ -8,6 +8,7 @@
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultHttpRequestParser;
 import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParser;
 import org.apache.hc.core5.http.io.HttpMessageParserFactory;
@@ -36,13 +37,16 @@
 		};
 	}
 
-	static HttpMessageParserFactory<ClassicHttpRequest> requests() {
-		return (config) -> new DefaultHttpRequestParser(config) {
+	static HttpMessageParserFactory<ClassicHttpRequest> requests(Http1Config config,
+			RequestHeadBuffer.LineListener listener) {
+		// HttpCore passes its default configuration, which limits a head to 100 lines.
+		return (unused) -> new DefaultHttpRequestParser(config) {
 
 			@Override
 			public ClassicHttpRequest parse(SessionInputBuffer buffer, InputStream in)
 					throws IOException, HttpException {
-				return super.parse(buffer, new HeadInputStream(in, buffer.length() > 0));
+				return super.parse(new RequestHeadBuffer(buffer, listener),
+						new HeadInputStream(in, buffer.length() > 0));
 			}
 
 		};
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpListener.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpListener.java
@@ -1,17 +1,20 @@
 package org.bamboorelay.runtime.connection;
 
 import java.io.IOException;
-import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Locale;
 import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 
 import javax.net.ServerSocketFactory;
@@ -21,8 +24,8 @@
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.ExceptionListener;
 import org.apache.hc.core5.http.HttpConnection;
-import org.apache.hc.core5.http.HttpEntity;
 import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
 import org.apache.hc.core5.http.impl.HttpProcessors;
@@ -31,12 +34,12 @@
 import org.apache.hc.core5.http.impl.io.HttpService;
 import org.apache.hc.core5.http.io.HttpServerRequestHandler;
 import org.apache.hc.core5.http.io.SocketConfig;
-import org.apache.hc.core5.http.io.entity.HttpEntityWrapper;
 import org.apache.hc.core5.http.io.entity.StringEntity;
 import org.apache.hc.core5.http.io.support.BasicHttpServerExpectationDecorator;
 import org.apache.hc.core5.http.message.BasicClassicHttpResponse;
 import org.apache.hc.core5.io.CloseMode;
-import org.apache.hc.core5.util.Timeout;
+import org.bamboorelay.core.process.MemoryAccount;
+import org.bamboorelay.core.process.MemoryOrigin;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -49,7 +52,20 @@
 
 	private static final int BACKLOG = 1024;
 
-	private static final int IDLE_TIMEOUT_SECONDS = 60;
+	/** Interval at which connections are checked for stalled writes, in milliseconds. */
+	private static final long WRITE_CHECK_MILLIS = 250;
+
+	/**
+	 * Minimum idle time of a connection that is closed for a new one, in milliseconds: a
+	 * new caller sends its request at once.
+	 */
+	private static final long MIN_IDLE_MILLIS = 200;
+
+	/**
+	 * Delay after a failure to accept a connection, in milliseconds. Without it, a lack
+	 * of descriptors would occupy a processor.
+	 */
+	private static final long ACCEPT_RETRY_MILLIS = 50;
 
 	/**
 	 * Interval at which {@link #drain} checks whether the listener is idle, in
@@ -74,32 +90,48 @@
 
 	private final ListeningSocketFactory socketFactory = new ListeningSocketFactory();
 
-	/** Sockets of the open connections, for the check for unread bytes. */
-	private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+	private final Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
+
+	private final ListenerOptions options;
+
+	private final Consumer<Exception> onError;
+
+	private final AtomicLong refusedConnections = new AtomicLong();
+
+	private final AtomicLong closedIdleConnections = new AtomicLong();
+
+	private volatile boolean closed;
 
 	private final AtomicInteger activeRequests = new AtomicInteger();
 
 	private final AtomicBoolean keepAliveDisabled = new AtomicBoolean();
 
-	private HttpListener(InetAddress address, int port, HttpHandler handler, Consumer<Exception> onError) {
-		Http1Config config = Http1Config.custom()
-			.setMaxLineLength(HttpLimits.MAX_LINE_BYTES)
-			.setMaxHeaderCount(HttpLimits.MAX_HEADERS)
-			.build();
+	private HttpListener(InetAddress address, int port, HttpHandler handler, Consumer<Exception> onError,
+			ListenerOptions options) {
+		this.options = options;
+		this.onError = onError;
+		// The size of a head is bounded by its connection.
+		Http1Config config = Http1Config.custom().setMaxLineLength(-1).setMaxHeaderCount(-1).build();
 		SocketConfig socketConfig = SocketConfig.custom()
 			// Connections closed by this process keep the port in use for a minute
 			// (TIME_WAIT), during which a restarted process could not bind it.
 			.setSoReuseAddress(true)
 			.setTcpNoDelay(true)
 			.setBacklogSize(BACKLOG)
-			.setSoTimeout(Timeout.of(IDLE_TIMEOUT_SECONDS, TimeUnit.SECONDS))
 			.build();
 		// HttpServer is created without its bootstrap, because the bootstrap's router
 		// responds with 421 to requests whose host is an IP address.
 		HttpService service = new HttpService(HttpProcessors.server(),
 				new BasicHttpServerExpectationDecorator(
 						(request, trigger, context) -> serve(handler, request, trigger)),
-				config, DefaultConnectionReuseStrategy.INSTANCE, null);
+				config, DefaultConnectionReuseStrategy.INSTANCE, null) {
+
+			@Override
+			protected void handleException(HttpException ex, ClassicHttpResponse response) {
+				reject(ex, response, () -> super.handleException(ex, response));
+			}
+
+		};
 		this.server = new HttpServer(port, service, address, socketConfig, this.socketFactory,
 				(socket) -> connection(config, socket), null, null, new ErrorForwarder(onError));
 	}
@@ -115,9 +147,28 @@
 	 */
 	public static HttpListener open(String address, int port, HttpHandler handler, Consumer<Exception> onError)
 			throws IOException {
+		return open(address, port, handler, onError, ListenerOptions.DEFAULTS);
+	}
+
+	/**
+	 * Opens a listener with limits.
+	 * @param address the IP address
+	 * @param port the port, or 0 for any free port
+	 * @param handler called for each request, on the thread of its connection
+	 * @param onError called for each failed connection or malformed message
+	 * @param options the limits
+	 * @return the open listener
+	 * @throws IOException if the address cannot be bound
+	 */
+	public static HttpListener open(String address, int port, HttpHandler handler, Consumer<Exception> onError,
+			ListenerOptions options) throws IOException {
 		Objects.requireNonNull(handler, "handler");
-		HttpListener listener = new HttpListener(InetAddress.getByName(address), port, handler, onError);
+		HttpListener listener = new HttpListener(InetAddress.getByName(address), port, handler, onError,
+				Objects.requireNonNull(options, "options"));
 		listener.server.start();
+		Thread writeMonitor = new Thread(listener::monitorWrites, "http-writes-" + listener.port());
+		writeMonitor.setDaemon(true);
+		writeMonitor.start();
 		return listener;
 	}
 
@@ -137,6 +188,31 @@
 		return this.activeRequests.get();
 	}
 
+	/**
+	 * Returns the number of open connections.
+	 * @return the number
+	 */
+	public int connections() {
+		return this.connections.size();
+	}
+
+	/**
+	 * Returns the number of connections that were closed at once because the limit was
+	 * reached.
+	 * @return the number since the listener was opened
+	 */
+	public long refusedConnections() {
+		return this.refusedConnections.get();
+	}
+
+	/**
+	 * Returns the number of idle connections that were closed in favour of new ones.
+	 * @return the number since the listener was opened
+	 */
+	public long closedIdleConnections() {
+		return this.closedIdleConnections.get();
+	}
+
 	/**
 	 * Adds {@code Connection: close} to all further responses, so that callers reconnect
 	 * to other hosts.
@@ -181,10 +257,11 @@
 	}
 
 	private boolean hasUnreadBytes() {
-		for (Socket socket : this.sockets) {
+		for (CallerConnection connection : this.connections) {
+			Socket socket = connection.socket();
 			try {
-				if (socket.isClosed()) {
-					this.sockets.remove(socket);
+				if (socket == null || socket.isClosed()) {
+					this.connections.remove(connection);
 				}
 				else if (socket.getInputStream().available() > 0) {
 					return true;
@@ -192,7 +269,7 @@
 			}
 			catch (IOException ex) {
 				// The connection was closed, so no caller waits for a response.
-				this.sockets.remove(socket);
+				this.connections.remove(connection);
 			}
 		}
 		return false;
@@ -200,27 +277,110 @@
 
 	@Override
 	public void close() {
+		this.closed = true;
 		this.server.close(CloseMode.IMMEDIATE);
 	}
 
 	private void serve(HttpHandler handler, ClassicHttpRequest request,
 			HttpServerRequestHandler.ResponseTrigger trigger) throws HttpException, IOException {
+		CallerConnection connection = Objects.requireNonNull(CallerConnection.current(), "connection");
 		this.activeRequests.incrementAndGet();
 		try {
-			handler.handle(request, new TriggerResponder(trigger, AbortingConnection.CURRENT.get()));
+			handler.handle(request, new TriggerResponder(request, trigger, connection));
 		}
 		finally {
+			connection.endRequest();
 			this.activeRequests.decrementAndGet();
 		}
 	}
 
 	private DefaultBHttpServerConnection connection(Http1Config config, Socket socket) throws IOException {
-		DefaultBHttpServerConnection connection = new AbortingConnection(config, () -> this.sockets.remove(socket));
+		CallerConnection connection = new CallerConnection(config, this.options, this.connections::remove);
 		connection.bind(socket);
-		this.sockets.add(socket);
+		this.connections.add(connection);
 		return connection;
 	}
 
+	// Answers a request that does not reach the handler.
+	private static void reject(HttpException failure, ClassicHttpResponse response, Runnable others) {
+		CallerConnection connection = CallerConnection.current();
+		if (connection != null) {
+			connection.lingerOnClose();
+		}
+		if (!(failure instanceof RequestRejectedException rejection)) {
+			others.run();
+			return;
+		}
+		response.setCode(rejection.status());
+		if (rejection.retryAfterMillis() >= 0) {
+			response.setHeader(HttpHeaders.RETRY_AFTER, retryAfter(rejection.retryAfterMillis()));
+		}
+		response.setEntity(new StringEntity(rejection.getMessage() + "\n", ContentType.TEXT_PLAIN));
+	}
+
+	/**
+	 * Returns the value of a {@code Retry-After} header.
+	 * @param millis the delay, in milliseconds
+	 * @return the delay in seconds, with fractions
+	 */
+	public static String retryAfter(long millis) {
+		return String.format(Locale.ROOT, "%.2f", millis / (double) TimeUnit.SECONDS.toMillis(1));
+	}
+
+	// Accepts a connection. If the limit is reached, the connection that has been idle
+	// for the longest time is closed for it; if none is idle, the new one is closed.
+	private Socket admit(ServerSocketAccept accept) throws IOException {
+		while (true) {
+			Socket socket;
+			try {
+				socket = accept.accept();
+			}
+			catch (IOException ex) {
+				if (this.closed || !this.socketFactory.isOpen()) {
+					throw ex;
+				}
+				// HttpCore would accept no more connections after this failure, which is
+				// usually a lack of descriptors.
+				this.onError.accept(ex);
+				closeLongestIdle();
+				LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(ACCEPT_RETRY_MILLIS));
+				continue;
+			}
+			if (this.connections.size() < this.options.maxConnections() || closeLongestIdle()) {
+				return socket;
+			}
+			this.refusedConnections.incrementAndGet();
+			socket.close();
+		}
+	}
+
+	private boolean closeLongestIdle() {
+		long now = System.nanoTime();
+		CallerConnection longest = null;
+		long longestNanos = TimeUnit.MILLISECONDS.toNanos(MIN_IDLE_MILLIS);
+		for (CallerConnection connection : this.connections) {
+			long since = connection.idleSinceNanos();
+			if (since != Long.MAX_VALUE && now - since > longestNanos) {
+				longest = connection;
+				longestNanos = now - since;
+			}
+		}
+		if (longest == null) {
+			return false;
+		}
+		longest.close(CloseMode.IMMEDIATE);
+		this.closedIdleConnections.incrementAndGet();
+		return true;
+	}
+
+	private void monitorWrites() {
+		while (!this.closed) {
+			LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(WRITE_CHECK_MILLIS));
+			long now = System.nanoTime();
+			this.connections.forEach((connection) -> connection.closeIfWriteStalled(now));
+		}
+	}
+
 	/**
 	 * Handles requests.
 	 */
@@ -262,6 +422,32 @@
 			return false;
 		}
 
+		/**
+		 * Returns the reservation of the memory of this request. It is closed after the
+		 * request was handled.
+		 * @return the reservation
+		 */
+		default MemoryAccount.Reservation reservation() {
+			return ListenerOptions.DEFAULTS.memory().open(MemoryOrigin.CALLER_REQUESTS, "", () -> {
+			});
+		}
+
+		/**
+		 * Sets the task that discards the received part of the body if the request is
+		 * shed to make room for others.
+		 * @param task discards the part; must not block
+		 */
+		default void onDiscard(Runnable task) {
+		}
+
+		/**
+		 * Returns how long a caller that is refused for lack of memory should wait.
+		 * @return the delay, in milliseconds
+		 */
+		default long retryAfterMillis() {
+			return 0;
+		}
+
 		/**
 		 * Sends a response with a text body.
 		 * @param status the status code
@@ -281,19 +467,23 @@
 
 	private final class TriggerResponder implements Responder {
 
+		private final ClassicHttpRequest request;
+
 		private final HttpServerRequestHandler.ResponseTrigger trigger;
 
-		private final @Nullable AbortingConnection connection;
+		private final CallerConnection connection;
 
-		private TriggerResponder(HttpServerRequestHandler.ResponseTrigger trigger,
-				@Nullable AbortingConnection connection) {
+		private TriggerResponder(ClassicHttpRequest request, HttpServerRequestHandler.ResponseTrigger trigger,
+				CallerConnection connection) {
+			this.request = request;
 			this.trigger = trigger;
 			this.connection = connection;
 		}
 
 		@Override
 		public void send(ClassicHttpResponse response) throws HttpException, IOException {
-			if (HttpListener.this.keepAliveDisabled.get()) {
+			boolean bodyRead = this.connection.discardBody(this.request);
+			if (!bodyRead || HttpListener.this.keepAliveDisabled.get()) {
 				response.setHeader("Connection", "close");
 			}
 			this.trigger.submitResponse(response);
@@ -301,87 +491,22 @@
 
 		@Override
 		public boolean isCallerGone() {
-			return this.connection != null && this.connection.isCallerGone();
-		}
-
-	}
-
-	/**
-	 * Connection that is closed if writing a response body fails. HttpCore would
-	 * otherwise terminate a chunked body with its last chunk, so that a truncated
-	 * response would appear complete.
-	 */
-	private static final class AbortingConnection extends DefaultBHttpServerConnection {
-
-		/** The connection that the current thread serves. */
-		private static final ThreadLocal<@Nullable AbortingConnection> CURRENT = new ThreadLocal<>();
-
-		private final Runnable onClose;
-
-		private AbortingConnection(Http1Config config, Runnable onClose) {
-			super("http", config, null, null, null, null, CompleteHeads.requests(), null);
-			this.onClose = onClose;
+			return this.connection.isCallerGone();
 		}
 
 		@Override
-		public void close() throws IOException {
-			this.onClose.run();
-			super.close();
+		public MemoryAccount.Reservation reservation() {
+			return this.connection.reservation();
 		}
 
 		@Override
-		public void close(CloseMode closeMode) {
-			this.onClose.run();
-			super.close(closeMode);
+		public void onDiscard(Runnable task) {
+			this.connection.onDiscard(task);
 		}
 
 		@Override
-		public ClassicHttpRequest receiveRequestHeader() throws HttpException, IOException {
-			CURRENT.set(this);
-			return super.receiveRequestHeader();
-		}
-
-		private boolean isCallerGone() {
-			try {
-				return !isOpen() || isStale();
-			}
-			catch (IOException ex) {
-				return true;
-			}
-		}
-
-		@Override
-		public void sendResponseEntity(ClassicHttpResponse response) throws HttpException, IOException {
-			HttpEntity entity = response.getEntity();
-			if (entity != null) {
-				response.setEntity(new AbortingEntity(entity, this));
-			}
-			super.sendResponseEntity(response);
-		}
-
-	}
-
-	private static final class AbortingEntity extends HttpEntityWrapper {
-
-		private final DefaultBHttpServerConnection connection;
-
-		private AbortingEntity(HttpEntity entity, DefaultBHttpServerConnection connection) {
-			super(entity);
-			this.connection = connection;
-		}
-
-		@Override
-		public void writeTo(OutputStream out) throws IOException {
-			boolean complete = false;
-			try {
-				super.writeTo(out);
-				complete = true;
-			}
-			finally {
-				if (!complete) {
-					this.connection.close();
-				}
-			}
+		public long retryAfterMillis() {
+			return this.connection.retryAfterMillis();
 		}
 
 	}
@@ -390,28 +515,31 @@
 	 * Creates the listening socket and can close it without affecting accepted
 	 * connections, which closing the {@link HttpServer} would interrupt.
 	 */
-	private static final class ListeningSocketFactory extends ServerSocketFactory {
+	private final class ListeningSocketFactory extends ServerSocketFactory {
 
 		private volatile @Nullable ServerSocket socket;
 
 		@Override
 		public ServerSocket createServerSocket() throws IOException {
-			return track(new ServerSocket());
+			return track(new AdmittingServerSocket());
 		}
 
 		@Override
 		public ServerSocket createServerSocket(int port) throws IOException {
-			return track(new ServerSocket(port));
+			return createServerSocket(port, 0, null);
 		}
 
 		@Override
 		public ServerSocket createServerSocket(int port, int backlog) throws IOException {
-			return track(new ServerSocket(port, backlog));
+			return createServerSocket(port, backlog, null);
 		}
 
 		@Override
-		public ServerSocket createServerSocket(int port, int backlog, InetAddress address) throws IOException {
-			return track(new ServerSocket(port, backlog, address));
+		public ServerSocket createServerSocket(int port, int backlog, @Nullable InetAddress address)
+				throws IOException {
+			ServerSocket created = createServerSocket();
+			created.bind(new InetSocketAddress(address, port), backlog);
+			return created;
 		}
 
 		private ServerSocket track(ServerSocket created) {
@@ -419,6 +547,11 @@
 			return created;
 		}
 
+		private boolean isOpen() {
+			ServerSocket current = this.socket;
+			return current != null && !current.isClosed();
+		}
+
 		private void close() {
 			ServerSocket current = this.socket;
 			try {
@@ -433,6 +566,25 @@
 
 	}
 
+	private final class AdmittingServerSocket extends ServerSocket {
+
+		private AdmittingServerSocket() throws IOException {
+		}
+
+		@Override
+		public Socket accept() throws IOException {
+			return admit(super::accept);
+		}
+
+	}
+
+	@FunctionalInterface
+	private interface ServerSocketAccept {
+
+		Socket accept() throws IOException;
+
+	}
+
 	private record ErrorForwarder(Consumer<Exception> onError) implements ExceptionListener {
 
 		@Override
