--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/CallerConnection.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/CallerConnection.java
@@ -17,7 +17,6 @@
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpServerConnection;
 import org.apache.hc.core5.http.impl.io.SocketHolder;
-import org.apache.hc.core5.http.io.entity.HttpEntityWrapper;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.util.Timeout;
 import org.bamboorelay.core.process.MemoryAccount;
@@ -59,12 +58,6 @@
 	/** Size of the parts in which the memory of a head is reserved, in bytes. */
 	private static final long HEAD_PART_BYTES = 8_192;
 
-	/**
-	 * Maximum time to read the rest of a body before its request is refused, in
-	 * milliseconds: several round trips, after which the refusal must not wait.
-	 */
-	private static final long DISCARD_MILLIS = 100;
-
 	/**
 	 * Maximum time to read an unread body before its connection is closed, in
 	 * milliseconds.
@@ -85,24 +78,18 @@
 
 	private volatile ListenerLimits limits;
 
-	private volatile Phase phase = Phase.IDLE;
-
-	private volatile long phaseStartNanos = System.nanoTime();
+	private final RequestProgress progress = new RequestProgress();
 
 	/** Time at which the current write began; 0 if there is none. */
 	private volatile long writeStartNanos;
 
-	private long lastReadNanos;
-
-	private long bodyBytes;
-
 	private long reservedHeadBytes;
 
 	private boolean probing;
 
 	private boolean lingering;
 
-	private @Nullable BodyStream body;
+	private @Nullable RequestBodyStream body;
 
 	private volatile MemoryAccount.@Nullable Reservation reservation;
 
@@ -131,22 +118,22 @@
 	public ClassicHttpRequest receiveRequestHeader() throws HttpException, IOException {
 		CURRENT.set(this);
 		endRequest();
-		if (this.body != null && !this.body.ended) {
+		if (this.body != null && !this.body.isEnded()) {
 			throw new IOException("the body of the last request was not read");
 		}
 		this.body = null;
 		this.limits = this.options.limits().get();
-		enter(Phase.IDLE);
+		this.progress.enter(RequestProgress.Phase.IDLE);
 		try {
 			ClassicHttpRequest request = super.receiveRequestHeader();
-			enter(Phase.BODY);
+			this.progress.enter(RequestProgress.Phase.BODY);
 			return request;
 		}
 		catch (HeadLimitException ex) {
 			throw ex.rejection;
 		}
 		catch (SocketTimeoutException ex) {
-			if (this.phase == Phase.HEAD) {
+			if (this.progress.phase() == RequestProgress.Phase.HEAD) {
 				throw new RequestRejectedException(STATUS_TIMEOUT, String.valueOf(ex.getMessage()));
 			}
 			throw ex;
@@ -164,9 +151,9 @@
 		super.receiveRequestEntity(request);
 		HttpEntity entity = request.getEntity();
 		if (entity != null) {
-			BodyStream stream = new BodyStream(entity.getContent());
+			RequestBodyStream stream = new RequestBodyStream(entity.getContent());
 			this.body = stream;
-			request.setEntity(new BodyEntity(entity, stream));
+			request.setEntity(stream.entity(entity));
 		}
 	}
 
@@ -182,15 +169,15 @@
 	// Reads the rest of the body of a request that is answered without it. If the body
 	// is too large, prepares the connection to be closed after the response.
 	boolean discardBody(ClassicHttpRequest request) {
-		BodyStream unread = this.body;
-		if (unread == null || unread.ended) {
+		RequestBodyStream unread = this.body;
+		if (unread == null || unread.isEnded()) {
 			return true;
 		}
 		if (this.limits.maxDiscardedBytes() != Long.MAX_VALUE) {
-			enter(Phase.DISCARD);
+			this.progress.enter(RequestProgress.Phase.DISCARD);
 		}
 		try {
-			if (!isShed() && unread.discard(this.limits.maxDiscardedBytes())) {
+			if (!isShed() && !unread.isAwaited() && unread.discard(this.limits.maxDiscardedBytes())) {
 				return true;
 			}
 		}
@@ -198,11 +185,19 @@
 			// The response is sent nevertheless; the caller may still read.
 		}
 		request.setEntity(null);
-		unread.ended = true;
+		unread.abandon();
 		this.lingering = true;
 		return false;
 	}
 
+	// Sets the task that asks the caller to send the body, which runs before its first
+	// byte is read.
+	void onFirstRead(RequestBodyStream.FirstReadTask task) {
+		if (this.body != null) {
+			this.body.onFirstRead(task);
+		}
+	}
+
 	// Reads unread bytes before the connection is closed, so that the caller receives the
 	// response.
 	void lingerOnClose() {
@@ -248,8 +243,9 @@
 	long idleSinceNanos() {
 		Socket bound = this.socket;
 		try {
-			boolean idle = this.phase == Phase.IDLE && bound != null && bound.getInputStream().available() == 0;
-			return idle ? this.phaseStartNanos : Long.MAX_VALUE;
+			boolean idle = this.progress.phase() == RequestProgress.Phase.IDLE && bound != null
+					&& bound.getInputStream().available() == 0;
+			return idle ? this.progress.phaseStartNanos() : Long.MAX_VALUE;
 		}
 		catch (IOException ex) {
 			// The connection is closed already.
@@ -379,8 +375,8 @@
 	}
 
 	private void onLine(long headBytes, int lineCharacters) throws IOException {
-		if (this.phase == Phase.IDLE) {
-			enter(Phase.HEAD);
+		if (this.progress.phase() == RequestProgress.Phase.IDLE) {
+			this.progress.enter(RequestProgress.Phase.HEAD);
 		}
 		checkHeadSize(headBytes);
 		this.reservedHeadBytes -= HEADER_LINE_BYTES + CHARACTER_BYTES * lineCharacters;
@@ -402,44 +398,13 @@
 		}
 	}
 
-	private void enter(Phase next) {
-		long now = System.nanoTime();
-		this.phaseStartNanos = now;
-		this.lastReadNanos = now;
-		this.bodyBytes = 0;
-		this.phase = next;
-	}
-
-	// Returns the time until the current phase exceeds its limit.
-	private long remainingMillis() {
-		long now = System.nanoTime();
-		long phaseMillis = TimeUnit.NANOSECONDS.toMillis(now - this.phaseStartNanos);
-		long stalledMillis = TimeUnit.NANOSECONDS.toMillis(now - this.lastReadNanos);
-		long idleMillis = this.limits.idleTimeoutMillis();
-		long rate = this.limits.minBodyBytesPerSecond();
-		return switch (this.phase) {
-			case IDLE -> idleMillis - phaseMillis;
-			case HEAD -> this.limits.headerTimeoutMillis() - phaseMillis;
-			case DISCARD -> DISCARD_MILLIS - phaseMillis;
-			case BODY -> Math.min(idleMillis - stalledMillis, (rate == 0) ? Long.MAX_VALUE
-					: idleMillis + this.bodyBytes * TimeUnit.SECONDS.toMillis(1) / rate - phaseMillis);
-		};
-	}
-
-	private SocketTimeoutException timeout() {
-		return new SocketTimeoutException((this.phase == Phase.HEAD)
-				? "the request head exceeds header_timeout_ms = " + this.limits.headerTimeoutMillis()
-				: "the request exceeds idle_timeout_ms = " + this.limits.idleTimeoutMillis()
-						+ " or falls below min_body_bytes_per_second = " + this.limits.minBodyBytesPerSecond());
-	}
-
 	private int read(InputStream in, Socket source, byte[] buffer, int offset, int length) throws IOException {
 		if (this.probing) {
 			return in.read(buffer, offset, length);
 		}
-		long remainingMillis = remainingMillis();
+		long remainingMillis = this.progress.remainingMillis(this.limits);
 		if (remainingMillis <= 0) {
-			throw timeout();
+			throw this.progress.timeout(this.limits);
 		}
 		source.setSoTimeout((int) Math.min(Integer.MAX_VALUE, remainingMillis));
 		int count;
@@ -447,18 +412,17 @@
 			count = in.read(buffer, offset, length);
 		}
 		catch (SocketTimeoutException ex) {
-			throw timeout();
+			throw this.progress.timeout(this.limits);
 		}
 		if (count > 0) {
-			this.lastReadNanos = System.nanoTime();
-			this.bodyBytes += count;
-			if (this.phase == Phase.IDLE) {
-				enter(Phase.HEAD);
+			this.progress.onRead(count);
+			if (this.progress.phase() == RequestProgress.Phase.IDLE) {
+				this.progress.enter(RequestProgress.Phase.HEAD);
 			}
-			if (this.phase == Phase.HEAD) {
+			if (this.progress.phase() == RequestProgress.Phase.HEAD) {
 				// Bounds a line without an end. The buffer may contain the start of the
 				// body.
-				checkHeadSize(this.bodyBytes - buffer.length);
+				checkHeadSize(this.progress.phaseBytes() - buffer.length);
 			}
 		}
 		return count;
@@ -488,22 +452,6 @@
 		}
 	}
 
-	private enum Phase {
-
-		/** Waits for a request. */
-		IDLE,
-
-		/** Receives a head. */
-		HEAD,
-
-		/** Receives a body, or sends the response. */
-		BODY,
-
-		/** Reads the rest of a body before its request is refused. */
-		DISCARD
-
-	}
-
 	/** Carries a rejection through the parser, which throws only these failures. */
 	private static final class HeadLimitException extends IOException {
 
@@ -561,103 +509,4 @@
 
 	}
 
-	/**
-	 * Body of a request. Closing it doesn't read the rest, because a rest that is read
-	 * for nobody occupies its thread for as long as the caller likes.
-	 */
-	private static final class BodyStream extends FilterInputStream {
-
-		private boolean ended;
-
-		private BodyStream(InputStream in) {
-			super(in);
-		}
-
-		@Override
-		public int read() throws IOException {
-			byte[] single = new byte[1];
-			return (read(single, 0, 1) < 0) ? -1 : single[0] & 0xFF;
-		}
-
-		@Override
-		public int read(byte[] buffer, int offset, int length) throws IOException {
-			if (this.ended) {
-				return -1;
-			}
-			int count = super.read(buffer, offset, length);
-			this.ended = count < 0;
-			return count;
-		}
-
-		@Override
-		public void close() {
-			// The connection reads or discards the rest.
-		}
-
-		private boolean discard(long maxBytes) throws IOException {
-			byte[] bytes = new byte[(int) HEAD_PART_BYTES];
-			long total = 0;
-			while (total <= maxBytes) {
-				int count = read(bytes, 0, bytes.length);
-				if (count < 0) {
-					return true;
-				}
-				total += count;
-			}
-			return false;
-		}
-
-	}
-
-	private static final class BodyEntity extends HttpEntityWrapper {
-
-		private final BodyStream stream;
-
-		private BodyEntity(HttpEntity entity, BodyStream stream) {
-			super(entity);
-			this.stream = stream;
-		}
-
-		@Override
-		public InputStream getContent() {
-			return this.stream;
-		}
-
-		@Override
-		public void writeTo(OutputStream out) throws IOException {
-			this.stream.transferTo(out);
-		}
-
-		@Override
-		public void close() {
-			// The connection reads or discards the rest.
-		}
-
-	}
-
-	private static final class AbortingEntity extends HttpEntityWrapper {
-
-		private final DefaultBHttpServerConnection connection;
-
-		private AbortingEntity(HttpEntity entity, DefaultBHttpServerConnection connection) {
-			super(entity);
-			this.connection = connection;
-		}
-
-		@Override
-		public void writeTo(OutputStream out) throws IOException {
-			boolean complete = false;
-			try {
-				super.writeTo(out);
-				complete = true;
-			}
-			finally {
-				if (!complete) {
-					this.connection.close();
-				}
-			}
-		}
-
-	}
-
 }
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpListener.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpListener.java
@@ -2,8 +2,6 @@
 
 import java.io.IOException;
 import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
@@ -13,19 +11,19 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 
-import javax.net.ServerSocketFactory;
-
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.ExceptionListener;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HeaderElements;
 import org.apache.hc.core5.http.HttpConnection;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHeaders;
+import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
 import org.apache.hc.core5.http.impl.HttpProcessors;
@@ -35,12 +33,10 @@
 import org.apache.hc.core5.http.io.HttpServerRequestHandler;
 import org.apache.hc.core5.http.io.SocketConfig;
 import org.apache.hc.core5.http.io.entity.StringEntity;
-import org.apache.hc.core5.http.io.support.BasicHttpServerExpectationDecorator;
 import org.apache.hc.core5.http.message.BasicClassicHttpResponse;
 import org.apache.hc.core5.io.CloseMode;
 import org.bamboorelay.core.process.MemoryAccount;
 import org.bamboorelay.core.process.MemoryOrigin;
-import org.jspecify.annotations.Nullable;
 
 /**
  * HTTP listener that counts its active requests, so that a process can shut down without
@@ -55,18 +51,6 @@
 	/** Interval at which connections are checked for stalled writes, in milliseconds. */
 	private static final long WRITE_CHECK_MILLIS = 250;
 
-	/**
-	 * Minimum idle time of a connection that is closed for a new one, in milliseconds: a
-	 * new caller sends its request at once.
-	 */
-	private static final long MIN_IDLE_MILLIS = 200;
-
-	/**
-	 * Delay after a failure to accept a connection, in milliseconds. Without it, a lack
-	 * of descriptors would occupy a processor.
-	 */
-	private static final long ACCEPT_RETRY_MILLIS = 50;
-
 	/**
 	 * Interval at which {@link #drain} checks whether the listener is idle, in
 	 * milliseconds.
@@ -88,18 +72,12 @@
 
 	private final HttpServer server;
 
-	private final ListeningSocketFactory socketFactory = new ListeningSocketFactory();
+	private final ListeningSocketFactory socketFactory;
 
 	private final Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
 
 	private final ListenerOptions options;
 
-	private final Consumer<Exception> onError;
-
-	private final AtomicLong refusedConnections = new AtomicLong();
-
-	private final AtomicLong closedIdleConnections = new AtomicLong();
-
 	private volatile boolean closed;
 
 	private final AtomicInteger activeRequests = new AtomicInteger();
@@ -109,7 +87,7 @@
 	private HttpListener(InetAddress address, int port, HttpHandler handler, Consumer<Exception> onError,
 			ListenerOptions options) {
 		this.options = options;
-		this.onError = onError;
+		this.socketFactory = new ListeningSocketFactory(this.connections, options.maxConnections(), onError);
 		// The size of a head is bounded by its connection.
 		Http1Config config = Http1Config.custom().setMaxLineLength(-1).setMaxHeaderCount(-1).build();
 		SocketConfig socketConfig = SocketConfig.custom()
@@ -122,9 +100,8 @@
 		// HttpServer is created without its bootstrap, because the bootstrap's router
 		// responds with 421 to requests whose host is an IP address.
 		HttpService service = new HttpService(HttpProcessors.server(),
-				new BasicHttpServerExpectationDecorator(
-						(request, trigger, context) -> serve(handler, request, trigger)),
-				config, DefaultConnectionReuseStrategy.INSTANCE, null) {
+				(request, trigger, context) -> serve(handler, request, trigger), config,
+				DefaultConnectionReuseStrategy.INSTANCE, null) {
 
 			@Override
 			protected void handleException(HttpException ex, ClassicHttpResponse response) {
@@ -202,7 +179,7 @@
 	 * @return the number since the listener was opened
 	 */
 	public long refusedConnections() {
-		return this.refusedConnections.get();
+		return this.socketFactory.refusedConnections();
 	}
 
 	/**
@@ -210,7 +187,7 @@
 	 * @return the number since the listener was opened
 	 */
 	public long closedIdleConnections() {
-		return this.closedIdleConnections.get();
+		return this.socketFactory.closedIdleConnections();
 	}
 
 	/**
@@ -284,6 +261,11 @@
 	private void serve(HttpHandler handler, ClassicHttpRequest request,
 			HttpServerRequestHandler.ResponseTrigger trigger) throws HttpException, IOException {
 		CallerConnection connection = Objects.requireNonNull(CallerConnection.current(), "connection");
+		// The caller is asked for the body only if the handler reads it.
+		Header expect = request.getFirstHeader(HttpHeaders.EXPECT);
+		if (expect != null && expect.getValue().equalsIgnoreCase(HeaderElements.CONTINUE)) {
+			connection.onFirstRead(() -> sendContinue(trigger));
+		}
 		this.activeRequests.incrementAndGet();
 		try {
 			handler.handle(request, new TriggerResponder(request, trigger, connection));
@@ -301,6 +283,15 @@
 		return connection;
 	}
 
+	private static void sendContinue(HttpServerRequestHandler.ResponseTrigger trigger) throws IOException {
+		try {
+			trigger.sendInformation(new BasicClassicHttpResponse(HttpStatus.SC_CONTINUE));
+		}
+		catch (HttpException ex) {
+			throw new IOException("cannot ask for the body", ex);
+		}
+	}
+
 	// Answers a request that does not reach the handler.
 	private static void reject(HttpException failure, ClassicHttpResponse response, Runnable others) {
 		CallerConnection connection = CallerConnection.current();
@@ -327,52 +318,6 @@
 		return String.format(Locale.ROOT, "%.2f", millis / (double) TimeUnit.SECONDS.toMillis(1));
 	}
 
-	// Accepts a connection. If the limit is reached, the connection that has been idle
-	// for the longest time is closed for it; if none is idle, the new one is closed.
-	private Socket admit(ServerSocketAccept accept) throws IOException {
-		while (true) {
-			Socket socket;
-			try {
-				socket = accept.accept();
-			}
-			catch (IOException ex) {
-				if (this.closed || !this.socketFactory.isOpen()) {
-					throw ex;
-				}
-				// HttpCore would accept no more connections after this failure, which is
-				// usually a lack of descriptors.
-				this.onError.accept(ex);
-				closeLongestIdle();
-				LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(ACCEPT_RETRY_MILLIS));
-				continue;
-			}
-			if (this.connections.size() < this.options.maxConnections() || closeLongestIdle()) {
-				return socket;
-			}
-			this.refusedConnections.incrementAndGet();
-			socket.close();
-		}
-	}
-
-	private boolean closeLongestIdle() {
-		long now = System.nanoTime();
-		CallerConnection longest = null;
-		long longestNanos = TimeUnit.MILLISECONDS.toNanos(MIN_IDLE_MILLIS);
-		for (CallerConnection connection : this.connections) {
-			long since = connection.idleSinceNanos();
-			if (since != Long.MAX_VALUE && now - since > longestNanos) {
-				longest = connection;
-				longestNanos = now - since;
-			}
-		}
-		if (longest == null) {
-			return false;
-		}
-		longest.close(CloseMode.IMMEDIATE);
-		this.closedIdleConnections.incrementAndGet();
-		return true;
-	}
-
 	private void monitorWrites() {
 		while (!this.closed) {
 			LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(WRITE_CHECK_MILLIS));
@@ -511,80 +456,6 @@
 
 	}
 
-	/**
-	 * Creates the listening socket and can close it without affecting accepted
-	 * connections, which closing the {@link HttpServer} would interrupt.
-	 */
-	private final class ListeningSocketFactory extends ServerSocketFactory {
-
-		private volatile @Nullable ServerSocket socket;
-
-		@Override
-		public ServerSocket createServerSocket() throws IOException {
-			return track(new AdmittingServerSocket());
-		}
-
-		@Override
-		public ServerSocket createServerSocket(int port) throws IOException {
-			return createServerSocket(port, 0, null);
-		}
-
-		@Override
-		public ServerSocket createServerSocket(int port, int backlog) throws IOException {
-			return createServerSocket(port, backlog, null);
-		}
-
-		@Override
-		public ServerSocket createServerSocket(int port, int backlog, @Nullable InetAddress address)
-				throws IOException {
-			ServerSocket created = createServerSocket();
-			created.bind(new InetSocketAddress(address, port), backlog);
-			return created;
-		}
-
-		private ServerSocket track(ServerSocket created) {
-			this.socket = created;
-			return created;
-		}
-
-		private boolean isOpen() {
-			ServerSocket current = this.socket;
-			return current != null && !current.isClosed();
-		}
-
-		private void close() {
-			ServerSocket current = this.socket;
-			try {
-				if (current != null) {
-					current.close();
-				}
-			}
-			catch (IOException ex) {
-				// Ignored; the process is about to exit.
-			}
-		}
-
-	}
-
-	private final class AdmittingServerSocket extends ServerSocket {
-
-		private AdmittingServerSocket() throws IOException {
-		}
-
-		@Override
-		public Socket accept() throws IOException {
-			return admit(super::accept);
-		}
-
-	}
-
-	@FunctionalInterface
-	private interface ServerSocketAccept {
-
-		Socket accept() throws IOException;
-
-	}
-
 	private record ErrorForwarder(Consumer<Exception> onError) implements ExceptionListener {
 
 		@Override
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/PeerCodec.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/PeerCodec.java
@@ -59,12 +59,18 @@
 	 * @return the frame, or a failure after which the stream must not be used
 	 */
 	public static Either<PeerFailure, Frame> read(DataInputStream in) {
+		return read(in, PeerProtocol.MAX_FRAME_BYTES);
+	}
+
+	// Reads a frame of a limited size.
+	static Either<PeerFailure, Frame> read(DataInputStream in, int maxBytes) {
 		byte[] body;
 		try {
 			int length = in.readInt();
-			if (length <= 0 || length > PeerProtocol.MAX_FRAME_BYTES) {
-				return malformed("frame length " + length + " is not between 1 and " + PeerProtocol.MAX_FRAME_BYTES);
+			if (length <= 0 || length > maxBytes) {
+				return malformed("frame length " + length + " is not between 1 and " + maxBytes);
 			}
+			// Allocates pieces as bytes arrive, not the announced length.
 			body = in.readNBytes(length);
 			if (body.length < length) {
 				throw new EOFException("stream ended inside a frame");
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/PeerLink.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/PeerLink.java
@@ -34,6 +34,9 @@
 
 	private static final int HELLO_TIMEOUT_MILLIS = 2_000;
 
+	/** Maximum size of the first frame, which holds names only, in bytes. */
+	private static final int MAX_HELLO_BYTES = 65_536;
+
 	/**
 	 * Time without a received frame after which a link is closed, in milliseconds. It
 	 * detects half-open links; heartbeats arrive once a second.
@@ -113,7 +116,7 @@
 			DataInputStream in = new DataInputStream(new BufferedInputStream(socket.getInputStream()));
 			OutputStream out = socket.getOutputStream();
 			out.write(PeerCodec.encode(0, hello));
-			Either<PeerFailure, PeerCodec.Frame> first = PeerCodec.read(in);
+			Either<PeerFailure, PeerCodec.Frame> first = PeerCodec.read(in, MAX_HELLO_BYTES);
 			if (first.isLeft()) {
 				closeQuietly(socket);
 				return Either.left(first.getLeft());
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/PeerListener.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/PeerListener.java
@@ -4,9 +4,13 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 
 import io.vavr.control.Either;
@@ -21,10 +25,25 @@
 
 	private static final int BACKLOG = 512;
 
+	/**
+	 * Maximum number of handshakes at the same time: several times the hosts of a
+	 * deployment, which connect at once after a network partition.
+	 */
+	private static final int MAX_HANDSHAKES = 256;
+
+	/**
+	 * Delay after a failure to accept a connection, in milliseconds. Without it, a lack
+	 * of descriptors would occupy a processor.
+	 */
+	private static final long ACCEPT_RETRY_MILLIS = 50;
+
 	private final ServerSocket server;
 
 	private final Set<PeerLink> links = ConcurrentHashMap.newKeySet();
 
+	/** Sockets with an unfinished handshake, the oldest first. */
+	private final Queue<Socket> handshakes = new ConcurrentLinkedQueue<>();
+
 	private PeerListener(ServerSocket server) {
 		this.server = server;
 	}
@@ -79,19 +98,34 @@
 		while (!this.server.isClosed()) {
 			try {
 				Socket socket = this.server.accept();
+				closeExcessHandshakes(onFailure);
+				this.handshakes.add(socket);
 				executor.execute(() -> handshake(socket, hello, handler, onFailure, executor));
 			}
 			catch (IOException ex) {
 				if (!this.server.isClosed()) {
 					onFailure.accept(new PeerFailure.NoResponse("accept failed: " + ex.getMessage()));
+					LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(ACCEPT_RETRY_MILLIS));
 				}
 			}
 		}
 	}
 
+	private void closeExcessHandshakes(Consumer<PeerFailure> onFailure) throws IOException {
+		while (this.handshakes.size() >= MAX_HANDSHAKES) {
+			Socket oldest = this.handshakes.poll();
+			if (oldest != null) {
+				onFailure.accept(new PeerFailure.NoResponse(
+						"handshake closed, because " + MAX_HANDSHAKES + " others are unfinished"));
+				oldest.close();
+			}
+		}
+	}
+
 	private void handshake(Socket socket, PeerMessage.Hello hello, PeerLink.Handler handler,
 			Consumer<PeerFailure> onFailure, Executor executor) {
 		Either<PeerFailure, PeerLink> link = PeerLink.start(socket, hello, handler, onFailure, executor);
+		this.handshakes.remove(socket);
 		if (link.isLeft()) {
 			onFailure.accept(link.getLeft());
 			return;
