Count the bytes of all origins in the account of memory

Buffered responses of endpoints, messages on links to hosts, relayed store calls and texts of items keep their budgets and are counted in the account. If they grow, unfinished requests of callers are shed, so that accepted work finds room. The option memory.total_share bounds the sum.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/MemoryAccount.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/MemoryAccount.java
@@ -9,16 +9,19 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.LongSupplier;
 
 import org.bamboorelay.core.time.Clock;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Account of the bytes that a process holds for requests. Bytes are reserved when they
- * arrive. If the account is exhausted, the newest unfinished request of the largest
- * workspace is shed, within it of the largest client address, so that the oldest requests
- * complete and a workspace within its share isn't refused in favour of one that exceeds
- * its own. A request that was received completely is never shed.
+ * Account of the bytes that a process holds for others. The bytes of callers' requests
+ * and responses are reserved here; those of other origins have budgets of their own and
+ * are counted, so that unfinished requests make room for accepted work. Bytes are
+ * reserved when they arrive. If the account is exhausted, the newest unfinished request
+ * of the largest workspace is shed, within it of the largest client address, so that the
+ * oldest requests complete and a workspace within its share isn't refused in favour of
+ * one that exceeds its own. A request that was received completely is never shed.
  * <p>
  * A part of the account is kept for small requests, so that large unfinished bodies don't
  * lock out ordinary requests of the same workspace.
@@ -51,8 +54,13 @@
 
 	private final long maxBytes;
 
+	private final long totalBytes;
+
 	private final Clock clock;
 
+	/** The bytes that the budgets of other origins hold. */
+	private final Map<MemoryOrigin, LongSupplier> elsewhere = new EnumMap<>(MemoryOrigin.class);
+
 	/** Open reservations in the order in which they were opened. */
 	private final Set<Reservation> reservations = new LinkedHashSet<>();
 
@@ -72,22 +80,26 @@
 
 	private long lastRefusalMillis = Long.MIN_VALUE;
 
-	private MemoryAccount(long maxBytes, Clock clock) {
+	private MemoryAccount(long maxBytes, long totalBytes, Clock clock) {
 		this.maxBytes = maxBytes;
+		this.totalBytes = totalBytes;
 		this.clock = clock;
 	}
 
 	/**
 	 * Creates an account of which nothing is reserved.
 	 * @param maxBytes the maximum number of bytes that may be reserved
+	 * @param totalBytes the number of reserved bytes and of bytes of other origins up to
+	 * which bytes are reserved
 	 * @param clock the monotonic clock of the process
 	 * @return the account
 	 */
-	public static MemoryAccount of(long maxBytes, Clock clock) {
-		if (maxBytes <= 0) {
-			throw new IllegalArgumentException("maxBytes must be positive: " + maxBytes);
+	public static MemoryAccount of(long maxBytes, long totalBytes, Clock clock) {
+		if (maxBytes <= 0 || totalBytes < maxBytes) {
+			throw new IllegalArgumentException(
+					"maxBytes must be positive and at most totalBytes: " + maxBytes + ", " + totalBytes);
 		}
-		return new MemoryAccount(maxBytes, Objects.requireNonNull(clock, "clock"));
+		return new MemoryAccount(maxBytes, totalBytes, Objects.requireNonNull(clock, "clock"));
 	}
 
 	/**
@@ -95,7 +107,7 @@
 	 * @return the account
 	 */
 	public static MemoryAccount unlimited() {
-		return new MemoryAccount(Long.MAX_VALUE / 2, () -> 0);
+		return new MemoryAccount(Long.MAX_VALUE / 2, Long.MAX_VALUE / 2, () -> 0);
 	}
 
 	/**
@@ -113,6 +125,31 @@
 		return reservation;
 	}
 
+	/**
+	 * Counts the bytes of another origin, which has a budget of its own.
+	 * @param origin the origin
+	 * @param bytes supplies the number of bytes; must not call this account
+	 */
+	public synchronized void countElsewhere(MemoryOrigin origin, LongSupplier bytes) {
+		this.elsewhere.put(Objects.requireNonNull(origin, "origin"), Objects.requireNonNull(bytes, "bytes"));
+	}
+
+	/**
+	 * Sheds unfinished requests if the bytes of other origins have grown at their
+	 * expense.
+	 */
+	public void trim() {
+		List<Runnable> tasks = new ArrayList<>();
+		synchronized (this) {
+			long pendingBytes = pendingBytes();
+			for (Reservation victim = victim(null, 0); victim != null
+					&& this.heldBytes - pendingBytes > available(); victim = victim(null, 0)) {
+				pendingBytes += shed(victim, tasks);
+			}
+		}
+		tasks.forEach(Runnable::run);
+	}
+
 	/**
 	 * Returns the maximum number of bytes that may be reserved.
 	 * @return the number of bytes
@@ -130,12 +167,13 @@
 	}
 
 	/**
-	 * Returns the number of reserved bytes of an origin.
+	 * Returns the number of reserved or counted bytes of an origin.
 	 * @param origin the origin
 	 * @return the number of bytes
 	 */
 	public synchronized long heldBytes(MemoryOrigin origin) {
-		return this.heldByOrigin.getOrDefault(origin, 0L);
+		LongSupplier counted = this.elsewhere.get(origin);
+		return (counted != null) ? counted.getAsLong() : this.heldByOrigin.getOrDefault(origin, 0L);
 	}
 
 	/**
@@ -183,7 +221,35 @@
 	}
 
 	private long limit(long reservedBytes) {
-		return (reservedBytes <= SMALL_BYTES) ? this.maxBytes : this.maxBytes - this.maxBytes / SMALL_RESERVE_DIVISOR;
+		long available = available();
+		return (reservedBytes <= SMALL_BYTES) ? available
+				: Math.min(available, this.maxBytes - this.maxBytes / SMALL_RESERVE_DIVISOR);
+	}
+
+	private long available() {
+		long elsewhereBytes = 0;
+		for (LongSupplier counted : this.elsewhere.values()) {
+			elsewhereBytes += counted.getAsLong();
+		}
+		return Math.max(0, Math.min(this.maxBytes, this.totalBytes - elsewhereBytes));
+	}
+
+	// Returns the bytes of shed reservations that their threads have not released yet.
+	private long pendingBytes() {
+		long pendingBytes = 0;
+		for (Reservation reservation : this.reservations) {
+			pendingBytes += reservation.shed ? reservation.bytes() : 0;
+		}
+		return pendingBytes;
+	}
+
+	// Sheds a reservation and returns the bytes that it still holds.
+	private long shed(Reservation victim, List<Runnable> tasks) {
+		refuse(victim, victim.bytes());
+		victim.shed = true;
+		remove(victim, victim.discardableBytes, true);
+		tasks.add(victim.onShed);
+		return victim.bytes();
 	}
 
 	private boolean reserve(Reservation requester, long bytes, boolean discardable) {
@@ -204,22 +270,14 @@
 			return false;
 		}
 		long limit = limit(requester.bytes() + bytes);
-		// Bytes of shed reservations that their threads have not released yet.
-		long pendingBytes = 0;
-		for (Reservation reservation : this.reservations) {
-			pendingBytes += reservation.shed ? reservation.bytes() : 0;
-		}
+		long pendingBytes = pendingBytes();
 		while (bytes > limit - (this.heldBytes - pendingBytes)) {
 			Reservation victim = (bytes <= limit) ? victim(requester, bytes) : requester;
 			if (victim == null || victim == requester) {
 				refuse(requester, requester.bytes() + bytes);
 				return false;
 			}
-			refuse(victim, victim.bytes());
-			victim.shed = true;
-			remove(victim, victim.discardableBytes, true);
-			pendingBytes += victim.bytes();
-			tasks.add(victim.onShed);
+			pendingBytes += shed(victim, tasks);
 		}
 		if (bytes > limit - this.heldBytes) {
 			refuse(requester, requester.bytes() + bytes);
@@ -231,7 +289,7 @@
 	// Returns the newest unfinished reservation of the largest consumer, with those
 	// bytes that the requester asks for; null if there is none. Within a consumer, small
 	// reservations are spared while it has larger ones.
-	private @Nullable Reservation victim(Reservation requester, long bytes) {
+	private @Nullable Reservation victim(@Nullable Reservation requester, long bytes) {
 		List<Reservation> candidates = new ArrayList<>();
 		for (Reservation reservation : this.reservations) {
 			if (!reservation.finished && !reservation.shed) {
@@ -253,7 +311,7 @@
 
 	// Keeps the candidates of the consumer that holds most.
 	private List<Reservation> ofLargest(List<Reservation> candidates, Function<Reservation, String> consumer,
-			Reservation requester, long bytes) {
+			@Nullable Reservation requester, long bytes) {
 		Map<String, Long> totals = new HashMap<>();
 		for (Reservation reservation : this.reservations) {
 			totals.merge(consumer.apply(reservation), reservation.bytes() + ((reservation == requester) ? bytes : 0),
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/MemoryOrigin.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/MemoryOrigin.java
@@ -9,7 +9,19 @@
 	CALLER_REQUESTS("caller-requests"),
 
 	/** Responses that are written to callers. */
-	CALLER_RESPONSES("caller-responses");
+	CALLER_RESPONSES("caller-responses"),
+
+	/** Buffered responses of endpoints. */
+	ENDPOINT_RESPONSES("endpoint-responses"),
+
+	/** Messages that wait on links to other hosts. */
+	HOST_MESSAGES("host-messages"),
+
+	/** Store calls of other hosts that this one relays. */
+	STORE_RELAYS("store-relays"),
+
+	/** Texts of items that are being generated. */
+	ITEM_TEXTS("item-texts");
 
 	private final String code;
 
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/process/MemoryAccountTests.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/process/MemoryAccountTests.java
@@ -25,7 +25,7 @@
 
 	private final AtomicLong now = new AtomicLong();
 
-	private final MemoryAccount account = MemoryAccount.of(MAX_BYTES, this.now::get);
+	private final MemoryAccount account = MemoryAccount.of(MAX_BYTES, 2 * MAX_BYTES, this.now::get);
 
 	@Property(tries = 300)
 	void accountIsNeverExceededAndReservationsAreReleasedOnce(@ForAll long seed,
@@ -116,6 +116,23 @@
 		assertThat(other.reservation.reserve(200_000)).isTrue();
 	}
 
+	@Test
+	void unfinishedRequestsMakeRoomForBytesOfOtherOrigins() {
+		AtomicLong texts = new AtomicLong();
+		this.account.countElsewhere(MemoryOrigin.ITEM_TEXTS, texts::get);
+		Held finished = new Held("w", "a");
+		Held unfinished = new Held("w", "a");
+		finished.reservation.reserveDiscardable(300_000);
+		finished.finish();
+		unfinished.reservation.reserveDiscardable(300_000);
+		this.account.trim();
+		assertThat(unfinished.shed).isFalse();
+		texts.set(MAX_BYTES + 600_000);
+		this.account.trim();
+		assertThat(unfinished.shed).isTrue();
+		assertThat(finished.shed).isFalse();
+	}
+
 	@Test
 	void retryDelayFollowsTheRateOfReleases() {
 		this.now.set(10_000);
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/HostMesh.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/HostMesh.java
@@ -171,6 +171,14 @@
 		return this.hello.host().value();
 	}
 
+	/**
+	 * Returns the number of bytes of the messages that wait on links.
+	 * @return the number of bytes
+	 */
+	public long outboundBytes() {
+		return this.outboundMemory.reservedBytes();
+	}
+
 	/**
 	 * Sets the listener for statuses of other hosts.
 	 * @param listener receives the host and its status; must not block
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/CallerLimiter.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/CallerLimiter.java
@@ -1,5 +1,6 @@
 package org.bamboorelay.host.process;
 
+import java.util.List;
 import java.util.Objects;
 import java.util.function.Supplier;
 
@@ -65,7 +66,9 @@
 		long heapBytes = Runtime.getRuntime().maxMemory();
 		this.routing = Objects.requireNonNull(routing, "routing");
 		this.options = options.connectionsOrDefault();
-		this.memory = MemoryAccount.of((long) (heapBytes * options.memoryOrDefault().callerShare()), clock);
+		MemoryOptions memoryOptions = options.memoryOrDefault();
+		this.memory = MemoryAccount.of((long) (heapBytes * memoryOptions.callerShare()),
+				(long) (heapBytes * memoryOptions.totalShare()), clock);
 		this.maxConnections = (this.options.maxConnections() > 0) ? this.options.maxConnections()
 				: ConnectionBound.connections(settings.maxDescriptors(), settings.memoryBytes(), heapBytes);
 		this.clock = clock;
@@ -75,6 +78,8 @@
 		counters.gauge("memory_highest_bytes", this.memory::highestBytes);
 		for (MemoryOrigin origin : MemoryOrigin.values()) {
 			counters.gauge("memory_held_bytes{origin=\"" + origin.code() + "\"}", () -> this.memory.heldBytes(origin));
+		}
+		for (MemoryOrigin origin : List.of(MemoryOrigin.CALLER_REQUESTS, MemoryOrigin.CALLER_RESPONSES)) {
 			counters.gauge("memory_refused_bytes{origin=\"" + origin.code() + "\"}",
 					() -> this.memory.refusedBytes(origin));
 		}
@@ -102,8 +107,9 @@
 		this.counters.gauge("caller_connections_idle_closed_total", listener::closedIdleConnections);
 	}
 
-	// Logs when refusing begins and ends.
+	// Makes room for bytes of other origins, and logs when refusing begins and ends.
 	void check(HttpListener listener) {
+		this.memory.trim();
 		boolean refusing = this.memory.isRefusing();
 		if (refusing != this.loggedMemory) {
 			this.loggedMemory = refusing;
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -29,6 +29,8 @@
 import org.bamboorelay.core.process.EndpointRequirements;
 import org.bamboorelay.core.process.EndpointTable;
 import org.bamboorelay.core.process.LeaseState;
+import org.bamboorelay.core.process.MemoryAccount;
+import org.bamboorelay.core.process.MemoryOrigin;
 import org.bamboorelay.core.process.PoisonRequestDetector;
 import org.bamboorelay.core.process.WeightLoadScheduler;
 import org.bamboorelay.core.request.ItemOrder;
@@ -267,6 +269,11 @@
 		this.callerRequestHandler = new CallerRequestHandler(this.routing::get, callers, endpointClient, streamRelay,
 				submissionHandler, this.callerMonitor, this.usage, this.shutdownAdmission, this.callerLimiter.memory(),
 				this.clock, this.counters, this.log);
+		MemoryAccount memory = this.callerLimiter.memory();
+		memory.countElsewhere(MemoryOrigin.ENDPOINT_RESPONSES, pool::bufferedBytes);
+		memory.countElsewhere(MemoryOrigin.HOST_MESSAGES, this.mesh::outboundBytes);
+		memory.countElsewhere(MemoryOrigin.STORE_RELAYS, this.store::relayedBytes);
+		memory.countElsewhere(MemoryOrigin.ITEM_TEXTS, this.runner::textBytes);
 		this.duties = new DutyLoop(settings, this.lease, this.store, calls, this.table, this.weightLoadScheduler,
 				this.usage, this.runner::demand, this.mesh::publish, this.executor, this.counters, this.log);
 	}
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
@@ -277,6 +277,14 @@
 		this.suspended = suspended;
 	}
 
+	/**
+	 * Returns the number of bytes of the texts of running items.
+	 * @return the number of bytes
+	 */
+	public long textBytes() {
+		return this.textMemory.reservedBytes();
+	}
+
 	/**
 	 * Returns the submissions that this host runs.
 	 * @return their ids
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/version/PeerFallbackStore.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/version/PeerFallbackStore.java
@@ -105,6 +105,14 @@
 		mesh.register(PeerMessage.StoreRequest.class, this::respond);
 	}
 
+	/**
+	 * Returns the number of bytes of the store calls that are relayed for other hosts.
+	 * @return the number of bytes
+	 */
+	public long relayedBytes() {
+		return this.relayMemory.reservedBytes();
+	}
+
 	/**
 	 * Returns whether this host reaches the store directly.
 	 * @return false from a failed direct call until the next one that succeeds
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpConnectionPool.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpConnectionPool.java
@@ -207,6 +207,14 @@
 		});
 	}
 
+	/**
+	 * Returns the number of bytes of buffered responses.
+	 * @return the number of bytes
+	 */
+	public long bufferedBytes() {
+		return this.responseMemory.reservedBytes();
+	}
+
 	// Returns the memory for the parts of all responses that are kept.
 	MemoryBudget responseMemory() {
 		return this.responseMemory;
