Forward chunked bodies without a copy and state true retry delays

A chunked body was copied to its exact size once it was complete, so that one legal body of 32 MB needed 63 MB of the heap of 96 MB. It is a buffer with a length now. The share of callers is 0.62 of the heap: 0.55 refused a single body of 33,554,432 bytes, because an eighth is kept for small requests and the body needs one and a half times its size while it grows. Retry-After was 0.10 s while stalled bodies held the account, because bytes of refused requests counted as released; only requests that weren't refused count now.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/MemoryAccount.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/MemoryAccount.java
@@ -203,7 +203,7 @@
 
 	/**
 	 * Returns the time after which a refused request is expected to find room, from the
-	 * rate at which bytes were released in the last one to two seconds.
+	 * rate at which requests that were not refused ended in the last one to two seconds.
 	 * @param bytes the size of the request, in bytes
 	 * @param longestMillis the time after which unfinished requests end in any case, in
 	 * milliseconds
@@ -331,6 +331,7 @@
 	}
 
 	private void refuse(Reservation reservation, long bytes) {
+		reservation.refused = true;
 		this.refusedByOrigin.merge(reservation.origin, bytes, Long::sum);
 		this.lastRefusalMillis = this.clock.millis();
 	}
@@ -349,8 +350,6 @@
 
 	private void remove(Reservation reservation, long bytes, boolean discardable) {
 		add(reservation, -bytes, discardable);
-		rollInterval();
-		this.intervalReleasedBytes += bytes;
 	}
 
 	private void rollInterval() {
@@ -384,6 +383,8 @@
 
 		private boolean finished;
 
+		private boolean refused;
+
 		private boolean shed;
 
 		private boolean closed;
@@ -469,6 +470,11 @@
 			synchronized (MemoryAccount.this) {
 				if (!this.closed) {
 					this.closed = true;
+					if (!this.refused) {
+						// Refused requests come back and need their room again.
+						rollInterval();
+						MemoryAccount.this.intervalReleasedBytes += bytes();
+					}
 					remove(this, this.fixedBytes, false);
 					remove(this, this.discardableBytes, true);
 					MemoryAccount.this.reservations.remove(this);
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/process/MemoryAccountTests.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/process/MemoryAccountTests.java
@@ -138,8 +138,15 @@
 		this.now.set(10_000);
 		Held stalled = new Held("w", "a");
 		stalled.reservation.reserveDiscardable(875_000);
+		Held refused = new Held("w", "a");
+		assertThat(refused.reservation.reserveDiscardable(100_000)).isFalse();
+		refused.close();
 		assertThat(this.account.retryAfterMillis(100_000, 15_000)).isEqualTo(15_000);
-		stalled.reservation.release(50_000);
+		stalled.reservation.release(100_000);
+		Held served = new Held("w", "a");
+		served.reservation.reserveDiscardable(50_000);
+		served.close();
+		stalled.reservation.reserveDiscardable(50_000);
 		assertThat(this.account.retryAfterMillis(100_000, 15_000)).isEqualTo(1_000);
 	}
 
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/EndpointRequest.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/EndpointRequest.java
@@ -1,5 +1,6 @@
 package org.bamboorelay.host.connection;
 
+import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.Objects;
 
@@ -9,7 +10,8 @@
 /**
  * A request to one endpoint.
  * <p>
- * Immutable and thread-safe, provided that the body array is not modified.
+ * Immutable and thread-safe, provided that the bytes and the position of the body are not
+ * modified.
  *
  * @param id the request id
  * @param method the method
@@ -21,10 +23,10 @@
  * @param remainingMillis the remaining time to wait for a response, in milliseconds
  * @param afterEvent the id of the last known event, after which the stream is to resume;
  * 0 to start from the beginning
- * @param body the body
+ * @param body the body, backed by an array
  */
 public record EndpointRequest(String id, String method, String host, String path, List<Header> headers,
-		@Nullable String workspace, String endpoint, long remainingMillis, long afterEvent, byte[] body) {
+		@Nullable String workspace, String endpoint, long remainingMillis, long afterEvent, ByteBuffer body) {
 
 	public EndpointRequest {
 		Objects.requireNonNull(id, "id");
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/MemoryOptions.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/MemoryOptions.java
@@ -14,9 +14,10 @@
 
 	/**
 	 * The default options. The share of callers permits one body of 33,554,432 bytes in a
-	 * heap of 96 MB, which needs one and a half times its size while it arrives.
+	 * heap of 96 MB, which needs one and a half times its size while it arrives, beside
+	 * the eighth that is kept for small requests.
 	 */
-	static final MemoryOptions DEFAULTS = new MemoryOptions(0.55, 0.75);
+	static final MemoryOptions DEFAULTS = new MemoryOptions(0.62, 0.75);
 
 	private static final double MIN_SHARE = 0.05;
 
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/CallerRequestHandler.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/CallerRequestHandler.java
@@ -1,7 +1,9 @@
 package org.bamboorelay.host.request;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.SocketTimeoutException;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Objects;
 import java.util.function.Supplier;
@@ -175,11 +177,15 @@
 		if (route.get().kind() == RouteKind.SUBMISSION) {
 			if (refuseUnless(this.shutdownAdmission.admits(SUBMISSION_CALLS, SUBMISSION_CALL_MILLIS), head,
 					responder)) {
-				byte[] body = readBody(request, responder, head, table);
-				if (body != null) {
-					this.submissionHandler.accept(head, workspace.get(), route.get(), body, responder);
+				RequestBody body = readBody(request, responder, head, table);
+				Option<byte[]> bytes = (body != null) ? body.exactBytes() : Option.none();
+				if (bytes.isDefined()) {
+					this.submissionHandler.accept(head, workspace.get(), route.get(), bytes.get(), responder);
 					this.shutdownAdmission.onServed(SUBMISSION_CALLS, this.clock.millis() - startMillis);
 				}
+				else if (body != null) {
+					refuse(responder, head, "memory", responder.retryAfterMillis());
+				}
 			}
 			return;
 		}
@@ -188,10 +194,10 @@
 		if (!refuseUnless(admits(route.get(), allowedMillis), head, responder)) {
 			return;
 		}
-		byte[] body = readBody(request, responder, head, table);
+		RequestBody body = readBody(request, responder, head, table);
 		// The shutdown may have begun while the body arrived.
 		if (body != null && refuseUnless(admits(route.get(), allowedMillis), head, responder)) {
-			relay(head, route.get(), workspace.get(), body, startMillis, allowedMillis, responder);
+			relay(head, route.get(), workspace.get(), body.bytes(), startMillis, allowedMillis, responder);
 		}
 	}
 
@@ -209,7 +215,7 @@
 		return admitted;
 	}
 
-	private void relay(CallerRequest head, RouteRule route, String workspace, byte[] body, long startMillis,
+	private void relay(CallerRequest head, RouteRule route, String workspace, ByteBuffer body, long startMillis,
 			long allowedMillis, HttpListener.Responder responder) throws HttpException, IOException {
 		long deadlineMillis = Math.min(startMillis + allowedMillis, this.shutdownAdmission.endMillis());
 		boolean idempotent = route.kind() == RouteKind.IDEMPOTENT
@@ -327,23 +333,17 @@
 	}
 
 	// Reads the body, or responds and returns null if that fails.
-	private byte @Nullable [] readBody(ClassicHttpRequest request, HttpListener.Responder responder, CallerRequest head,
-			RoutingTable table) throws HttpException, IOException {
+	private @Nullable RequestBody readBody(ClassicHttpRequest request, HttpListener.Responder responder,
+			CallerRequest head, RoutingTable table) throws HttpException, IOException {
 		HttpEntity entity = request.getEntity();
 		MemoryAccount.Reservation reservation = responder.reservation();
-		if (entity == null) {
-			if (!reservation.finish()) {
-				refuse(responder, head, "memory", responder.retryAfterMillis());
-				return null;
-			}
-			return new byte[0];
-		}
 		RequestBody body = new RequestBody(reservation);
 		responder.onDiscard(body::discard);
 		int maxBytes = (int) Math.min(table.limits().maxBodyBytes(), Integer.MAX_VALUE - 16);
 		RequestBody.Outcome outcome;
 		try {
-			outcome = body.read(entity.getContent(), entity.getContentLength(), maxBytes);
+			outcome = (entity != null) ? body.read(entity.getContent(), entity.getContentLength(), maxBytes)
+					: body.read(InputStream.nullInputStream(), 0, maxBytes);
 		}
 		catch (SocketTimeoutException ex) {
 			reject(responder, head, STATUS_REQUEST_TIMEOUT, "body-too-slow", String.valueOf(ex.getMessage()), table);
@@ -358,7 +358,7 @@
 		}
 		switch (outcome) {
 			case COMPLETE:
-				return body.takeBytes();
+				return body;
 			case TOO_LARGE:
 				rejectBody(responder, head, table);
 				return null;
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ItemRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ItemRunner.java
@@ -1,6 +1,7 @@
 package org.bamboorelay.host.request;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
@@ -163,7 +164,7 @@
 		long remainingMillis = Math.max(1, active.deadlineMillis() - System.currentTimeMillis());
 		EndpointRequest call = new EndpointRequest(item.id(), "POST", submission.host(), item.path(), headers,
 				submission.workspace().isEmpty() ? null : submission.workspace(), grant.id(), remainingMillis,
-				run.after(), item.body());
+				run.after(), ByteBuffer.wrap(item.body()));
 		this.counters.counter("endpoint_requests_total", "origin", RequestOrigin.ITEM.label()).inc();
 		Either<HttpFailure, HttpExchange> result = this.pool.execute(grant.address(), this.protocol.encodeRequest(call),
 				ExchangeOptions.of(true, EVENT_TIMEOUT_MILLIS)
@@ -282,8 +283,8 @@
 				continue;
 			}
 			ServiceRequest serviceRequest = new ServiceRequest(RequestOrigin.SCORE, score.id(), "POST", score.host(),
-					score.path(), List.of(), score.body(), null, route.get().service(Math.random()), true, 1,
-					this.clock.millis() + SCORE_TIMEOUT_MILLIS, (abort) -> {
+					score.path(), List.of(), ByteBuffer.wrap(score.body()), null, route.get().service(Math.random()),
+					true, 1, this.clock.millis() + SCORE_TIMEOUT_MILLIS, (abort) -> {
 						if (state.isEnded()) {
 							abort.run();
 						}
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/RequestBody.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/RequestBody.java
@@ -2,8 +2,10 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.nio.ByteBuffer;
 import java.util.Arrays;
 
+import io.vavr.control.Option;
 import org.bamboorelay.core.process.MemoryAccount;
 import org.jspecify.annotations.Nullable;
 
@@ -18,12 +20,6 @@
 
 	private static final int FIRST_BYTES = 8_192;
 
-	/**
-	 * Guards the copies of complete bodies to their exact size, so that at most one copy
-	 * is in memory for which no room was left in the account.
-	 */
-	private static final Object COPY_LOCK = new Object();
-
 	private final MemoryAccount.Reservation reservation;
 
 	private byte @Nullable [] buffer = new byte[0];
@@ -50,26 +46,26 @@
 		return this.reservation.finish() ? Outcome.COMPLETE : Outcome.SHED;
 	}
 
-	// Returns the complete body and keeps no reference to it. To be called once.
-	byte[] takeBytes() {
-		byte[] current;
-		synchronized (this) {
-			current = this.buffer;
-			this.buffer = null;
-		}
+	// Returns the complete body without a copy.
+	ByteBuffer bytes() {
+		byte[] current = this.buffer;
 		if (current == null) {
 			throw new IllegalStateException("the body was discarded");
 		}
-		if (current.length == this.size) {
-			return current;
-		}
-		boolean reserved = this.reservation.reserveDiscardable(this.size);
-		byte[] exact;
-		synchronized (COPY_LOCK) {
-			exact = Arrays.copyOf(current, this.size);
+		return ByteBuffer.wrap(current, 0, this.size);
+	}
+
+	// Returns the complete body as an array of its size; empty if there is no memory for
+	// a copy.
+	Option<byte[]> exactBytes() {
+		byte[] current = this.buffer;
+		if (current != null && current.length != this.size) {
+			if (!this.reservation.reserveDiscardable(this.size)) {
+				return Option.none();
+			}
+			current = Arrays.copyOf(current, this.size);
 		}
-		this.reservation.release(reserved ? current.length : current.length - this.size);
-		return exact;
+		return Option.of(current);
 	}
 
 	// Drops the received part; called when the request is shed.
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ServiceRequest.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ServiceRequest.java
@@ -1,5 +1,6 @@
 package org.bamboorelay.host.request;
 
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
@@ -15,7 +16,8 @@
 /**
  * A request to a service, which any endpoint of the service may answer.
  * <p>
- * Immutable and thread-safe, provided that the body array is not modified.
+ * Immutable and thread-safe, provided that the bytes and the position of the body are not
+ * modified.
  *
  * @param origin where the request comes from
  * @param id the request id
@@ -23,7 +25,7 @@
  * @param host the host name that the caller addressed
  * @param path the path, including the query
  * @param headers the headers to forward to the endpoint
- * @param body the body
+ * @param body the body, backed by an array
  * @param workspace the workspace; null for none
  * @param service the service
  * @param idempotent whether the request may be executed more than once
@@ -33,7 +35,7 @@
  * @param onAbort receives, for each attempt, a task that aborts the attempt
  */
 public record ServiceRequest(RequestOrigin origin, String id, String method, String host, String path,
-		List<Header> headers, byte[] body, @Nullable String workspace, String service, boolean idempotent,
+		List<Header> headers, ByteBuffer body, @Nullable String workspace, String service, boolean idempotent,
 		int maxAttempts, long deadlineMillis, Consumer<Runnable> onAbort) {
 
 	private static final int FINGERPRINT_BYTES = 12;
@@ -56,7 +58,8 @@
 			String head = String.join("\n", this.method, String.valueOf(this.host), this.path,
 					String.valueOf(this.workspace), "");
 			digest.update(head.getBytes(StandardCharsets.UTF_8));
-			return HexFormat.of().formatHex(digest.digest(this.body), 0, FINGERPRINT_BYTES);
+			digest.update(this.body.duplicate());
+			return HexFormat.of().formatHex(digest.digest(), 0, FINGERPRINT_BYTES);
 		}
 		catch (NoSuchAlgorithmException ex) {
 			throw new IllegalStateException("SHA-256 is missing, which each Java platform provides", ex);
