--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -267,8 +267,8 @@
 		this.callerLimiter = new CallerLimiter(settings, options, this.routing::get, this.clock, this.counters,
 				this.log);
 		this.callerRequestHandler = new CallerRequestHandler(this.routing::get, callers, endpointClient, streamRelay,
-				submissionHandler, this.callerMonitor, this.usage, this.shutdownAdmission, this.callerLimiter.memory(),
-				this.clock, this.counters, this.log);
+				submissionHandler, this.callerMonitor, this.usage, this.shutdownAdmission, this.clock, this.counters,
+				this.log);
 		MemoryAccount memory = this.callerLimiter.memory();
 		memory.countElsewhere(MemoryOrigin.ENDPOINT_RESPONSES, pool::bufferedBytes);
 		memory.countElsewhere(MemoryOrigin.HOST_MESSAGES, this.mesh::outboundBytes);
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/CallerRequestHandler.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/CallerRequestHandler.java
@@ -18,7 +18,6 @@
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
 import org.apache.hc.core5.http.message.BasicClassicHttpResponse;
 import org.bamboorelay.core.process.MemoryAccount;
-import org.bamboorelay.core.process.MemoryOrigin;
 import org.bamboorelay.core.request.RequestOrigin;
 import org.bamboorelay.core.request.ShutdownAdmission;
 import org.bamboorelay.core.time.Clock;
@@ -95,8 +94,6 @@
 
 	private final ShutdownAdmission shutdownAdmission;
 
-	private final MemoryAccount memory;
-
 	private final Clock clock;
 
 	private final Counters counters;
@@ -113,15 +110,14 @@
 	 * @param callerMonitor detects callers that disconnect
 	 * @param usageMeter counts requests by workspace
 	 * @param shutdownAdmission decides which requests are accepted during a shutdown
-	 * @param memory the account of the bytes held for callers
 	 * @param clock the monotonic clock of the process
 	 * @param counters the metrics of the process
 	 * @param log the log of the process
 	 */
 	public CallerRequestHandler(Supplier<@Nullable RoutingTable> routing, CallerProtocol protocol,
 			EndpointClient endpointClient, StreamRelay streamRelay, SubmissionHandler submissionHandler,
-			CallerMonitor callerMonitor, UsageMeter usageMeter, ShutdownAdmission shutdownAdmission,
-			MemoryAccount memory, Clock clock, Counters counters, EventLog log) {
+			CallerMonitor callerMonitor, UsageMeter usageMeter, ShutdownAdmission shutdownAdmission, Clock clock,
+			Counters counters, EventLog log) {
 		this.routing = Objects.requireNonNull(routing, "routing");
 		this.protocol = Objects.requireNonNull(protocol, "protocol");
 		this.endpointClient = Objects.requireNonNull(endpointClient, "endpointClient");
@@ -130,7 +126,6 @@
 		this.callerMonitor = Objects.requireNonNull(callerMonitor, "callerMonitor");
 		this.usageMeter = Objects.requireNonNull(usageMeter, "usageMeter");
 		this.shutdownAdmission = Objects.requireNonNull(shutdownAdmission, "shutdownAdmission");
-		this.memory = Objects.requireNonNull(memory, "memory");
 		this.clock = Objects.requireNonNull(clock, "clock");
 		this.counters = Objects.requireNonNull(counters, "counters");
 		this.log = Objects.requireNonNull(log, "log");
@@ -260,14 +255,7 @@
 				}
 			}
 			response.setEntity(new ByteArrayEntity(responded.body(), type));
-			try (MemoryAccount.Reservation held = this.memory.open(MemoryOrigin.CALLER_RESPONSES, "", () -> {
-			})) {
-				held.finish();
-				// A response that was received is delivered in any case; a response that
-				// finds no room appears in the metric of refused bytes.
-				held.reserve(responded.body().length);
-				responder.send(response);
-			}
+			responder.send(response);
 			this.counters.histogram("answer_millis").update(this.clock.millis() - startMillis);
 		}
 		else if (result instanceof CallResult.NotRun notRun) {
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpListener.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpListener.java
@@ -21,6 +21,7 @@
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HeaderElements;
 import org.apache.hc.core5.http.HttpConnection;
+import org.apache.hc.core5.http.HttpEntity;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpStatus;
@@ -431,7 +432,16 @@
 			if (!bodyRead || HttpListener.this.keepAliveDisabled.get()) {
 				response.setHeader("Connection", "close");
 			}
-			this.trigger.submitResponse(response);
+			HttpEntity entity = response.getEntity();
+			try (MemoryAccount.Reservation held = HttpListener.this.options.memory()
+				.open(MemoryOrigin.CALLER_RESPONSES, "", () -> {
+				})) {
+				held.finish();
+				// A response is written in any case; one that finds no room appears in
+				// the metric of refused bytes.
+				held.reserve((entity != null) ? Math.max(0, entity.getContentLength()) : 0);
+				this.trigger.submitResponse(response);
+			}
 		}
 
 		@Override
