Answer before the rest of a body is read on listeners without limits

EntryProcessTests.malformedAndOversizeInput failed since the listener read the rest of a refused body before it responded: 413 was delayed by 60 s. Listeners without a limit for unread bodies respond first, as before.

--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/CallerConnection.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/CallerConnection.java
@@ -173,9 +173,11 @@
 		if (unread == null || unread.isEnded()) {
 			return true;
 		}
-		if (this.limits.maxDiscardedBytes() != Long.MAX_VALUE) {
-			this.progress.enter(RequestProgress.Phase.DISCARD);
+		if (this.limits.maxDiscardedBytes() == Long.MAX_VALUE && !unread.isAwaited()) {
+			unread.readRestOnClose();
+			return true;
 		}
+		this.progress.enter(RequestProgress.Phase.DISCARD);
 		try {
 			if (!isShed() && !unread.isAwaited() && unread.discard(this.limits.maxDiscardedBytes())) {
 				return true;
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/RequestBodyStream.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/RequestBodyStream.java
@@ -10,8 +10,9 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Body of a request. Closing it doesn't read the rest, because a rest that is read for
- * nobody occupies its thread for as long as the caller likes.
+ * Body of a request. Closing it doesn't read the rest unless the listener has no limit
+ * for it, because a rest that is read for nobody occupies its thread for as long as the
+ * caller likes.
  * <p>
  * Must be used by one thread.
  */
@@ -21,6 +22,8 @@
 
 	private boolean ended;
 
+	private boolean restReadOnClose;
+
 	private @Nullable FirstReadTask firstReadTask;
 
 	RequestBodyStream(InputStream in) {
@@ -81,9 +84,16 @@
 		return count;
 	}
 
+	// Lets HttpCore read the rest after it has sent the response.
+	void readRestOnClose() {
+		this.restReadOnClose = true;
+	}
+
 	@Override
-	public void close() {
-		// The connection reads or discards the rest.
+	public void close() throws IOException {
+		if (this.restReadOnClose) {
+			discard(Long.MAX_VALUE);
+		}
 	}
 
 	// Returns an entity with this stream as its content.
@@ -122,8 +132,8 @@
 		}
 
 		@Override
-		public void close() {
-			// The connection reads or discards the rest.
+		public void close() throws IOException {
+			RequestBodyStream.this.close();
 		}
 
 	}
