End requests that an endpoint does not read at their deadline

A write to an endpoint that doesn't read had no time limit, so that its thread and its body stayed. The maintenance loop closes such connections.

--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -173,6 +173,8 @@
 
 	private final CallerMonitor callerMonitor = new CallerMonitor(this.log);
 
+	private final HttpConnectionPool pool;
+
 	private final CallerLimiter callerLimiter;
 
 	private final CallerRequestHandler callerRequestHandler;
@@ -223,6 +225,7 @@
 		this.settings = Objects.requireNonNull(settings, "settings");
 		this.options = Objects.requireNonNull(options, "options");
 		this.format = Objects.requireNonNull(format, "format");
+		this.pool = Objects.requireNonNull(pool, "pool");
 		this.incarnation = Long.toHexString(System.currentTimeMillis()) + "-"
 				+ Integer.toHexString(ThreadLocalRandom.current().nextInt());
 		this.mesh = HostMesh.of(settings.host(), settings.domain(), settings.processors(), this.incarnation, this.clock,
@@ -638,6 +641,7 @@
 			confirmRunning();
 		}
 		this.callerMonitor.checkAll();
+		this.pool.closeStalledWrites();
 		HttpListener listener = this.frontListener;
 		if (listener != null) {
 			this.callerLimiter.check(listener);
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/BoundedConnection.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/BoundedConnection.java
@@ -1,7 +1,9 @@
 package org.bamboorelay.runtime.connection;
 
+import java.io.FilterOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
 import java.net.ConnectException;
 import java.net.Socket;
 import java.net.SocketException;
@@ -37,6 +39,12 @@
 
 	private static final int UNLIMITED = Integer.MAX_VALUE;
 
+	/**
+	 * Maximum time for a part of a request to be accepted by the connection, in
+	 * milliseconds; the same as for responses to callers.
+	 */
+	private static final long WRITE_TIMEOUT_MILLIS = 15_000;
+
 	private final Deque<String> tags = new ArrayDeque<>();
 
 	private int readTimeoutMillis;
@@ -49,6 +57,9 @@
 
 	private boolean probing;
 
+	/** Time at which the current write began; 0 if there is none. */
+	private volatile long writeStartNanos;
+
 	private volatile boolean aborted;
 
 	BoundedConnection(Http1Config config) {
@@ -103,6 +114,16 @@
 				|| (failure instanceof SocketException && !(failure instanceof ConnectException)));
 	}
 
+	// Closes the connection if the server does not read the request in time. May be
+	// called by any thread.
+	void abortIfWriteStalled(long nowNanos) {
+		long start = this.writeStartNanos;
+		if (start != 0 && (nowNanos - start > TimeUnit.MILLISECONDS.toNanos(WRITE_TIMEOUT_MILLIS)
+				|| (this.hasDeadline && nowNanos - this.deadlineNanos > 0))) {
+			abort();
+		}
+	}
+
 	// Ends an exchange and removes its limits.
 	void endExchange() {
 		this.hasDeadline = false;
@@ -138,6 +159,38 @@
 			return new BoundedInputStream(socket, super.getInputStream(socket));
 		}
 
+		@Override
+		protected OutputStream getOutputStream(Socket socket) throws IOException {
+			return new MonitoredOutputStream(super.getOutputStream(socket));
+		}
+
+	}
+
+	private final class MonitoredOutputStream extends FilterOutputStream {
+
+		private MonitoredOutputStream(OutputStream out) {
+			super(out);
+		}
+
+		@Override
+		public void write(int single) throws IOException {
+			write(new byte[] { (byte) single }, 0, 1);
+		}
+
+		@Override
+		public void write(byte[] buffer, int offset, int length) throws IOException {
+			for (int written = 0; written < length; written += ListenerLimits.WRITE_PIECE_BYTES) {
+				BoundedConnection.this.writeStartNanos = Math.max(1, System.nanoTime());
+				try {
+					this.out.write(buffer, offset + written,
+							Math.min(ListenerLimits.WRITE_PIECE_BYTES, length - written));
+				}
+				finally {
+					BoundedConnection.this.writeStartNanos = 0;
+				}
+			}
+		}
+
 	}
 
 	private final class BoundedInputStream extends InputStream {
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpConnectionPool.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpConnectionPool.java
@@ -215,6 +215,15 @@
 		return this.responseMemory.reservedBytes();
 	}
 
+	/**
+	 * Closes the connections whose server does not read a request in time. Writes have no
+	 * time limit of their own, so this is to be called several times a second.
+	 */
+	public void closeStalledWrites() {
+		long now = System.nanoTime();
+		this.leased.forEach((connection) -> connection.abortIfWriteStalled(now));
+	}
+
 	// Returns the memory for the parts of all responses that are kept.
 	MemoryBudget responseMemory() {
 		return this.responseMemory;
--- a/bamboorelay-runtime/src/test/java/org/bamboorelay/runtime/connection/ListenerLimitsTests.java
+++ b/bamboorelay-runtime/src/test/java/org/bamboorelay/runtime/connection/ListenerLimitsTests.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
@@ -13,6 +14,7 @@
 
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
+import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
 import org.apache.hc.core5.http.message.BasicClassicHttpResponse;
 import org.bamboorelay.core.process.MemoryAccount;
 import org.junit.jupiter.api.Test;
@@ -98,6 +100,24 @@
 		}
 	}
 
+	@Test
+	void requestIsEndedAtItsDeadlineIfTheServerDoesNotRead() throws IOException {
+		try (ServerSocket server = new ServerSocket(0); HttpConnectionPool pool = new HttpConnectionPool()) {
+			BasicClassicHttpRequest request = new BasicClassicHttpRequest("POST", "/x");
+			request.setEntity(new ByteArrayEntity(new byte[32 * 1_048_576], ContentType.APPLICATION_OCTET_STREAM));
+			CompletableFuture<Boolean> failed = CompletableFuture
+				.supplyAsync(() -> pool.execute("127.0.0.1:" + server.getLocalPort(), request,
+						ExchangeOptions.of(false, 10_000).withTotalTimeoutMillis(300), (abort) -> {
+						})
+					.isLeft());
+			while (!failed.isDone()) {
+				pool.closeStalledWrites();
+				LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(20));
+			}
+			assertThat(failed.join()).isTrue();
+		}
+	}
+
 	@Test
 	void idleConnectionsAreClosedBeforeNewOnesAreRefused() throws IOException {
 		try (HttpListener listener = HttpListener.open("127.0.0.1", 0, this.reader, (ex) -> {
