--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -32,6 +32,8 @@
 import org.bamboorelay.core.process.EndpointRequirements;
 import org.bamboorelay.core.process.EndpointTable;
 import org.bamboorelay.core.process.LeaseState;
+import org.bamboorelay.core.process.MemoryAccount;
+import org.bamboorelay.core.process.MemoryOrigin;
 import org.bamboorelay.core.process.MigrationReason;
 import org.bamboorelay.core.process.PlacementCounts;
 import org.bamboorelay.core.process.PlacementReason;
@@ -73,6 +75,7 @@
 import org.bamboorelay.host.version.SubmissionStore;
 import org.bamboorelay.runtime.connection.HttpConnectionPool;
 import org.bamboorelay.runtime.connection.HttpListener;
+import org.bamboorelay.runtime.connection.ListenerOptions;
 import org.bamboorelay.runtime.process.Counters;
 import org.bamboorelay.runtime.request.JsonFailure;
 import org.jspecify.annotations.Nullable;
@@ -185,6 +188,10 @@
 
 	private final CallerMonitor callerMonitor = new CallerMonitor(this.log);
 
+	private final HttpConnectionPool pool;
+
+	private final CallerLimiter callerLimiter;
+
 	private final CallerRequestHandler callerRequestHandler;
 
 	private final DutyLoop duties;
@@ -193,7 +200,7 @@
 
 	private volatile String peerAddress = "";
 
-	private @Nullable HttpListener frontListener;
+	private volatile @Nullable HttpListener frontListener;
 
 	private volatile boolean shuttingDown;
 
@@ -233,6 +240,7 @@
 		this.settings = Objects.requireNonNull(settings, "settings");
 		this.options = Objects.requireNonNull(options, "options");
 		this.format = Objects.requireNonNull(format, "format");
+		this.pool = Objects.requireNonNull(pool, "pool");
 		this.incarnation = Long.toHexString(System.currentTimeMillis()) + "-"
 				+ Integer.toHexString(ThreadLocalRandom.current().nextInt());
 		this.mesh = HostMesh.of(settings.host(), settings.domain(), settings.processors(), this.incarnation, this.clock,
@@ -284,9 +292,16 @@
 				this.directory, this.runner, this.log);
 		StreamRelay streamRelay = new StreamRelay(this.table, this.acquirer, poisonGuard, notices, endpoints, pool,
 				this.usage, this.clock, this.log);
+		this.callerLimiter = new CallerLimiter(settings, options, this.routing::get, this.clock, this.counters,
+				this.log);
 		this.callerRequestHandler = new CallerRequestHandler(this.routing::get, callers, endpointClient, streamRelay,
 				submissionHandler, this.callerMonitor, this.usage, this.shutdownAdmission, this.clock, this.counters,
 				this.log);
+		MemoryAccount memory = this.callerLimiter.memory();
+		memory.countElsewhere(MemoryOrigin.ENDPOINT_RESPONSES, pool::bufferedBytes);
+		memory.countElsewhere(MemoryOrigin.HOST_MESSAGES, this.mesh::outboundBytes);
+		memory.countElsewhere(MemoryOrigin.STORE_RELAYS, this.store::relayedBytes);
+		memory.countElsewhere(MemoryOrigin.ITEM_TEXTS, this.runner::textBytes);
 		this.duties = new DutyLoop(settings, this.lease, this.store, calls, this.table, this.weightLoadScheduler,
 				this.usage, this.runner::demand, this::ownWork, this.mesh::publish, this.executor, this.counters,
 				this.log);
@@ -363,10 +378,14 @@
 		this.executor.execute(this::maintenanceLoop);
 		this.executor.execute(this.runner::runLoop);
 		this.executor.execute(this.duties);
-		this.frontListener = listen(this.settings.frontAddress(), this.callerRequestHandler);
-		listen(this.settings.readyAddress(), this::answerReady);
+		HttpListener listener = listen(this.settings.frontAddress(), this.callerRequestHandler,
+				this.callerLimiter.callerOptions());
+		this.callerLimiter.observe(listener);
+		this.frontListener = listener;
+		listen(this.settings.readyAddress(), this::answerReady, this.callerLimiter.probeOptions());
 		listen(this.settings.metricsAddress(),
-				(request, responder) -> responder.send(200, "text/plain", this.counters.text()));
+				(request, responder) -> responder.send(200, "text/plain", this.counters.text()),
+				this.callerLimiter.probeOptions());
 	}
 
 	/**
@@ -514,11 +533,12 @@
 		return (listener != null) ? listener.activeRequests() : 0;
 	}
 
-	private HttpListener listen(String address, HttpListener.HttpHandler handler) throws IOException {
+	private HttpListener listen(String address, HttpListener.HttpHandler handler, ListenerOptions options)
+			throws IOException {
 		int colon = address.lastIndexOf(':');
 		HttpListener listener = HttpListener.open(address.substring(0, colon),
 				Integer.parseInt(address.substring(colon + 1)), handler,
-				(error) -> this.counters.counter("broken_connections_total").inc());
+				(error) -> this.counters.counter("broken_connections_total").inc(), options);
 		this.listeners.add(listener);
 		return listener;
 	}
@@ -714,6 +734,11 @@
 			confirmRunning();
 		}
 		this.callerMonitor.checkAll();
+		this.pool.closeStalledWrites();
+		HttpListener listener = this.frontListener;
+		if (listener != null) {
+			this.callerLimiter.check(listener);
+		}
 		pause(CallerMonitor.CHECK_INTERVAL_MILLIS);
 	}
 
--- a/bamboorelay-host/src/test/java/org/bamboorelay/host/request/EndpointAcquirerTests.java
+++ b/bamboorelay-host/src/test/java/org/bamboorelay/host/request/EndpointAcquirerTests.java
@@ -1,5 +1,6 @@
 package org.bamboorelay.host.request;
 
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -153,8 +154,8 @@
 	}
 
 	private static ServiceRequest request(RequestOrigin origin, long deadlineMillis, String workspace) {
-		return new ServiceRequest(origin, "r", "GET", "example", "/", List.of(), new byte[0], workspace, "route", "s",
-				true, 1, 1, Clock.monotonic().millis() + deadlineMillis, (abort) -> {
+		return new ServiceRequest(origin, "r", "GET", "example", "/", List.of(), ByteBuffer.allocate(0), workspace,
+				"route", "s", true, 1, 1, Clock.monotonic().millis() + deadlineMillis, (abort) -> {
 				}, () -> {
 				});
 	}
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpConnectionPool.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpConnectionPool.java
@@ -226,6 +226,23 @@
 		});
 	}
 
+	/**
+	 * Returns the number of bytes of buffered responses.
+	 * @return the number of bytes
+	 */
+	public long bufferedBytes() {
+		return this.responseMemory.reservedBytes();
+	}
+
+	/**
+	 * Closes the connections whose server does not read a request in time. Writes have no
+	 * time limit of their own, so this is to be called several times a second.
+	 */
+	public void closeStalledWrites() {
+		long now = System.nanoTime();
+		this.leased.forEach((connection) -> connection.abortIfWriteStalled(now));
+	}
+
 	// Returns the memory for the parts of all responses that are kept.
 	MemoryBudget responseMemory() {
 		return this.responseMemory;
