Read only changes of endpoints in batches

By reading, the pause also delayed the host that runs a submission, which learns of it by a watch, so that a training step began up to 250 ms later.

--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/version/KindWatcher.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/version/KindWatcher.java
@@ -35,10 +35,9 @@
 public final class KindWatcher implements Runnable {
 
 	/**
-	 * Pause after a watch call that returned changes of a kind with many writers, in
-	 * milliseconds, so that the next call returns several changes. Each call is billed,
-	 * and its changes are relayed to all hosts; the time bounds for changes are 2 s and
-	 * more.
+	 * Pause after a watch call that returned changes of endpoints, in milliseconds, so
+	 * that the next call returns several changes. Each call is billed, and its changes
+	 * are relayed to all hosts; the time bounds for these changes are 2 s and more.
 	 */
 	static final long CHANGE_PAUSE_MILLIS = 250;
 
@@ -146,8 +145,9 @@
 		this.kind = Objects.requireNonNull(kind, "kind");
 		this.retainsExpired = retainsExpired;
 		this.waitMillis = mustBeCurrent ? MAX_CURRENT_WAIT_MILLIS : MAX_WAIT_MILLIS;
-		// The kinds that need not be current have few writers, who wait for the effect.
-		this.changePauseMillis = mustBeCurrent ? CHANGE_PAUSE_MILLIS : 0;
+		// Endpoints change their entries often. The writers of other kinds wait for the
+		// effect: a training step began up to 250 ms later with a pause for submissions.
+		this.changePauseMillis = retainsExpired ? CHANGE_PAUSE_MILLIS : 0;
 		this.listener = Objects.requireNonNull(listener, "listener");
 		this.log = Objects.requireNonNull(log, "log");
 	}
