--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/MemoryAccount.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/MemoryAccount.java
@@ -252,57 +252,57 @@
 		return victim.bytes();
 	}
 
-	private boolean reserve(Reservation requester, long bytes, boolean discardable) {
+	private boolean reserve(Reservation growing, long bytes, boolean discardable) {
 		List<Runnable> tasks = new ArrayList<>();
 		boolean granted;
 		synchronized (this) {
-			granted = decide(requester, bytes, tasks);
+			granted = decide(growing, bytes, tasks);
 			if (granted) {
-				add(requester, bytes, discardable);
+				add(growing, bytes, discardable);
 			}
 		}
 		tasks.forEach(Runnable::run);
 		return granted;
 	}
 
-	private boolean decide(Reservation requester, long bytes, List<Runnable> tasks) {
-		if (requester.shed || requester.closed) {
+	private boolean decide(Reservation growing, long bytes, List<Runnable> tasks) {
+		if (growing.shed || growing.closed) {
 			return false;
 		}
-		long limit = limit(requester.bytes() + bytes);
+		long limit = limit(growing.bytes() + bytes);
 		long pendingBytes = pendingBytes();
 		while (bytes > limit - (this.heldBytes - pendingBytes)) {
-			Reservation victim = (bytes <= limit) ? victim(requester, bytes) : requester;
-			if (victim == null || victim == requester) {
-				refuse(requester, requester.bytes() + bytes);
+			Reservation victim = (bytes <= limit) ? victim(growing, bytes) : growing;
+			if (victim == null || victim == growing) {
+				refuse(growing, growing.bytes() + bytes);
 				return false;
 			}
 			pendingBytes += shed(victim, tasks);
 		}
 		if (bytes > limit - this.heldBytes) {
-			refuse(requester, requester.bytes() + bytes);
+			refuse(growing, growing.bytes() + bytes);
 			return false;
 		}
 		return true;
 	}
 
 	// Returns the newest unfinished reservation of the largest consumer, with those
-	// bytes that the requester asks for; null if there is none. Within a consumer, small
+	// bytes that the growing one asks for; null if there is none. Within a consumer, small
 	// reservations are spared while it has larger ones.
-	private @Nullable Reservation victim(@Nullable Reservation requester, long bytes) {
+	private @Nullable Reservation victim(@Nullable Reservation growing, long bytes) {
 		List<Reservation> candidates = new ArrayList<>();
 		for (Reservation reservation : this.reservations) {
 			if (!reservation.finished && !reservation.shed) {
 				candidates.add(reservation);
 			}
 		}
-		candidates = ofLargest(candidates, (reservation) -> reservation.workspace, requester, bytes);
-		candidates = ofLargest(candidates, (reservation) -> reservation.address, requester, bytes);
+		candidates = ofLargest(candidates, (reservation) -> reservation.workspace, growing, bytes);
+		candidates = ofLargest(candidates, (reservation) -> reservation.address, growing, bytes);
 		Reservation newest = null;
 		Reservation newestLarge = null;
 		for (Reservation candidate : candidates) {
 			newest = candidate;
-			if (candidate.bytes() + ((candidate == requester) ? bytes : 0) > SMALL_BYTES) {
+			if (candidate.bytes() + ((candidate == growing) ? bytes : 0) > SMALL_BYTES) {
 				newestLarge = candidate;
 			}
 		}
@@ -311,10 +311,10 @@
 
 	// Keeps the candidates of the consumer that holds most.
 	private List<Reservation> ofLargest(List<Reservation> candidates, Function<Reservation, String> consumer,
-			@Nullable Reservation requester, long bytes) {
+			@Nullable Reservation growing, long bytes) {
 		Map<String, Long> totals = new HashMap<>();
 		for (Reservation reservation : this.reservations) {
-			totals.merge(consumer.apply(reservation), reservation.bytes() + ((reservation == requester) ? bytes : 0),
+			totals.merge(consumer.apply(reservation), reservation.bytes() + ((reservation == growing) ? bytes : 0),
 					Long::sum);
 		}
 		long most = -1;
