--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/MemoryAccount.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/MemoryAccount.java
@@ -287,7 +287,8 @@
 	}
 
 	// Returns the newest unfinished reservation of the largest consumer, with those
-	// bytes that the growing one asks for; null if there is none. Within a consumer, small
+	// bytes that the growing one asks for; null if there is none. Within a consumer,
+	// small
 	// reservations are spared while it has larger ones.
 	private @Nullable Reservation victim(@Nullable Reservation growing, long bytes) {
 		List<Reservation> candidates = new ArrayList<>();
