Order the review cases by gravity

The late copy of a 422 becomes case 8, the clock steps become case 9 and the removed route becomes case 10. The stand-ins start processes again that end by themselves, and kill all of them when a script ends.

--- a/review/6/run.sh
+++ b/review/8/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# Usage: review/6/run.sh; TROUBLE=0 runs it without the disruption. Needs review/build-2.sh.
+# Usage: review/8/run.sh; TROUBLE=0 runs it without the disruption. Needs review/build-2.sh.
 cd "$(dirname "${BASH_SOURCE[0]}")/../.."
-exec java -Xmx256m -cp review/target/cases-2 ExtraAnswer review/6/record.txt
+exec java -Xmx256m -cp review/target/cases-2 ExtraAnswer review/8/record.txt
--- a/review/common-2/Deployment.java
+++ b/review/common-2/Deployment.java
@@ -5,6 +5,8 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
@@ -41,6 +43,9 @@
 
 	private static final long START_MILLIS = 30_000;
 
+	// The platform starts a process that has ended again after a short delay.
+	private static final long RESTART_MILLIS = 500;
+
 	private final String network;
 
 	private final Path folder;
@@ -49,10 +54,15 @@
 
 	private final List<Host> hosts = new ArrayList<>();
 
+	private final Map<String, Integer> ends = new ConcurrentHashMap<>();
+
+	private boolean closed;
+
 	Deployment(Record record) throws IOException {
 		this.record = record;
 		this.network = freeNetwork();
 		this.folder = Files.createTempDirectory("review");
+		Runtime.getRuntime().addShutdownHook(new Thread(this::killAll));
 	}
 
 	// Chooses loopback addresses whose ports are free.
@@ -112,6 +122,45 @@
 		}
 	}
 
+	// Starts each process again that ends by itself, as the platform does.
+	void keepRunning() {
+		this.hosts.forEach((host) -> Server.thread(() -> keepRunning(host)));
+	}
+
+	// Returns how often the process of each host has ended by itself; hosts where this did
+	// not happen are missing.
+	Map<String, Integer> ends() {
+		return Map.copyOf(this.ends);
+	}
+
+	// Returns whether on a number of machines processes ended by themselves a number of
+	// times.
+	boolean haveEnded(int machines, int times) {
+		return this.ends.values().stream().filter((count) -> count >= times).count() >= machines;
+	}
+
+	private void keepRunning(Host host) {
+		while (!isClosed()) {
+			Platform.pause(100);
+			if (!host.process.isAlive() && !isClosed()) {
+				this.ends.merge(host.name, 1, Integer::sum);
+				this.record.line("the process of %s ended by itself with exit code %d: %s", host.name,
+						host.process.exitValue(), host.lastError());
+				Platform.pause(RESTART_MILLIS);
+				try {
+					host.start();
+				}
+				catch (IOException ex) {
+					this.record.line("%s cannot be started: %s", host.name, ex);
+				}
+			}
+		}
+	}
+
+	private synchronized boolean isClosed() {
+		return this.closed;
+	}
+
 	private String settings(Host host, Platform platform) {
 		return """
 				node = "%1$s"
@@ -209,9 +258,7 @@
 
 	@Override
 	public void close() throws IOException {
-		for (Host host : this.hosts) {
-			host.kill();
-		}
+		killAll();
 		try (Stream<Path> files = Files.list(this.folder)) {
 			for (Path file : files.toList()) {
 				Files.delete(file);
@@ -220,6 +267,11 @@
 		Files.delete(this.folder);
 	}
 
+	private synchronized void killAll() {
+		this.closed = true;
+		this.hosts.forEach(Host::kill);
+	}
+
 	/** A process of the project. */
 	final class Host {
 
@@ -242,6 +294,14 @@
 		}
 
 		void start() throws IOException {
+			synchronized (Deployment.this) {
+				if (!Deployment.this.closed) {
+					startProcess();
+				}
+			}
+		}
+
+		private void startProcess() throws IOException {
 			ProcessBuilder builder = new ProcessBuilder(command()).redirectErrorStream(true)
 				.redirectOutput(ProcessBuilder.Redirect.appendTo(this.log.toFile()));
 			builder.environment().put("BAMBOORELAY_SETTINGS", this.settings.toString());
@@ -261,6 +321,19 @@
 			return Files.readString(this.log);
 		}
 
+		// Returns the line that the process wrote before it ended by itself.
+		private String lastError() {
+			try {
+				return log().lines()
+					.filter((line) -> line.contains("process-ending"))
+					.reduce((one, next) -> next)
+					.orElse("no line in its log");
+			}
+			catch (IOException ex) {
+				return ex.toString();
+			}
+		}
+
 		void kill() {
 			this.process.destroyForcibly();
 			try {
