--- a/review/common-2/Engine.java
+++ b/review/common-2/Engine.java
@@ -174,25 +174,36 @@
 		// Streams the events of an item, from the one after Last-Event-Id on.
 		void stream(Message request, int events, int eventBytes, long eventMillis) throws IOException {
 			String after = request.header("Last-Event-Id");
+			this.out.write(streamHead(request));
+			for (int event = (after != null) ? Integer.parseInt(after) + 1 : 1; event <= events; event++) {
+				Platform.pause(eventMillis);
+				chunk(this.out, "id: " + event + "\ndata: " + data(request.header("X-Request-Id"), event, eventBytes)
+						+ "\n\n");
+			}
+			lastChunk(this.out);
+		}
+
+		byte[] streamHead(Message request) {
 			Message head = new Message("HTTP/1.1 200 OK");
 			head.headers.add(new String[] { "X-Request-Id", request.header("X-Request-Id") });
 			head.headers.add(new String[] { "X-Server-Seal", seal(request) });
 			head.headers.add(new String[] { "X-Weight-Versions", Long.toString(this.engine.version()) });
 			head.headers.add(new String[] { "Content-Type", "text/event-stream" });
 			head.headers.add(new String[] { "Transfer-Encoding", "chunked" });
-			this.out.write(head.head());
-			for (int event = (after != null) ? Integer.parseInt(after) + 1 : 1; event <= events; event++) {
-				Platform.pause(eventMillis);
-				byte[] bytes = ("id: " + event + "\ndata: " + data(request.header("X-Request-Id"), event, eventBytes)
-						+ "\n\n")
-					.getBytes(StandardCharsets.UTF_8);
-				this.out.write((Integer.toHexString(bytes.length) + "\r\n").getBytes(StandardCharsets.US_ASCII));
-				this.out.write(bytes);
-				this.out.write("\r\n".getBytes(StandardCharsets.US_ASCII));
-				this.out.flush();
-			}
-			this.out.write("0\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
-			this.out.flush();
+			return head.head();
+		}
+
+		static void chunk(OutputStream out, String text) throws IOException {
+			byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+			out.write((Integer.toHexString(bytes.length) + "\r\n").getBytes(StandardCharsets.US_ASCII));
+			out.write(bytes);
+			out.write("\r\n".getBytes(StandardCharsets.US_ASCII));
+			out.flush();
+		}
+
+		static void lastChunk(OutputStream out) throws IOException {
+			out.write("0\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+			out.flush();
 		}
 
 		// The data of an event; the same at each sampler.
