Compare the ids of all responses, in one place

A late second copy of a 422, which carried the id of the first item, was read where the response to the next item on the connection was expected.

Cause: whose response it is was decided in three places with three rules. ItemRunner compared the id of a success only, StreamRelay looked at "not executed" before the id, and EndpointClient compared all of them but recorded what a foreign response announced. Orders of weights and calls for an engine's state send no id, so nothing was compared there, and the engine client of bamboorelay-entry took a foreign refusal as its own. Ruled out: reuse of the connection with a wrong recorded id, and counting for the wrong item after the response was read.

The connection pool now compares the ids before anyone reads the status, and closes the connection of a foreign response. Requests, streams, items and score calls go through EndpointExchanges, which also requires the id and the seal of a success and records announcements of accepted responses only. A 421 comes from another endpoint, so its announcements are not recorded for the expected one.

--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/EntryProcess.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/process/EntryProcess.java
@@ -81,7 +81,9 @@
 
 	private final ScheduledExecutorService timers;
 
-	private final HttpConnectionPool pool = new HttpConnectionPool();
+	private final HttpConnectionPool pool = HttpConnectionPool.builder()
+		.requestIdHeader(HttpEngineClient.REQUEST_ID_HEADER)
+		.build();
 
 	private final LiveConfiguration configuration;
 
--- a/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/PlainRoute.java
+++ b/bamboorelay-entry/src/main/java/org/bamboorelay/entry/request/PlainRoute.java
@@ -224,6 +224,9 @@
 					endpointRequest(id), this.idempotent, PlainRoute.this.readTimeoutMillis);
 			if (opened.isLeft()) {
 				credit.end(Credit.Outcome.FAILED, 0, 0);
+				if (opened.getLeft() instanceof HttpFailure.Mismatched) {
+					PlainRoute.this.counters.counter("answers_crossed_total").inc();
+				}
 				return Either.left(FailedAttempt.of(opened.getLeft()));
 			}
 			long firstByteMillis = Math.max(1, (System.nanoTime() - startedNanos) / 1_000_000L);
--- a/bamboorelay-entry/src/test/java/org/bamboorelay/entry/connection/EngineStreamTests.java
+++ b/bamboorelay-entry/src/test/java/org/bamboorelay/entry/connection/EngineStreamTests.java
@@ -74,6 +74,15 @@
 		assertThat(response("503 Busy", "X-Not-Run: no\r\n").getLeft()).isInstanceOf(EngineFailure.Truncated.class);
 	}
 
+	/** Guards against a refusal of another request that restarts a running one. */
+	@Test
+	void errorStatusOfAnotherRequestIsNoRefusal() throws IOException {
+		String id = "X-Request-Id: another\r\n";
+		assertThat(response("503 Busy", "X-Not-Run: true\r\n" + id).getLeft())
+			.isInstanceOf(EngineFailure.Truncated.class);
+		assertThat(response("422 Unprocessable", id).getLeft()).isInstanceOf(EngineFailure.Truncated.class);
+	}
+
 	@Test
 	void requestIsCancelledAtTheEngineWhenTheListenerReturnsFalse() throws Exception {
 		try (RawEndpoint engine = new RawEndpoint((request, count) -> RawEndpoint.stream(request, FIRST + LAST, true));
@@ -138,7 +147,10 @@
 
 	private Either<EngineFailure, EngineClient.Finish> run(RawEndpoint.Responder responder) throws IOException {
 		this.events.clear();
-		try (RawEndpoint engine = new RawEndpoint(responder); HttpConnectionPool pool = new HttpConnectionPool()) {
+		try (RawEndpoint engine = new RawEndpoint(responder);
+				HttpConnectionPool pool = HttpConnectionPool.builder()
+					.requestIdHeader(HttpEngineClient.REQUEST_ID_HEADER)
+					.build()) {
 			return HttpEngineClient.of(pool, Runnable::run).stream(engine.address(), request(), (event) -> {
 				this.events.add(event);
 				return true;
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/EndpointResponse.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/EndpointResponse.java
@@ -15,6 +15,7 @@
  * @param status the status code
  * @param id the request id echoed by the endpoint; null if it echoed none
  * @param notExecuted whether the endpoint reports that it did not execute the request
+ * @param misdirected whether an endpoint other than the expected one responded
  * @param leaving whether the endpoint reports that it is leaving and must get no further
  * requests
  * @param requestsPerSecond the requests per second that the endpoint takes from all hosts
@@ -26,9 +27,9 @@
  * none
  * @param forwardedHeaders the headers to forward to the caller, including the seal
  */
-public record EndpointResponse(int status, @Nullable String id, boolean notExecuted, boolean leaving,
-		double requestsPerSecond, @Nullable ReportedLoad load, @Nullable String seal, long weightVersion,
-		List<Header> forwardedHeaders) {
+public record EndpointResponse(int status, @Nullable String id, boolean notExecuted, boolean misdirected,
+		boolean leaving, double requestsPerSecond, @Nullable ReportedLoad load, @Nullable String seal,
+		long weightVersion, List<Header> forwardedHeaders) {
 
 	public EndpointResponse {
 		Objects.requireNonNull(forwardedHeaders, "forwardedHeaders");
@@ -42,4 +43,15 @@
 		return this.status >= 200 && this.status < 300;
 	}
 
+	/**
+	 * Returns whether the response proves that it answers a request, if its status
+	 * requires that.
+	 * @param requestId the id of the request
+	 * @return false for a success without this id or without a seal; true for others,
+	 * because an endpoint may refuse or fail a request without either of them
+	 */
+	public boolean isProven(String requestId) {
+		return !isSuccess() || this.notExecuted || (requestId.equals(this.id) && this.seal != null);
+	}
+
 }
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -60,6 +60,7 @@
 import org.bamboorelay.host.request.CallerRequestHandler;
 import org.bamboorelay.host.request.EndpointAcquirer;
 import org.bamboorelay.host.request.EndpointClient;
+import org.bamboorelay.host.request.EndpointExchanges;
 import org.bamboorelay.host.request.EndpointNotices;
 import org.bamboorelay.host.request.HedgedCalls;
 import org.bamboorelay.host.request.ItemRunner;
@@ -265,6 +266,7 @@
 		registerPlacementCounts();
 		EndpointNotices notices = new EndpointNotices(this.table, this.poisonRequests,
 				options.schedulingOrDefaults().reportedPlacement(), this.mesh::publish, this.log);
+		EndpointExchanges exchanges = new EndpointExchanges(endpoints, pool, notices, this.counters);
 		PoisonGuard poisonGuard = new PoisonGuard(this.poisonRequests, this.table, this.mesh::publish, this.counters,
 				this.log);
 		registerPoisonReports();
@@ -278,9 +280,9 @@
 				: null;
 		this.acquirer = new EndpointAcquirer(this.table, rateSlots, this.routing::get,
 				new SplittableRandom(ThreadLocalRandom.current().nextLong()), this.clock, this.counters, this.log);
-		EndpointClient endpointClient = EndpointClient.of(this.table, this.acquirer, poisonGuard, notices, endpoints,
-				pool, this.clock, this.counters, this.log, this.hedgedCalls);
-		ItemRunner itemRunner = new ItemRunner(this.table, notices, endpoints, pool, endpointClient, this.routing::get,
+		EndpointClient endpointClient = EndpointClient.of(this.table, this.acquirer, poisonGuard, exchanges, this.clock,
+				this.counters, this.log, this.hedgedCalls);
+		ItemRunner itemRunner = new ItemRunner(this.table, endpoints, exchanges, endpointClient, this.routing::get,
 				this.clock, this.counters, this.log);
 		SubmissionStore submissions = SubmissionStore.of(this.store);
 		this.runner = new SubmissionRunner(settings.host(), submissions, this.table, rateSlots, itemRunner,
@@ -290,8 +292,8 @@
 		this.directory.onSilentOwner(this.isolation::onSilentHostActive);
 		SubmissionHandler submissionHandler = new SubmissionHandler(settings.host(), callers, submissions,
 				this.directory, this.runner, this.log);
-		StreamRelay streamRelay = new StreamRelay(this.table, this.acquirer, poisonGuard, notices, endpoints, pool,
-				this.usage, this.clock, this.log);
+		StreamRelay streamRelay = new StreamRelay(this.table, this.acquirer, poisonGuard, exchanges, this.usage,
+				this.clock, this.log);
 		this.callerLimiter = new CallerLimiter(settings, options, this.routing::get, this.clock, this.counters,
 				this.log);
 		this.callerRequestHandler = new CallerRequestHandler(this.routing::get, callers, endpointClient, streamRelay,
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointClient.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointClient.java
@@ -7,12 +7,10 @@
 import io.vavr.control.Either;
 import org.bamboorelay.core.process.EndpointTable;
 import org.bamboorelay.core.time.Clock;
-import org.bamboorelay.host.connection.EndpointProtocol;
 import org.bamboorelay.host.connection.EndpointRequest;
 import org.bamboorelay.host.connection.EndpointResponse;
 import org.bamboorelay.host.process.EventLog;
 import org.bamboorelay.runtime.connection.ExchangeOptions;
-import org.bamboorelay.runtime.connection.HttpConnectionPool;
 import org.bamboorelay.runtime.connection.HttpExchange;
 import org.bamboorelay.runtime.connection.HttpFailure;
 import org.bamboorelay.runtime.connection.HttpLimits;
@@ -54,11 +52,7 @@
 
 	private final PoisonGuard poisonGuard;
 
-	private final EndpointNotices notices;
-
-	private final EndpointProtocol protocol;
-
-	private final HttpConnectionPool pool;
+	private final EndpointExchanges exchanges;
 
 	private final Clock clock;
 
@@ -69,13 +63,11 @@
 	private final @Nullable HedgedCalls hedgedCalls;
 
 	private EndpointClient(EndpointTable table, EndpointAcquirer acquirer, PoisonGuard poisonGuard,
-			EndpointNotices notices, EndpointProtocol protocol, HttpConnectionPool pool, Clock clock, Counters counters,
-			EventLog log, @Nullable HedgedCalls hedgedCalls) {
+			EndpointExchanges exchanges, Clock clock, Counters counters, EventLog log,
+			@Nullable HedgedCalls hedgedCalls) {
 		this.table = Objects.requireNonNull(table, "table");
 		this.poisonGuard = Objects.requireNonNull(poisonGuard, "poisonGuard");
-		this.notices = Objects.requireNonNull(notices, "notices");
-		this.protocol = Objects.requireNonNull(protocol, "protocol");
-		this.pool = Objects.requireNonNull(pool, "pool");
+		this.exchanges = Objects.requireNonNull(exchanges, "exchanges");
 		this.clock = Objects.requireNonNull(clock, "clock");
 		this.counters = Objects.requireNonNull(counters, "counters");
 		this.log = Objects.requireNonNull(log, "log");
@@ -88,9 +80,7 @@
 	 * @param table the table of endpoints
 	 * @param acquirer acquires slots at endpoints, shared by all requests of the process
 	 * @param poisonGuard refuses requests that crash endpoints
-	 * @param notices records what endpoints announce in their responses
-	 * @param protocol encodes requests to endpoints and decodes their responses
-	 * @param pool the connections to endpoints
+	 * @param exchanges sends requests to single endpoints
 	 * @param clock the monotonic clock of the process
 	 * @param counters the metrics of the process
 	 * @param log the log of the process
@@ -98,10 +88,9 @@
 	 * @return the client
 	 */
 	public static EndpointClient of(EndpointTable table, EndpointAcquirer acquirer, PoisonGuard poisonGuard,
-			EndpointNotices notices, EndpointProtocol protocol, HttpConnectionPool pool, Clock clock, Counters counters,
-			EventLog log, @Nullable HedgedCalls hedgedCalls) {
-		return new EndpointClient(table, acquirer, poisonGuard, notices, protocol, pool, clock, counters, log,
-				hedgedCalls);
+			EndpointExchanges exchanges, Clock clock, Counters counters, EventLog log,
+			@Nullable HedgedCalls hedgedCalls) {
+		return new EndpointClient(table, acquirer, poisonGuard, exchanges, clock, counters, log, hedgedCalls);
 	}
 
 	/**
@@ -163,28 +152,20 @@
 		try {
 			EndpointRequest call = new EndpointRequest(request.id(), request.method(), request.host(), request.path(),
 					request.headers(), request.workspace(), grant.id(), remainingMillis, 0, request.body());
-			Either<HttpFailure, HttpExchange> result = this.pool.execute(grant.address(),
-					this.protocol.encodeRequest(call),
+			Either<HttpFailure, EndpointExchanges.EndpointExchange> result = this.exchanges.open(grant, call,
 					ExchangeOptions.of(request.idempotent(), (int) Math.min(Integer.MAX_VALUE, remainingMillis))
-						.withTag(request.id())
 						.withTotalTimeoutMillis(remainingMillis)
 						.withReusedHeadTimeoutMillis(Math.max(MIN_REUSED_CONNECTION_WAIT_MILLIS,
 								(long) (remainingMillis * REUSED_CONNECTION_WAIT_SHARE))),
-					observer::onConnecting, observer::onConnected);
+					observer);
 			if (result.isLeft()) {
 				if (this.clock.millis() >= request.deadlineMillis()) {
 					outcome = EndpointTable.Outcome.OUT_OF_TIME;
 				}
 				return failedAttempt(request, grant, observer, result.getLeft(), start);
 			}
-			try (HttpExchange exchange = result.get()) {
-				EndpointResponse response = this.protocol.decodeHead(exchange.response());
-				this.notices.onResponse(grant, response);
-				if (isIdMismatch(response, request.id())) {
-					exchange.abort();
-					return failedAttempt(request, grant, observer,
-							new HttpFailure.Broken("response carries the id of another request"), start);
-				}
+			EndpointResponse response = result.get().response();
+			try (HttpExchange exchange = result.get().http()) {
 				Either<HttpFailure, byte[]> body = exchange.readFully(HttpLimits.MAX_RESPONSE_BYTES);
 				observer.onResponseRead();
 				if (response.notExecuted()) {
@@ -196,10 +177,6 @@
 				if (body.isLeft()) {
 					return failedAttempt(request, grant, observer, body.getLeft(), start);
 				}
-				if (response.isSuccess() && response.seal() == null) {
-					return failedAttempt(request, grant, observer,
-							new HttpFailure.Broken("successful response without a server seal"), start);
-				}
 				outcome = EndpointTable.Outcome.SERVED;
 				this.poisonGuard.onServed(request);
 				return new CallResult.Responded(response, body.get());
@@ -212,11 +189,6 @@
 		}
 	}
 
-	// Some error responses carry no request id, but every successful one does.
-	private static boolean isIdMismatch(EndpointResponse response, String id) {
-		return (response.id() != null) ? !response.id().equals(id) : response.isSuccess();
-	}
-
 	private CallResult failedAttempt(ServiceRequest request, EndpointTable.Grant grant, AttemptObserver observer,
 			HttpFailure failure, long start) {
 		if (observer.isCancelled()) {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointNotices.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/EndpointNotices.java
@@ -47,9 +47,13 @@
 	/**
 	 * Records the announcements of a response.
 	 * @param grant the grant of the request
-	 * @param response the head of the response
+	 * @param response the head of the response to that request
 	 */
 	void onResponse(EndpointTable.Grant grant, EndpointResponse response) {
+		if (response.misdirected()) {
+			// What another endpoint announces does not concern the endpoint of the grant.
+			return;
+		}
 		this.detector.onSignOfLife(grant.id(), grant.startedAtMillis(), grant.grantedAtMillis());
 		this.table.onLeavingAnnounced(grant.id(), grant.startedAtMillis(), response.leaving());
 		if (this.usesReportedLoad && response.load() != null && this.table.onLoadReported(grant, response.load())) {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ItemRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/ItemRunner.java
@@ -30,7 +30,6 @@
 import org.bamboorelay.host.connection.PromptTokens;
 import org.bamboorelay.host.process.EventLog;
 import org.bamboorelay.runtime.connection.ExchangeOptions;
-import org.bamboorelay.runtime.connection.HttpConnectionPool;
 import org.bamboorelay.runtime.connection.HttpExchange;
 import org.bamboorelay.runtime.connection.HttpFailure;
 import org.bamboorelay.runtime.process.Counters;
@@ -81,11 +80,9 @@
 
 	private final LengthEstimate lengths = new LengthEstimate();
 
-	private final EndpointNotices notices;
-
 	private final EndpointProtocol protocol;
 
-	private final HttpConnectionPool pool;
+	private final EndpointExchanges exchanges;
 
 	private final EndpointClient endpointClient;
 
@@ -100,22 +97,20 @@
 	/**
 	 * Creates a runner.
 	 * @param table the table of endpoints
-	 * @param notices records what endpoints announce in their responses
-	 * @param protocol encodes requests to endpoints and decodes their responses
-	 * @param pool the connections to endpoints
+	 * @param protocol decodes the headers and events of items
+	 * @param exchanges sends requests to single endpoints
 	 * @param endpointClient makes score calls
 	 * @param routing supplies the current routes; null until they have been read
 	 * @param clock the monotonic clock of the process
 	 * @param counters the metrics of the process
 	 * @param log the log of the process
 	 */
-	public ItemRunner(EndpointTable table, EndpointNotices notices, EndpointProtocol protocol, HttpConnectionPool pool,
+	public ItemRunner(EndpointTable table, EndpointProtocol protocol, EndpointExchanges exchanges,
 			EndpointClient endpointClient, Supplier<@Nullable RoutingTable> routing, Clock clock, Counters counters,
 			EventLog log) {
 		this.table = Objects.requireNonNull(table, "table");
-		this.notices = Objects.requireNonNull(notices, "notices");
 		this.protocol = Objects.requireNonNull(protocol, "protocol");
-		this.pool = Objects.requireNonNull(pool, "pool");
+		this.exchanges = Objects.requireNonNull(exchanges, "exchanges");
 		this.endpointClient = Objects.requireNonNull(endpointClient, "endpointClient");
 		this.routing = Objects.requireNonNull(routing, "routing");
 		this.clock = Objects.requireNonNull(clock, "clock");
@@ -202,22 +197,15 @@
 				run.after(), ByteBuffer.wrap(item.body()))
 			.withPriority(EnginePriority.ofItem(hasPriorities(), run.inTime()));
 		this.counters.counter("endpoint_requests_total", "origin", RequestOrigin.ITEM.label()).inc();
-		Either<HttpFailure, HttpExchange> result = this.pool.execute(grant.address(), this.protocol.encodeRequest(call),
-				ExchangeOptions.of(true, EVENT_TIMEOUT_MILLIS)
-					.withTag(item.id())
-					.withTotalTimeoutMillis(EVENT_TIMEOUT_MILLIS),
+		Either<HttpFailure, EndpointExchanges.EndpointExchange> result = this.exchanges.open(grant, call,
+				ExchangeOptions.of(true, EVENT_TIMEOUT_MILLIS).withTotalTimeoutMillis(EVENT_TIMEOUT_MILLIS),
 				(abort) -> active.onRunStarted(item.id(), grant.id(), work, abort));
 		if (result.isLeft()) {
 			return new RunOutcome(EndpointTable.Outcome.FAILED, false, false, result.getLeft().code(), 0,
 					result.getLeft().detail());
 		}
-		try (HttpExchange exchange = result.get()) {
-			EndpointResponse response = this.protocol.decodeHead(exchange.response());
-			this.notices.onResponse(grant, response);
-			if (response.isSuccess() && !item.id().equals(response.id())) {
-				exchange.abort();
-				return new RunOutcome(EndpointTable.Outcome.FAILED, false, false, "crossed-answer", 0);
-			}
+		EndpointResponse response = result.get().response();
+		try (HttpExchange exchange = result.get().http()) {
 			if (response.notExecuted()) {
 				exchange.readFully(0xFFFF);
 				return new RunOutcome(EndpointTable.Outcome.REFUSED, false, false, "refused-" + response.status(), 0);
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/StreamRelay.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/StreamRelay.java
@@ -17,13 +17,11 @@
 import org.bamboorelay.core.process.EndpointTable;
 import org.bamboorelay.core.request.EnginePriority;
 import org.bamboorelay.core.time.Clock;
-import org.bamboorelay.host.connection.EndpointProtocol;
 import org.bamboorelay.host.connection.EndpointRequest;
 import org.bamboorelay.host.connection.EndpointResponse;
 import org.bamboorelay.host.process.EventLog;
 import org.bamboorelay.host.process.UsageMeter;
 import org.bamboorelay.runtime.connection.ExchangeOptions;
-import org.bamboorelay.runtime.connection.HttpConnectionPool;
 import org.bamboorelay.runtime.connection.HttpExchange;
 import org.bamboorelay.runtime.connection.HttpFailure;
 import org.bamboorelay.runtime.connection.HttpListener;
@@ -70,11 +68,7 @@
 
 	private final PoisonGuard poisonGuard;
 
-	private final EndpointNotices notices;
-
-	private final EndpointProtocol protocol;
-
-	private final HttpConnectionPool pool;
+	private final EndpointExchanges exchanges;
 
 	private final UsageMeter usage;
 
@@ -87,20 +81,16 @@
 	 * @param table the table of endpoints
 	 * @param acquirer acquires slots at endpoints, shared by all requests of the process
 	 * @param poisonGuard refuses requests that crash endpoints
-	 * @param notices records what endpoints announce in their responses
-	 * @param protocol encodes requests to endpoints and decodes their responses
-	 * @param pool the connections to endpoints
+	 * @param exchanges sends requests to single endpoints
 	 * @param usage counts requests by workspace
 	 * @param clock the monotonic clock of the process
 	 * @param log the log of the process
 	 */
-	public StreamRelay(EndpointTable table, EndpointAcquirer acquirer, PoisonGuard poisonGuard, EndpointNotices notices,
-			EndpointProtocol protocol, HttpConnectionPool pool, UsageMeter usage, Clock clock, EventLog log) {
+	public StreamRelay(EndpointTable table, EndpointAcquirer acquirer, PoisonGuard poisonGuard,
+			EndpointExchanges exchanges, UsageMeter usage, Clock clock, EventLog log) {
 		this.table = Objects.requireNonNull(table, "table");
 		this.poisonGuard = Objects.requireNonNull(poisonGuard, "poisonGuard");
-		this.notices = Objects.requireNonNull(notices, "notices");
-		this.protocol = Objects.requireNonNull(protocol, "protocol");
-		this.pool = Objects.requireNonNull(pool, "pool");
+		this.exchanges = Objects.requireNonNull(exchanges, "exchanges");
 		this.usage = Objects.requireNonNull(usage, "usage");
 		this.clock = Objects.requireNonNull(clock, "clock");
 		this.log = Objects.requireNonNull(log, "log");
@@ -244,13 +234,12 @@
 					afterEvent, this.request.body())
 				.withPriority(EnginePriority.ofCaller(StreamRelay.this.acquirer.hasPriorities()));
 			long headTimeoutMillis = resuming ? this.eventTimeoutMillis : remainingMillis;
-			Either<HttpFailure, HttpExchange> result = StreamRelay.this.pool.execute(grant.address(),
-					StreamRelay.this.protocol.encodeRequest(call),
+			Either<HttpFailure, EndpointExchanges.EndpointExchange> result = StreamRelay.this.exchanges.open(grant,
+					call,
 					ExchangeOptions
 						.of(this.request.idempotent(), (int) Math.min(this.eventTimeoutMillis, headTimeoutMillis))
-						.withTag(this.request.id())
 						.withTotalTimeoutMillis(headTimeoutMillis),
-					this.request.onAbort());
+					this.request.onAbort()::accept);
 			if (result.isLeft()) {
 				this.mayHaveRun |= !(result.getLeft() instanceof HttpFailure.NotSent);
 				StreamRelay.this.log.info("stream-endpoint-failed", "request_id", this.request.id(), "endpoint",
@@ -261,22 +250,17 @@
 				StreamRelay.this.table.release(grant, EndpointTable.Outcome.FAILED);
 				return null;
 			}
-			HttpExchange exchange = result.get();
-			EndpointResponse endpointResponse = StreamRelay.this.protocol.decodeHead(exchange.response());
-			StreamRelay.this.notices.onResponse(grant, endpointResponse);
+			HttpExchange exchange = result.get().http();
+			EndpointResponse endpointResponse = result.get().response();
 			if (endpointResponse.notExecuted()) {
 				exchange.close();
 				StreamRelay.this.table.release(grant, EndpointTable.Outcome.REFUSED);
 				return null;
 			}
 			this.mayHaveRun = true;
-			boolean mismatchedId = (endpointResponse.id() != null) ? !endpointResponse.id().equals(this.request.id())
-					: endpointResponse.isSuccess();
-			if (mismatchedId || (endpointResponse.isSuccess() && endpointResponse.seal() == null)
-					|| (firstResponse != null && !canContinue(firstResponse, endpointResponse))) {
+			if (firstResponse != null && !canContinue(firstResponse, endpointResponse)) {
 				StreamRelay.this.log.info("stream-endpoint-failed", "request_id", this.request.id(), "endpoint",
-						grant.id(), "code", "wrong-answer", "status", endpointResponse.status(), "crossed",
-						mismatchedId);
+						grant.id(), "code", "not-resumed", "status", endpointResponse.status());
 				exchange.close();
 				StreamRelay.this.table.release(grant, EndpointTable.Outcome.FAILED);
 				return null;
--- a/bamboorelay-host/src/test/java/org/bamboorelay/host/request/HedgeRaceTests.java
+++ b/bamboorelay-host/src/test/java/org/bamboorelay/host/request/HedgeRaceTests.java
@@ -114,9 +114,8 @@
 	}
 
 	private static CallResult response(int status) {
-		return new CallResult.Responded(
-				new EndpointResponse(status, "id", false, false, Double.POSITIVE_INFINITY, null, "seal", 0, List.of()),
-				new byte[0]);
+		return new CallResult.Responded(new EndpointResponse(status, "id", false, false, false,
+				Double.POSITIVE_INFINITY, null, "seal", 0, List.of()), new byte[0]);
 	}
 
 }
--- a/bamboorelay-host/src/test/java/org/bamboorelay/host/request/SubmissionDirectoryTests.java
+++ b/bamboorelay-host/src/test/java/org/bamboorelay/host/request/SubmissionDirectoryTests.java
@@ -136,15 +136,16 @@
 		PoisonRequestDetector poisonRequests = PoisonRequestDetector.create(Clock.monotonic());
 		EndpointNotices notices = new EndpointNotices(table, poisonRequests, true, (message) -> {
 		}, this.log);
+		EndpointExchanges exchanges = new EndpointExchanges(protocol, pool, notices, counters);
 		PoisonGuard guard = new PoisonGuard(poisonRequests, table, (message) -> {
 		}, counters, this.log);
 		HostMesh mesh = mesh();
 		RateSlots slots = new RateSlots("host-a", table, mesh, Clock.monotonic(), counters, this.log);
 		EndpointAcquirer acquirer = new EndpointAcquirer(table, slots, () -> this.routes, new SplittableRandom(1),
 				Clock.monotonic(), counters, this.log);
-		EndpointClient caller = EndpointClient.of(table, acquirer, guard, notices, protocol, pool, Clock.monotonic(),
-				counters, this.log, null);
-		ItemRunner items = new ItemRunner(table, notices, protocol, pool, caller, () -> this.routes, Clock.monotonic(),
+		EndpointClient caller = EndpointClient.of(table, acquirer, guard, exchanges, Clock.monotonic(), counters,
+				this.log, null);
+		ItemRunner items = new ItemRunner(table, protocol, exchanges, caller, () -> this.routes, Clock.monotonic(),
 				counters, this.log);
 		return new SubmissionRunner("host-a", SubmissionStore.of(this.inMemoryStore), table, slots, items,
 				this::readRoutes, ItemOrder.AS_SUBMITTED, true, mesh, this.executor, this.log);
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpConnectionPool.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpConnectionPool.java
@@ -7,11 +7,13 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 
 import io.vavr.control.Either;
+import io.vavr.control.Option;
 import jdk.net.ExtendedSocketOptions;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
@@ -32,7 +34,8 @@
 /**
  * HTTP client with a pool of idle connections per address. A connection carries one
  * exchange at a time. Requests are never retried; each failure states whether a byte of
- * the request may have been sent.
+ * the request may have been sent. A response that belongs to another request is never
+ * returned.
  * <p>
  * Thread-safe. The idle connections of each address are guarded by a lock of their own.
  */
@@ -94,6 +97,8 @@
 
 	private final boolean keepAliveProbes;
 
+	private final ResponseMatcher responseMatcher;
+
 	private final MemoryBudget responseMemory;
 
 	private volatile boolean closed;
@@ -103,23 +108,22 @@
 	 * connection is detected while it waits for a response.
 	 */
 	public HttpConnectionPool() {
-		this(true, Runtime.getRuntime().maxMemory() / RESPONSE_MEMORY_DIVISOR);
+		this(builder());
 	}
 
-	HttpConnectionPool(boolean keepAliveProbes, long maxBufferedBytes) {
-		this.keepAliveProbes = keepAliveProbes;
-		this.responseMemory = MemoryBudget.of(maxBufferedBytes);
+	private HttpConnectionPool(Builder builder) {
+		this.keepAliveProbes = builder.keepAliveProbes;
+		this.responseMatcher = ResponseMatcher.of(builder.requestIdHeader);
+		this.responseMemory = MemoryBudget.of(builder.maxBufferedBytes);
 	}
 
 	/**
-	 * Creates a pool whose connections use no TCP keep-alive probes. If failed probes end
-	 * a connection while a request is in transit, the network may still deliver the bytes
-	 * of that request seconds later. If this process resets the connection instead, the
-	 * bytes are discarded.
-	 * @return the pool
+	 * Creates a builder of pools.
+	 * @return the builder, with TCP keep-alive probes and without a header for request
+	 * ids
 	 */
-	public static HttpConnectionPool withoutKeepAliveProbes() {
-		return new HttpConnectionPool(false, Runtime.getRuntime().maxMemory() / RESPONSE_MEMORY_DIVISOR);
+	public static Builder builder() {
+		return new Builder();
 	}
 
 	/**
@@ -198,6 +202,12 @@
 			ClassicHttpResponse response = this.executor.execute(request, connection, context);
 			connection.headReceived();
 			this.lastResponseNanos.put(address, System.nanoTime());
+			Option<HttpFailure> mismatch = this.responseMatcher.mismatch(address, request, response);
+			if (mismatch.isDefined()) {
+				// The response to the request may still arrive on this connection.
+				discard(connection);
+				return Either.left(mismatch.get());
+			}
 			boolean keep = DefaultConnectionReuseStrategy.INSTANCE.keepAlive(request, response, context);
 			return Either.right(new HttpExchange(this, address, connection, response, keep));
 		}
@@ -380,6 +390,67 @@
 		}
 	}
 
+	/**
+	 * Builder of pools.
+	 * <p>
+	 * Not thread-safe.
+	 */
+	public static final class Builder {
+
+		private boolean keepAliveProbes = true;
+
+		private @Nullable String requestIdHeader;
+
+		private long maxBufferedBytes = Runtime.getRuntime().maxMemory() / RESPONSE_MEMORY_DIVISOR;
+
+		private Builder() {
+		}
+
+		/**
+		 * Switches the TCP keep-alive probes off. If failed probes end a connection while
+		 * a request is in transit, the network may still deliver the bytes of that
+		 * request seconds later. If this process resets the connection instead, the bytes
+		 * are discarded.
+		 * @return this builder
+		 */
+		public Builder withoutKeepAliveProbes() {
+			this.keepAliveProbes = false;
+			return this;
+		}
+
+		/**
+		 * Sets the header in which requests carry an id that servers echo in their
+		 * responses. An exchange fails with {@link HttpFailure.Mismatched} if its
+		 * response carries another id than its request, or an id where its request
+		 * carries none. A response without an id is accepted.
+		 * @param name the name of the header
+		 * @return this builder
+		 */
+		public Builder requestIdHeader(String name) {
+			this.requestIdHeader = Objects.requireNonNull(name, "name");
+			return this;
+		}
+
+		/**
+		 * Sets the limit for all responses being buffered concurrently.
+		 * @param bytes the limit in bytes; the default is an eighth of the heap
+		 * @return this builder
+		 */
+		Builder maxBufferedBytes(long bytes) {
+			this.maxBufferedBytes = bytes;
+			return this;
+		}
+
+		/**
+		 * Creates the pool.
+		 * @return a pool without connections
+		 */
+		public HttpConnectionPool build() {
+			return new HttpConnectionPool(this);
+		}
+
+	}
+
 	private record IdleConnection(BoundedConnection connection, long sinceNanos) {
 	}
 
--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpFailure.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/HttpFailure.java
@@ -42,6 +42,19 @@
 		}
 	}
 
+	/**
+	 * The server sent the response to another request, such as a late second copy of an
+	 * earlier one. The request may have been executed; its own response is not read.
+	 *
+	 * @param detail human-readable description
+	 */
+	record Mismatched(String detail) implements HttpFailure {
+		@Override
+		public String code() {
+			return "response-mismatched";
+		}
+	}
+
 	/**
 	 * The response exceeds the size limit.
 	 *
--- a/bamboorelay-runtime/src/test/java/org/bamboorelay/runtime/connection/HttpConnectionPoolTests.java
+++ b/bamboorelay-runtime/src/test/java/org/bamboorelay/runtime/connection/HttpConnectionPoolTests.java
@@ -19,9 +19,12 @@
 
 import io.vavr.control.Either;
 import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
@@ -46,7 +49,7 @@
 	private static final Consumer<Runnable> NO_ABORT = (abort) -> {
 	};
 
-	private final HttpConnectionPool pool = HttpConnectionPool.withoutKeepAliveProbes();
+	private final HttpConnectionPool pool = HttpConnectionPool.builder().withoutKeepAliveProbes().build();
 
 	@AfterEach
 	void close() {
@@ -133,7 +136,7 @@
 
 	@Test
 	void bufferedResponsesShareMemoryLimit() throws IOException {
-		try (HttpConnectionPool small = new HttpConnectionPool(false, 50_000);
+		try (HttpConnectionPool small = HttpConnectionPool.builder().maxBufferedBytes(50_000).build();
 				RawServer server = new RawServer((request, out) -> write(out, answer("b".repeat(40_000))))) {
 			for (int number = 0; number < 3; number++) {
 				try (HttpExchange exchange = small
@@ -145,7 +148,7 @@
 				}
 			}
 		}
-		try (HttpConnectionPool small = new HttpConnectionPool(false, 50_000);
+		try (HttpConnectionPool small = HttpConnectionPool.builder().maxBufferedBytes(50_000).build();
 				RawServer server = new RawServer((request, out) -> write(out, answer("b".repeat(60_000))));
 				HttpExchange exchange = small
 					.execute(server.address(), new BasicClassicHttpRequest("GET", "/"), true, READ_TIMEOUT_MILLIS)
@@ -157,7 +160,7 @@
 	@Test
 	void retainedPartsShareMemoryLimit() throws IOException {
 		// Events in progress were limited one by one, but not together.
-		try (HttpConnectionPool small = new HttpConnectionPool(false, 50_000);
+		try (HttpConnectionPool small = HttpConnectionPool.builder().maxBufferedBytes(50_000).build();
 				RawServer server = new RawServer((request, out) -> write(out, answer("body")));
 				HttpExchange first = get(small, server)) {
 			try (HttpExchange second = get(small, server)) {
@@ -210,6 +213,37 @@
 		}
 	}
 
+	/**
+	 * Guards against a late copy of a response, of any status, that is taken for the
+	 * response to the next request, or whose connection is reused before that response
+	 * arrives.
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "200 OK", "204 None", "304 Same", "422 Unprocessable", "503 Busy" })
+	void responseOfAnotherRequestFailsAndItsConnectionIsClosed(String status) throws IOException {
+		String copy = "HTTP/1.1 " + status + "\r\nX-Id: r1\r\nContent-Length: 0\r\n\r\n";
+		try (HttpConnectionPool matching = HttpConnectionPool.builder().requestIdHeader("X-Id").build();
+				RawServer server = new RawServer((request, out) -> write(out, copy))) {
+			assertThat(execute(matching, server, "r1").get()).isEqualTo(status.substring(0, 3));
+			assertThat(execute(matching, server, "r2").getLeft()).isInstanceOf(HttpFailure.Mismatched.class);
+			assertThat(execute(matching, server, null).getLeft()).as("request without an id")
+				.isInstanceOf(HttpFailure.Mismatched.class);
+			assertThat(server.connections()).isEqualTo(2);
+		}
+	}
+
+	private static Either<HttpFailure, String> execute(HttpConnectionPool pool, RawServer server, @Nullable String id) {
+		BasicClassicHttpRequest request = new BasicClassicHttpRequest("GET", "/");
+		if (id != null) {
+			request.setHeader("X-Id", id);
+		}
+		return pool.execute(server.address(), request, true, READ_TIMEOUT_MILLIS * 10).map((exchange) -> {
+			exchange.readFully(100);
+			exchange.close();
+			return String.valueOf(exchange.response().getCode());
+		});
+	}
+
 	@Test
 	void connectionIsNotReusedForRepeatedTag() throws IOException {
 		// A repeated request has the same tag, so the duplicate looks like its response.
