Reject status lines that no response has

An endpoint that sent status 600 or 999 ended its caller's connection without an answer, and one that sent 101 held the request until its deadline, although it could be repeated elsewhere.

Cause: the HTTP library takes each positive number as a status, waits for a further response after a 101, and fails to build the response to the caller above 599. Status 000, which reached clients of other systems, was looked at with and without a reason phrase, for plain requests, streams, items and score calls: it did no harm here, as the library fails to create a response object for it. The parser of response heads now accepts 100 to 599 other than 101, and the log names what was sent.

--- a/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/CompleteHeads.java
+++ b/bamboorelay-runtime/src/main/java/org/bamboorelay/runtime/connection/CompleteHeads.java
@@ -3,25 +3,40 @@
 import java.io.FilterInputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.util.regex.Pattern;
 
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultHttpRequestParser;
 import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParser;
 import org.apache.hc.core5.http.io.HttpMessageParserFactory;
 import org.apache.hc.core5.http.io.SessionInputBuffer;
+import org.apache.hc.core5.util.CharArrayBuffer;
 
 /**
- * Parsers of message heads that fail if the connection ends inside the head. HttpCore
- * takes such a head for complete, so that the message appears to have no body.
+ * Parsers of message heads that fail if the connection ends inside the head, or if a
+ * status line has no valid status. HttpCore takes an incomplete head for complete, so
+ * that the message appears to have no body, and accepts any positive status.
  * <p>
  * Stateless and thread-safe.
  */
 final class CompleteHeads {
 
+	/** Status codes of HTTP: three digits, of which the first is the class. */
+	private static final Pattern STATUS = Pattern.compile("[1-5][0-9]{2}");
+
+	/**
+	 * Status with which a server leaves HTTP. No request of this process asks for that,
+	 * and HttpCore would wait for a further response.
+	 */
+	private static final String SWITCHING_PROTOCOLS = "101";
+
+	private static final int MAX_REPORTED_LENGTH = 16;
+
 	private CompleteHeads() {
 	}
 
@@ -34,6 +49,12 @@
 				return super.parse(buffer, new HeadInputStream(in, buffer.length() > 0));
 			}
 
+			@Override
+			protected ClassicHttpResponse createMessage(CharArrayBuffer statusLine) throws IOException, HttpException {
+				checkStatus(statusLine);
+				return super.createMessage(statusLine);
+			}
+
 		};
 	}
 
@@ -52,6 +73,15 @@
 		};
 	}
 
+	private static void checkStatus(CharArrayBuffer statusLine) throws ProtocolException {
+		String[] parts = statusLine.toString().trim().split(" +", 3);
+		String status = (parts.length > 1) ? parts[1] : "";
+		if (!STATUS.matcher(status).matches() || status.equals(SWITCHING_PROTOCOLS)) {
+			throw new ProtocolException("response has no valid status: \""
+					+ status.substring(0, Math.min(status.length(), MAX_REPORTED_LENGTH)) + "\"");
+		}
+	}
+
 	/**
 	 * The bytes of one head. A connection that ends before the first byte has no message,
 	 * which is no failure of a head.
