Forward responses without a body, and release their streams

A caller whose endpoint answered with 204 or 304 got 400, which blames the caller and is never retried. Streams that were answered so, or asked for with HEAD, kept their slots at the endpoint for good.

Cause: the response to the caller was built with an empty body, which the HTTP library rejects for these statuses, and the slot of a stream was released only by the code that writes its body. Ruled out: bytes behind the head that are read as the next response; a 304 without such bytes gave the same. Responses are now built in one place for plain requests and streams, without a body for these statuses, and a stream whose body was not asked for is ended after its head.

--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/CallerRequestHandler.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/CallerRequestHandler.java
@@ -245,18 +245,8 @@
 	private void sendResult(CallerRequest head, RouteRule route, CallResult result, long startMillis,
 			HttpListener.Responder responder) throws HttpException, IOException {
 		if (result instanceof CallResult.Responded responded) {
-			ClassicHttpResponse response = new BasicClassicHttpResponse(responded.response().status());
-			ContentType type = null;
-			for (var header : responded.response().forwardedHeaders()) {
-				if (header.getName().equalsIgnoreCase(HttpHeaders.CONTENT_TYPE)) {
-					type = ContentType.parseLenient(header.getValue());
-				}
-				else {
-					response.addHeader(header);
-				}
-			}
-			response.setEntity(new ByteArrayEntity(responded.body(), type));
-			responder.send(response);
+			responder.send(CallerResponses.forward(responded.response(), null,
+					(type) -> new ByteArrayEntity(responded.body(), type)));
 			this.counters.histogram("answer_millis").update(this.clock.millis() - startMillis);
 		}
 		else if (result instanceof CallResult.NotRun notRun) {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/StreamRelay.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/StreamRelay.java
@@ -7,12 +7,10 @@
 import java.util.Set;
 
 import io.vavr.control.Either;
-import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.io.entity.EntityTemplate;
-import org.apache.hc.core5.http.message.BasicClassicHttpResponse;
 import org.apache.hc.core5.io.IOCallback;
 import org.bamboorelay.core.process.EndpointTable;
 import org.bamboorelay.core.request.EnginePriority;
@@ -114,8 +112,16 @@
 		OpenStream first = attempts.open(0, null, monitoredRequest);
 		if (first != null) {
 			this.usage.count((request.workspace() != null) ? request.workspace() : "", System.currentTimeMillis());
-			responder.send(callerResponse(first.endpointResponse(),
-					(out) -> attempts.writeStream(first, monitoredRequest, out)));
+			try {
+				responder
+					.send(CallerResponses.forward(first.endpointResponse(), ContentType.TEXT_EVENT_STREAM, (type) -> {
+						IOCallback<OutputStream> writer = (out) -> attempts.writeStream(first, monitoredRequest, out);
+						return new EntityTemplate(-1, type, null, writer);
+					}));
+			}
+			finally {
+				attempts.abandonUnlessWritten(first);
+			}
 			return true;
 		}
 		if (monitoredRequest.end()) {
@@ -133,22 +139,6 @@
 		return false;
 	}
 
-	private static ClassicHttpResponse callerResponse(EndpointResponse endpointResponse,
-			IOCallback<OutputStream> writer) {
-		ClassicHttpResponse response = new BasicClassicHttpResponse(endpointResponse.status());
-		ContentType type = ContentType.TEXT_EVENT_STREAM;
-		for (var header : endpointResponse.forwardedHeaders()) {
-			if (header.getName().equalsIgnoreCase(HttpHeaders.CONTENT_TYPE)) {
-				type = ContentType.parseLenient(header.getValue());
-			}
-			else {
-				response.addHeader(header);
-			}
-		}
-		response.setEntity(new EntityTemplate(-1, type, null, writer));
-		return response;
-	}
-
 	private static boolean canContinue(EndpointResponse first, EndpointResponse next) {
 		return next.isSuccess() && contentType(next).equalsIgnoreCase(contentType(first));
 	}
@@ -184,6 +174,8 @@
 
 		private boolean mayHaveRun;
 
+		private boolean written;
+
 		private CallResult.NotRun refusal = new CallResult.NotRun("endpoint-refused", RETRY_AFTER_MILLIS);
 
 		private Attempts(ServiceRequest request, long goalMillis) {
@@ -268,10 +260,22 @@
 			return new OpenStream(grant, endpointResponse, exchange, suspect);
 		}
 
+		// Ends a stream whose body was not requested: its response has no body, or the
+		// head
+		// could not be sent.
+		private void abandonUnlessWritten(OpenStream openStream) {
+			if (!this.written) {
+				openStream.exchange().close();
+				StreamRelay.this.poisonGuard.onDone(openStream.grant(), openStream.suspect());
+				StreamRelay.this.table.release(openStream.grant(), EndpointTable.Outcome.ABANDONED);
+			}
+		}
+
 		// Writes the stream to its end, resuming it on other endpoints where possible.
 		// Throws if the end is not reached, so that the stream does not appear complete.
 		private void writeStream(OpenStream first, CallerMonitor.MonitoredRequest monitoredRequest, OutputStream out)
 				throws IOException {
+			this.written = true;
 			EventFramer framer = new EventFramer();
 			OpenStream currentStream = first;
 			while (true) {
