Decode submissions within a bound on memory

Cause: only the body was reserved. Its tree, the items and their stored form take several times as much, and the size was compared with the limit of an object in the store after all of them had been built. Ruled out: the body itself; the account has room for it.

--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/CallerProtocol.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/connection/CallerProtocol.java
@@ -6,7 +6,6 @@
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.bamboorelay.core.request.ItemResult;
 import org.bamboorelay.core.request.Submission;
-import org.bamboorelay.runtime.request.JsonFailure;
 
 /**
  * Encoding of callers' requests and of the responses to them.
@@ -23,13 +22,16 @@
 	CallerRequest decodeHead(ClassicHttpRequest request);
 
 	/**
-	 * Decodes a submission.
+	 * Decodes a submission. Needs memory for the part that fits into the maximum size
+	 * only, however large the body is.
 	 * @param head the head of the request
 	 * @param workspace the workspace of the caller
 	 * @param body the body of the request
-	 * @return the submission, or the reason why it is invalid
+	 * @param maxBytes the maximum size of the submission as it is stored, in bytes
+	 * @return the submission, or the reason why it is not accepted
 	 */
-	Either<JsonFailure, Submission> decodeSubmission(CallerRequest head, String workspace, byte[] body);
+	Either<SubmissionFailure, Submission> decodeSubmission(CallerRequest head, String workspace, byte[] body,
+			long maxBytes);
 
 	/**
 	 * Decodes a call on an existing submission.
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/CallerRequestHandler.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/CallerRequestHandler.java
@@ -20,6 +20,7 @@
 import org.bamboorelay.core.process.MemoryAccount;
 import org.bamboorelay.core.request.RequestOrigin;
 import org.bamboorelay.core.request.ShutdownAdmission;
+import org.bamboorelay.core.store.WatchableStore;
 import org.bamboorelay.core.time.Clock;
 import org.bamboorelay.core.version.KeyHash;
 import org.bamboorelay.core.version.RouteKind;
@@ -69,6 +70,12 @@
 	 */
 	private static final long SUBMISSION_CALL_MILLIS = 3_000;
 
+	/**
+	 * Copies of a submission in memory while it is stored, of at most its maximum size:
+	 * the items, their stored form, and the request to the store as text and as bytes.
+	 */
+	private static final long DECODED_SUBMISSION_COPIES = 4;
+
 	/** Name under which the durations of calls on submissions are recorded. */
 	private static final String SUBMISSION_CALLS = "";
 
@@ -173,7 +180,10 @@
 			if (refuseUnless(this.shutdownAdmission.admits(SUBMISSION_CALLS, SUBMISSION_CALL_MILLIS), head,
 					responder)) {
 				RequestBody body = readBody(request, responder, head, table);
-				Option<byte[]> bytes = (body != null) ? body.exactBytes() : Option.none();
+				Option<byte[]> bytes = (body != null)
+						? body.exactBytes()
+							.filter((exact) -> responder.reservation().reserve(decodedBytes(exact.length)))
+						: Option.none();
 				if (bytes.isDefined()) {
 					this.submissionHandler.accept(head, workspace.get(), route.get(), bytes.get(), responder);
 					this.shutdownAdmission.onServed(SUBMISSION_CALLS, this.clock.millis() - startMillis);
@@ -196,6 +206,11 @@
 		}
 	}
 
+	// Returns the memory for a submission beside its body while it is stored.
+	private static long decodedBytes(int bodyBytes) {
+		return DECODED_SUBMISSION_COPIES * Math.min(bodyBytes, WatchableStore.MAX_VALUE_BYTES);
+	}
+
 	private boolean admits(RouteRule route, long allowedMillis) {
 		return (route.kind() == RouteKind.EVENT_STREAM)
 				? this.shutdownAdmission.admitsStream(route.name(), allowedMillis)
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionHandler.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionHandler.java
@@ -16,15 +16,16 @@
 import org.bamboorelay.core.request.Submission;
 import org.bamboorelay.core.request.SubmissionItem;
 import org.bamboorelay.core.store.StoreFailure;
+import org.bamboorelay.core.store.WatchableStore;
 import org.bamboorelay.core.version.RouteRule;
 import org.bamboorelay.host.connection.CallerProtocol;
 import org.bamboorelay.host.connection.CallerRequest;
 import org.bamboorelay.host.connection.SubmissionCall;
+import org.bamboorelay.host.connection.SubmissionFailure;
 import org.bamboorelay.host.process.EventLog;
 import org.bamboorelay.host.version.SubmissionRecord;
 import org.bamboorelay.host.version.SubmissionStore;
 import org.bamboorelay.runtime.connection.HttpListener;
-import org.bamboorelay.runtime.request.JsonFailure;
 
 /**
  * Accepts submissions, and handles the calls that read, query or end them.
@@ -100,10 +101,18 @@
 	 */
 	public void accept(CallerRequest head, String workspace, RouteRule route, byte[] body,
 			HttpListener.Responder responder) throws HttpException, IOException {
-		Either<JsonFailure, Submission> read = this.protocol.decodeSubmission(head, workspace, body);
+		Either<SubmissionFailure, Submission> read = this.protocol.decodeSubmission(head, workspace, body,
+				WatchableStore.MAX_VALUE_BYTES);
 		if (read.isLeft()) {
-			this.log.info("submission-rejected", "request_id", head.id(), "detail", read.getLeft().detail());
-			responder.send(STATUS_BAD_REQUEST, "text/plain", "bad-submission");
+			SubmissionFailure failure = read.getLeft();
+			this.log.info("submission-rejected", "request_id", head.id(), "code", failure.code(), "bytes", body.length,
+					"detail", failure.detail());
+			if (failure instanceof SubmissionFailure.TooLarge) {
+				responder.send(CallerRequestHandler.refusal(failure.code(), RETRY_AFTER_MILLIS));
+			}
+			else {
+				responder.send(STATUS_BAD_REQUEST, "text/plain", failure.code());
+			}
 			return;
 		}
 		Submission submission = read.get();
