Bound the results that are kept of other hosts' submissions

Cause: what a host had read of a submission that another host runs was kept until the record of the submission was removed from the store. Ruled out: responses to slow readers, and results of the host's own submissions. ResultCache keeps an eighth of the heap and drops the pages that were not used for the longest time; their positions stay known, and a dropped page is read again with one call.

--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionDirectory.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionDirectory.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.ConcurrentHashMap;
@@ -15,6 +16,7 @@
 import org.bamboorelay.core.connection.PeerMessage;
 import org.bamboorelay.core.process.RendezvousHash;
 import org.bamboorelay.core.request.ItemResult;
+import org.bamboorelay.core.request.ResultCache;
 import org.bamboorelay.core.request.ResultLog;
 import org.bamboorelay.core.request.Submission;
 import org.bamboorelay.core.store.StoreFailure;
@@ -47,6 +49,12 @@
 	/** Maximum amount of text in one response, in characters. */
 	private static final int MAX_RESPONSE_CHARACTERS = 700_000;
 
+	/**
+	 * Divisor of the maximum heap size that gives the limit for the results of
+	 * submissions that other hosts run, in bytes.
+	 */
+	private static final long RESULT_MEMORY_DIVISOR = 8;
+
 	/**
 	 * Maximum number of attempts to mark a submission as ended before the caller is asked
 	 * to retry.
@@ -65,7 +73,7 @@
 
 	private final Map<String, SubmissionStore.VersionedRecord> records = new ConcurrentHashMap<>();
 
-	private final Map<String, ResultLog> resultCache = new ConcurrentHashMap<>();
+	private final ResultCache resultCache = ResultCache.of(Runtime.getRuntime().maxMemory() / RESULT_MEMORY_DIVISOR);
 
 	private volatile Runnable onSilentOwner = () -> {
 	};
@@ -180,26 +188,59 @@
 			}
 			return Either.right(limitSize(ownResults.resultsFrom(after)));
 		}
-		ResultLog cachedResults = this.resultCache.computeIfAbsent(id, (unused) -> new ResultLog());
-		if (cachedResults.size() > after || after >= record.total()) {
-			return Either.right(limitSize(cachedResults.resultsFrom(after)));
-		}
 		long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(waitMillis);
-		while (cachedResults.size() <= after) {
-			int before = cachedResults.size();
-			Either<StoreFailure, Boolean> refreshed = refresh(id, cachedResults);
+		while (this.resultCache.size(id) <= after && after < record.total()) {
+			int before = this.resultCache.size(id);
+			Either<StoreFailure, Boolean> refreshed = refresh(id, before);
 			if (refreshed.isLeft()) {
 				return Either.left(refreshed.getLeft());
 			}
 			// A response may hold only part of the listed results.
-			if (cachedResults.size() == before) {
+			if (this.resultCache.size(id) == before) {
 				if (!refreshed.get() || System.nanoTime() >= deadlineNanos) {
 					break;
 				}
 				TimeUnit.MILLISECONDS.sleep(POLL_INTERVAL_MILLIS);
 			}
 		}
-		return Either.right(limitSize(cachedResults.resultsFrom(after)));
+		return (this.resultCache.size(id) > after) ? readKnown(id, after) : Either.right(List.of());
+	}
+
+	// Reads results that are known to be listed, again if they were dropped.
+	private Either<StoreFailure, List<ItemResult>> readKnown(String id, int after) {
+		List<ItemResult> results = this.resultCache.resultsFrom(id, after, MAX_RESPONSE_CHARACTERS);
+		OptionalInt start = this.resultCache.pageStart(id, after);
+		while (results.isEmpty() && start.isPresent()) {
+			int first = start.getAsInt();
+			Either<StoreFailure, Option<ResultLog.ResultPage>> page = readPage(id, first);
+			if (page.isLeft()) {
+				return Either.left(page.getLeft());
+			}
+			if (page.get().isEmpty()) {
+				break;
+			}
+			List<ItemResult> read = page.get().get().results();
+			this.resultCache.add(id, page.get().get());
+			if (first + read.size() > after) {
+				results = read.subList(after - first, read.size());
+			}
+			else {
+				// The owner had sent several pages at once.
+				start = this.resultCache.pageStart(id, after);
+			}
+		}
+		if (results.isEmpty()) {
+			// The next call reads all pages.
+			this.resultCache.remove(id);
+			return Either.left(new StoreFailure.Unavailable("results of " + id + " are being read again"));
+		}
+		return Either.right(limitSize(results));
+	}
+
+	private Either<StoreFailure, Option<ResultLog.ResultPage>> readPage(String id, int first) {
+		Option<List<ItemResult>> owned = readFromOwner(id, first).filter((results) -> !results.isEmpty());
+		return owned.isDefined() ? Either.right(owned.map((results) -> new ResultLog.ResultPage(first, results)))
+				: this.store.page(id, first).map((page) -> page.filter((found) -> found.first() == first));
 	}
 
 	/**
@@ -382,24 +423,32 @@
 		}
 	}
 
-	// Returns whether more results may follow.
-	private Either<StoreFailure, Boolean> refresh(String id, ResultLog cachedResults) {
-		SubmissionStore.VersionedRecord known = this.records.get(id);
-		if (known != null && !known.record().ended()) {
-			int first = cachedResults.size();
-			Either<PeerFailure, PeerMessage> response = this.mesh.call(known.record().owner(),
-					new PeerMessage.ResultsRequest(id, first, MAX_RESPONSE_CHARACTERS), PEER_TIMEOUT_MILLIS);
-			if (response.isRight() && response.get() instanceof PeerMessage.ResultsResponse results
-					&& results.known()) {
-				CoreJson.read(results.body(), ItemResult[].class).forEach((read) -> {
-					if (read.length > 0) {
-						cachedResults.add(new ResultLog.ResultPage(first, List.of(read)));
-					}
-				});
-				return Either.right(true);
+	// Reads the results after the known ones. Returns whether more may follow.
+	private Either<StoreFailure, Boolean> refresh(String id, int known) {
+		Option<List<ItemResult>> owned = readFromOwner(id, known);
+		if (owned.isDefined()) {
+			if (!owned.get().isEmpty()) {
+				this.resultCache.add(id, new ResultLog.ResultPage(known, owned.get()));
 			}
+			return Either.right(true);
+		}
+		return this.store.readPages(id, () -> this.resultCache.size(id), (page) -> this.resultCache.add(id, page))
+			.map((added) -> false);
+	}
+
+	// Returns whole pages from a position on; nothing if the submission has ended or its
+	// owner does not respond.
+	private Option<List<ItemResult>> readFromOwner(String id, int first) {
+		SubmissionStore.VersionedRecord known = this.records.get(id);
+		if (known == null || known.record().ended()) {
+			return Option.none();
+		}
+		Either<PeerFailure, PeerMessage> response = this.mesh.call(known.record().owner(),
+				new PeerMessage.ResultsRequest(id, first, MAX_RESPONSE_CHARACTERS), PEER_TIMEOUT_MILLIS);
+		if (response.isLeft() || !(response.get() instanceof PeerMessage.ResultsResponse results) || !results.known()) {
+			return Option.none();
 		}
-		return this.store.readPages(id, cachedResults).map((added) -> false);
+		return Option.some(CoreJson.read(results.body(), ItemResult[].class).map(List::of).getOrElse(List.of()));
 	}
 
 	private static List<ItemResult> limitSize(List<ItemResult> results) {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/version/SubmissionStore.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/version/SubmissionStore.java
@@ -4,6 +4,8 @@
 import java.util.Objects;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 import io.vavr.control.Either;
@@ -141,26 +143,48 @@
 	 * @return the number of added pages
 	 */
 	public Either<StoreFailure, Integer> readPages(String id, ResultLog log) {
+		return readPages(id, log::size, log::add);
+	}
+
+	/**
+	 * Reads the pages of results that follow the known ones.
+	 * @param id the submission
+	 * @param size returns the number of known results, which pages that are added raise
+	 * @param log adds a page to the known results and returns whether any was added
+	 * @return the number of added pages
+	 */
+	public Either<StoreFailure, Integer> readPages(String id, IntSupplier size, Predicate<ResultLog.ResultPage> log) {
 		int added = 0;
 		while (true) {
-			String after = (log.size() == 0) ? "" : pageName(log.size() - 1);
+			int before = size.getAsInt();
+			String after = (before == 0) ? "" : pageName(before - 1);
 			Either<StoreFailure, WatchableStore.Page> page = this.store.listPage(RESULTS_KIND_PREFIX + id, after);
 			if (page.isLeft()) {
 				return Either.left(page.getLeft());
 			}
-			int before = log.size();
 			for (StoredObject object : page.get().objects()) {
 				Option<ResultLog.ResultPage> read = CoreJson.read(object.body(), ResultLog.ResultPage.class);
-				if (read.isDefined() && log.add(read.get())) {
+				if (read.isDefined() && log.test(read.get())) {
 					added++;
 				}
 			}
-			if (!page.get().more() || log.size() == before) {
+			if (!page.get().more() || size.getAsInt() == before) {
 				return Either.right(added);
 			}
 		}
 	}
 
+	/**
+	 * Reads one page of results.
+	 * @param id the submission
+	 * @param first the position of its first result
+	 * @return the page, or nothing if no readable page begins there
+	 */
+	public Either<StoreFailure, Option<ResultLog.ResultPage>> page(String id, int first) {
+		return this.store.read(RESULTS_KIND_PREFIX + id + "/" + pageName(first))
+			.map((object) -> object.flatMap((found) -> CoreJson.read(found.body(), ResultLog.ResultPage.class)));
+	}
+
 	/**
 	 * Writes a page of results at its position.
 	 * @param id the submission
