Limit pages of results by their bytes in the store

Cause: a page was limited to 500,000 characters, up to 1.5 MB in UTF-8, and the store refuses an object of more than 1 MiB; the page was tried again as it was, and no later result can be listed before it. Ruled out: a store that is away; the log names the size. Pages, texts, partial texts and responses with results are limited by the bytes of their stored form now.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerMessage.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/connection/PeerMessage.java
@@ -540,10 +540,10 @@
 	 *
 	 * @param submission the submission
 	 * @param after the position of the first result
-	 * @param maxCharacters maximum number of characters of text in the response
+	 * @param maxBytes maximum size of the results in the response, in bytes
 	 */
 	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
-	record ResultsRequest(String submission, int after, int maxCharacters) implements PeerMessage {
+	record ResultsRequest(String submission, int after, int maxBytes) implements PeerMessage {
 	}
 
 	/**
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/request/DurableTextPolicy.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/request/DurableTextPolicy.java
@@ -21,10 +21,10 @@
 	static final int MIN_EVENTS = 40;
 
 	/**
-	 * Maximum amount of text stored for a submission, in characters; well below the
-	 * maximum size of a value in the store.
+	 * Maximum size of the texts stored for a submission, in bytes; well below the maximum
+	 * size of a value in the store.
 	 */
-	static final int MAX_CHARACTERS = 400_000;
+	static final int MAX_BYTES = 400_000;
 
 	private DurableTextPolicy() {
 	}
@@ -36,14 +36,14 @@
 	 */
 	public static List<TextPart> select(List<TextPart> texts) {
 		List<TextPart> selected = new ArrayList<>();
-		long characters = 0;
+		long bytes = 0;
 		List<TextPart> longestFirst = texts.stream()
 			.filter((text) -> text.events().size() >= MIN_EVENTS)
 			.sorted(Comparator.comparingInt((TextPart text) -> -text.events().size()).thenComparing(TextPart::item))
 			.toList();
 		for (TextPart text : longestFirst) {
-			characters += text.characters();
-			if (characters > MAX_CHARACTERS) {
+			bytes += text.storedBytes();
+			if (bytes > MAX_BYTES) {
 				break;
 			}
 			selected.add(text);
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/request/ItemResult.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/request/ItemResult.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Objects;
 
+import org.bamboorelay.core.version.JsonSize;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -18,6 +19,12 @@
  */
 public record ItemResult(String id, boolean completed, String output, List<Long> versions, @Nullable String score) {
 
+	/** Size of the names of all properties and of the characters between them. */
+	private static final int PROPERTY_BYTES = 80;
+
+	/** Maximum size of a version and the comma after it. */
+	private static final int VERSION_BYTES = 21;
+
 	public ItemResult {
 		Objects.requireNonNull(id, "id");
 		Objects.requireNonNull(output, "output");
@@ -33,4 +40,14 @@
 		return new ItemResult(id, false, "", List.of(), null);
 	}
 
+	/**
+	 * Returns the size of the result as it is stored and sent.
+	 * @return an upper bound in bytes of JSON
+	 */
+	public long storedBytes() {
+		return PROPERTY_BYTES + JsonSize.ofText(this.id) + JsonSize.ofText(this.output)
+				+ ((this.score != null) ? JsonSize.ofText(this.score) : 0)
+				+ (long) VERSION_BYTES * this.versions.size();
+	}
+
 }
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/request/ItemText.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/request/ItemText.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import java.util.TreeSet;
 
+import org.bamboorelay.core.version.JsonSize;
+
 /**
  * The text that the runs of an item have generated so far, with the weight version of
  * each event. Events are numbered from 1 without gaps.
@@ -12,11 +14,17 @@
  */
 public final class ItemText {
 
+	/** Maximum length of a text, in characters. */
+	public static final int MAX_CHARACTERS = 500_000;
+
 	/**
-	 * Maximum length of a text, in characters: a result is listed in one object of the
-	 * store, which has a maximum size.
+	 * Maximum size of a text as it is stored, in bytes: a result is listed in one object
+	 * of the store, which has a maximum size of 1 MiB.
 	 */
-	public static final int MAX_CHARACTERS = 500_000;
+	public static final int MAX_STORED_BYTES = 1_000_000;
+
+	/** Size of the line feed between two events as it is stored, in bytes. */
+	private static final int SEPARATOR_BYTES = 2;
 
 	/**
 	 * Heap memory that an event occupies in addition to its characters, in bytes: the
@@ -36,6 +44,8 @@
 
 	private long characters;
 
+	private long storedBytes;
+
 	/**
 	 * Returns the heap memory that an event occupies in a text.
 	 * @param data the data of the event
@@ -59,7 +69,8 @@
 	 * @return whether the event must not be appended
 	 */
 	public boolean wouldExceedLimit(String data) {
-		return this.characters + data.length() > MAX_CHARACTERS;
+		return this.characters + data.length() > MAX_CHARACTERS
+				|| this.storedBytes + JsonSize.ofText(data) + SEPARATOR_BYTES > MAX_STORED_BYTES;
 	}
 
 	/**
@@ -100,6 +111,7 @@
 		this.events.add(data);
 		this.versions.add(version);
 		this.characters += data.length();
+		this.storedBytes += JsonSize.ofText(data) + SEPARATOR_BYTES;
 		return true;
 	}
 
@@ -136,6 +148,7 @@
 		this.events.clear();
 		this.versions.clear();
 		this.characters = 0;
+		this.storedBytes = 0;
 	}
 
 	/**
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/request/ResultCache.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/request/ResultCache.java
@@ -68,20 +68,18 @@
 	 * Returns the results from a position on that are in memory.
 	 * @param submission the submission
 	 * @param start the position of the first result
-	 * @param maxCharacters the number of text characters after which no further page is
-	 * taken
+	 * @param maxBytes the heap memory of the pages after which no further page is taken,
+	 * in bytes
 	 * @return the results; empty if the page of the first one is unknown or was dropped
 	 */
-	public synchronized List<ItemResult> resultsFrom(String submission, int start, int maxCharacters) {
+	public synchronized List<ItemResult> resultsFrom(String submission, int start, long maxBytes) {
 		List<ItemResult> results = new ArrayList<>();
-		long characters = 0;
+		long bytes = 0;
 		Page page = page(submission, start);
-		while (page != null && page.results != null && characters <= maxCharacters) {
+		while (page != null && page.results != null && bytes <= maxBytes) {
 			this.kept.get(page);
-			for (ItemResult result : page.results.subList(Math.max(0, start - page.first), page.results.size())) {
-				characters += result.output().length();
-				results.add(result);
-			}
+			results.addAll(page.results.subList(Math.max(0, start - page.first), page.results.size()));
+			bytes += page.bytes;
 			page = page(submission, page.end);
 		}
 		return results;
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/request/ResultLog.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/request/ResultLog.java
@@ -42,18 +42,18 @@
 	 * Returns listed results up to the end of a page, so that a copy of the list can be
 	 * extended from the store, which finds pages by their first position.
 	 * @param start the position of the first result
-	 * @param maxCharacters the maximum number of text characters, exceeded only if a
-	 * single page has more
+	 * @param maxBytes the maximum size of the results as they are stored, in bytes,
+	 * exceeded only if a single page has more
 	 * @return the results
 	 */
-	public synchronized List<ItemResult> wholePages(int start, int maxCharacters) {
+	public synchronized List<ItemResult> wholePages(int start, long maxBytes) {
 		int end = start;
 		long size = 0;
 		for (int pageEnd : this.pageEnds.tailSet(start, false)) {
 			for (ItemResult result : this.listed.subList(end, pageEnd)) {
-				size += result.output().length();
+				size += result.storedBytes();
 			}
-			if (end > start && size > maxCharacters) {
+			if (end > start && size > maxBytes) {
 				break;
 			}
 			end = pageEnd;
@@ -87,22 +87,23 @@
 	/**
 	 * Returns the page to write next.
 	 * @param results the results that have no position yet
-	 * @param maxCharacters the maximum number of text characters in a page, exceeded only
+	 * @param maxBytes the maximum size of a page as it is stored, in bytes, exceeded only
 	 * by a single result
 	 * @return the page, or null if there is nothing to list
 	 */
-	public synchronized @Nullable ResultPage nextPage(List<ItemResult> results, int maxCharacters) {
+	public synchronized @Nullable ResultPage nextPage(List<ItemResult> results, long maxBytes) {
 		if (this.pendingPage == null) {
 			List<ItemResult> pageResults = new ArrayList<>();
 			long size = 0;
 			for (ItemResult result : results) {
-				size += result.output().length();
-				if (!pageResults.isEmpty() && size > maxCharacters) {
-					break;
+				if (this.listedIds.contains(result.id())) {
+					continue;
 				}
-				if (!this.listedIds.contains(result.id())) {
-					pageResults.add(result);
+				size += result.storedBytes();
+				if (!pageResults.isEmpty() && size > maxBytes) {
+					break;
 				}
+				pageResults.add(result);
 			}
 			this.pendingPage = pageResults.isEmpty() ? null : new ResultPage(this.listed.size(), pageResults);
 		}
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/request/TextPart.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/request/TextPart.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Objects;
 
+import org.bamboorelay.core.version.JsonSize;
+
 /**
  * Consecutive events of an item's text, in the form in which one host copies them to
  * another.
@@ -16,6 +18,11 @@
  */
 public record TextPart(String item, long after, List<String> events, List<Long> versions) {
 
+	/**
+	 * Maximum size of the quotes and commas of an event and of its version, in bytes.
+	 */
+	private static final int EVENT_OVERHEAD_BYTES = 24;
+
 	public TextPart {
 		Objects.requireNonNull(item, "item");
 		events = List.copyOf(events);
@@ -27,11 +34,11 @@
 	}
 
 	/**
-	 * Returns the amount of text.
-	 * @return the number of characters of all events
+	 * Returns the size of the events and their versions as they are stored.
+	 * @return an upper bound in bytes of JSON
 	 */
-	long characters() {
-		return this.events.stream().mapToLong(String::length).sum();
+	long storedBytes() {
+		return this.events.stream().mapToLong((event) -> JsonSize.ofText(event) + EVENT_OVERHEAD_BYTES).sum();
 	}
 
 	/**
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/request/DurableTextPolicyTests.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/request/DurableTextPolicyTests.java
@@ -26,7 +26,7 @@
 		List<TextPart> texts = Collections.nCopies(40, text("long", 174));
 		List<TextPart> selected = DurableTextPolicy.select(texts);
 		assertThat(selected).isNotEmpty();
-		assertThat(selected.size() * 174 * EVENT_CHARACTERS).isLessThanOrEqualTo(DurableTextPolicy.MAX_CHARACTERS);
+		assertThat(selected.size() * 174 * EVENT_CHARACTERS).isLessThanOrEqualTo(DurableTextPolicy.MAX_BYTES);
 	}
 
 	private static TextPart text(String item, int events) {
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionDirectory.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionDirectory.java
@@ -46,8 +46,11 @@
 	/** Timeout of a read from the owner, in milliseconds. */
 	private static final long PEER_TIMEOUT_MILLIS = 300;
 
-	/** Maximum amount of text in one response, in characters. */
-	private static final int MAX_RESPONSE_CHARACTERS = 700_000;
+	/**
+	 * Maximum size of the results in one response, in bytes; exceeded only by a single
+	 * result.
+	 */
+	private static final int MAX_RESPONSE_BYTES = 700_000;
 
 	/**
 	 * Divisor of the maximum heap size that gives the limit for the results of
@@ -208,7 +211,7 @@
 
 	// Reads results that are known to be listed, again if they were dropped.
 	private Either<StoreFailure, List<ItemResult>> readKnown(String id, int after) {
-		List<ItemResult> results = this.resultCache.resultsFrom(id, after, MAX_RESPONSE_CHARACTERS);
+		List<ItemResult> results = this.resultCache.resultsFrom(id, after, MAX_RESPONSE_BYTES);
 		OptionalInt start = this.resultCache.pageStart(id, after);
 		while (results.isEmpty() && start.isPresent()) {
 			int first = start.getAsInt();
@@ -388,7 +391,7 @@
 		if (ownResults == null || (ownResults.size() <= message.after() && ownResults.isOutcomeUnknown())) {
 			return new PeerMessage.ResultsResponse(false, new byte[0]);
 		}
-		List<ItemResult> results = ownResults.wholePages(message.after(), message.maxCharacters());
+		List<ItemResult> results = ownResults.wholePages(message.after(), message.maxBytes());
 		return new PeerMessage.ResultsResponse(true, CoreJson.bytes(results));
 	}
 
@@ -444,7 +447,7 @@
 			return Option.none();
 		}
 		Either<PeerFailure, PeerMessage> response = this.mesh.call(known.record().owner(),
-				new PeerMessage.ResultsRequest(id, first, MAX_RESPONSE_CHARACTERS), PEER_TIMEOUT_MILLIS);
+				new PeerMessage.ResultsRequest(id, first, MAX_RESPONSE_BYTES), PEER_TIMEOUT_MILLIS);
 		if (response.isLeft() || !(response.get() instanceof PeerMessage.ResultsResponse results) || !results.known()) {
 			return Option.none();
 		}
@@ -455,8 +458,8 @@
 		List<ItemResult> taken = new ArrayList<>();
 		long size = 0;
 		for (ItemResult result : results) {
-			size += result.output().length();
-			if (!taken.isEmpty() && size > MAX_RESPONSE_CHARACTERS) {
+			size += result.storedBytes();
+			if (!taken.isEmpty() && size > MAX_RESPONSE_BYTES) {
 				break;
 			}
 			taken.add(result);
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/SubmissionRunner.java
@@ -24,7 +24,6 @@
 import org.bamboorelay.core.process.MemoryBudget;
 import org.bamboorelay.core.request.DurableTextPolicy;
 import org.bamboorelay.core.request.ItemOrder;
-import org.bamboorelay.core.request.ItemText;
 import org.bamboorelay.core.request.LengthEstimate;
 import org.bamboorelay.core.request.PageWritePolicy;
 import org.bamboorelay.core.request.ReplicatedTexts;
@@ -55,10 +54,10 @@
 public final class SubmissionRunner {
 
 	/**
-	 * Maximum amount of text in one page, in characters; well below the maximum size of a
-	 * value in the store.
+	 * Maximum size of a page as it is stored, in bytes, exceeded only by a single result;
+	 * well below the maximum size of a value in the store.
 	 */
-	private static final int MAX_PAGE_CHARACTERS = ItemText.MAX_CHARACTERS;
+	private static final int MAX_PAGE_BYTES = 500_000;
 
 	/** Interval between two passes over waiting items and results, in milliseconds. */
 	private static final long PASS_INTERVAL_MILLIS = 20;
@@ -501,7 +500,7 @@
 
 	private void writeNextPage(ActiveSubmission running) {
 		String id = running.state().submission().id();
-		ResultLog.ResultPage page = running.results().nextPage(running.state().unlistedResults(), MAX_PAGE_CHARACTERS);
+		ResultLog.ResultPage page = running.results().nextPage(running.state().unlistedResults(), MAX_PAGE_BYTES);
 		if (page == null) {
 			return;
 		}
