Measure the lease of another host with the steady clock

Cause: a host's clock counts a forward step of the time of day as time in which its machine was suspended. That is right for the expiry of its own lease, where too early is safe, but the same clock measured how long the lease of another host had been unchanged, and when a former holder may contend again. Ruled out: a holder that keeps its lease too long. The steady clock measures both now; the other one only the own lease.

LeaseStateTests#contenderDoesNotTakeOverEarlyWhenItsWallClockSteps fails with one clock for both (trial on a scratch copy) and passes now.

--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/process/LeaseState.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/process/LeaseState.java
@@ -40,8 +40,18 @@
 
 	private final String holder;
 
+	/**
+	 * Measures how long other holders have been silent. It must not run ahead of real
+	 * time, because a lease would then be taken over while its holder still acts.
+	 */
 	private final Clock clock;
 
+	/**
+	 * Measures how long the own lease is valid. It must not run behind real time, because
+	 * the lease would then be used after another process has taken it over.
+	 */
+	private final Clock expiryClock;
+
 	private final Supplier<Timing> timing;
 
 	private final DoubleSupplier random;
@@ -76,13 +86,14 @@
 
 	private boolean onStandby;
 
-	private LeaseState(String key, String holder, Clock clock, Supplier<Timing> timing, DoubleSupplier random,
-			BooleanSupplier contendCondition, @Nullable String predecessorPrefix) {
+	private LeaseState(String key, String holder, Clock clock, Clock expiryClock, Supplier<Timing> timing,
+			DoubleSupplier random, BooleanSupplier contendCondition, @Nullable String predecessorPrefix) {
 		this.predecessorPrefix = predecessorPrefix;
 		this.contendCondition = Objects.requireNonNull(contendCondition, "contendCondition");
 		this.key = Objects.requireNonNull(key, "key");
 		this.holder = Objects.requireNonNull(holder, "holder");
 		this.clock = Objects.requireNonNull(clock, "clock");
+		this.expiryClock = Objects.requireNonNull(expiryClock, "expiryClock");
 		this.timing = Objects.requireNonNull(timing, "timing");
 		this.random = random;
 		this.backoff = Backoff.of(RETRY_BASE_MILLIS, MAX_RETRY_DELAY_MILLIS, random);
@@ -92,14 +103,16 @@
 	 * Creates a contender for a lease.
 	 * @param key the key of the lease
 	 * @param holder the name of this process, unique for each start of it
-	 * @param clock the monotonic clock of the process
+	 * @param clock the monotonic clock of the process, which never runs ahead of real
+	 * time; also measures the validity of the own lease, unless {@link #withExpiryClock}
+	 * names another clock
 	 * @param timing returns the timing in force, which depends on the inventory
 	 * @param random returns numbers from 0 (inclusive) to 1 (exclusive), for jitter
 	 * @return the contender
 	 */
 	public static LeaseState of(String key, String holder, Clock clock, Supplier<Timing> timing,
 			DoubleSupplier random) {
-		return new LeaseState(key, holder, clock, timing, random, () -> true, null);
+		return new LeaseState(key, holder, clock, clock, timing, random, () -> true, null);
 	}
 
 	/**
@@ -113,10 +126,21 @@
 	 * @return the new contender, which shares no state with this one
 	 */
 	public LeaseState contendingWhen(BooleanSupplier condition) {
-		return new LeaseState(this.key, this.holder, this.clock, this.timing, this.random, condition,
+		return new LeaseState(this.key, this.holder, this.clock, this.expiryClock, this.timing, this.random, condition,
 				this.predecessorPrefix);
 	}
 
+	/**
+	 * Returns a contender that measures the validity of its own lease with another clock.
+	 * @param newExpiryClock a clock that includes the time during which the machine was
+	 * suspended, and that may run ahead of real time
+	 * @return the new contender, which shares no state with this one
+	 */
+	public LeaseState withExpiryClock(Clock newExpiryClock) {
+		return new LeaseState(this.key, this.holder, this.clock, newExpiryClock, this.timing, this.random,
+				this.contendCondition, this.predecessorPrefix);
+	}
+
 	/**
 	 * Returns a contender that takes over the lease at once if its holder is an earlier
 	 * start of the same process, which has ended.
@@ -124,8 +148,8 @@
 	 * @return the new contender, which shares no state with this one
 	 */
 	public LeaseState withPredecessorPrefix(String holderPrefix) {
-		return new LeaseState(this.key, this.holder, this.clock, this.timing, this.random, this.contendCondition,
-				holderPrefix);
+		return new LeaseState(this.key, this.holder, this.clock, this.expiryClock, this.timing, this.random,
+				this.contendCondition, holderPrefix);
 	}
 
 	/**
@@ -134,7 +158,7 @@
 	 * released
 	 */
 	public synchronized boolean isHeld() {
-		return this.fencing > 0 && !this.releasing && this.clock.millis() < this.validUntilMillis;
+		return this.fencing > 0 && !this.releasing && this.expiryClock.millis() < this.validUntilMillis;
 	}
 
 	/**
@@ -280,7 +304,7 @@
 		if (ownWrite != null && body != null) {
 			this.pendingWrites.clear();
 			this.fencing = body.released() ? 0 : body.fencing();
-			this.validUntilMillis = ownWrite.sentAtMillis() + this.timing.get().durationMillis();
+			this.validUntilMillis = ownWrite.expiryStartMillis() + this.timing.get().durationMillis();
 			this.nextOperationMillis = this.releasing ? nowMillis
 					: ownWrite.sentAtMillis() + this.timing.get().renewIntervalMillis();
 		}
@@ -327,7 +351,7 @@
 		if (this.pendingWrites.size() == MAX_PENDING_WRITES) {
 			this.pendingWrites.removeFirst();
 		}
-		this.pendingWrites.addLast(new PendingWrite(token, nowMillis));
+		this.pendingWrites.addLast(new PendingWrite(token, nowMillis, this.expiryClock.millis()));
 		return new StoreOperation.Write(this.key, CoreJson.bytes(new Body(this.holder, token, fencingNumber, released)),
 				this.lastVersion);
 	}
@@ -384,7 +408,7 @@
 
 	}
 
-	private record PendingWrite(String token, long sentAtMillis) {
+	private record PendingWrite(String token, long sentAtMillis, long expiryStartMillis) {
 	}
 
 	private record Body(String holder, String token, long fencing, boolean released) {
--- a/bamboorelay-core/src/main/java/org/bamboorelay/core/time/SuspendAwareClock.java
+++ b/bamboorelay-core/src/main/java/org/bamboorelay/core/time/SuspendAwareClock.java
@@ -7,7 +7,8 @@
  * JDK's monotonic clock stops during a suspension, so that a lease would appear to be
  * valid after its expiry. A forward jump of the wall clock relative to the monotonic
  * clock is treated as a suspension. If it was an adjustment of the wall clock instead,
- * leases merely expire early.
+ * this clock runs ahead of real time, so it must be used only where too early is safe:
+ * for the expiry of what this process holds, never for the silence of others.
  * <p>
  * Thread-safe; guarded by its own lock.
  */
--- a/bamboorelay-core/src/test/java/org/bamboorelay/core/process/LeaseStateTests.java
+++ b/bamboorelay-core/src/test/java/org/bamboorelay/core/process/LeaseStateTests.java
@@ -6,6 +6,7 @@
 import org.bamboorelay.core.store.FakeObjectStore;
 import org.bamboorelay.core.store.FakeObjectStore.Fault;
 import org.bamboorelay.core.time.ManualClock;
+import org.bamboorelay.core.time.SuspendAwareClock;
 import org.bamboorelay.core.version.FailureDomain;
 import org.bamboorelay.core.version.HostId;
 import org.junit.jupiter.api.Test;
@@ -175,6 +176,45 @@
 			.containsAll(contenders.subList(1, 3));
 	}
 
+	// Guards against a contender that takes a step of the wall clock for time during
+	// which
+	// the holder was silent, so that both act at the same time.
+	@Test
+	void contenderDoesNotTakeOverEarlyWhenItsWallClockSteps() {
+		ManualClock wall = ManualClock.of(5_000_000);
+		LeaseState contender = lease("contender").withExpiryClock(SuspendAwareClock.of(this.clock, wall));
+		performAllOperations(this.first);
+		performAllOperations(contender);
+		for (int step = 0; step < 10; step++) {
+			wall.advance(TIMING.takeoverDelayMillis());
+			performAllOperations(contender);
+			assertThat(contender.isHeld()).as("after step %s", step).isFalse();
+		}
+		this.clock.advance(TIMING.durationMillis() - 1);
+		performAllOperations(contender);
+		assertThat(this.first.isHeld()).isTrue();
+		assertThat(contender.isHeld()).isFalse();
+		this.clock.advance(TIMING.takeoverDelayMillis());
+		performAllOperations(contender);
+		assertThat(contender.fencing()).isEqualTo(2);
+	}
+
+	// Guards against a holder that considers its lease valid after its machine was
+	// suspended, while the monotonic clock stood still.
+	@Test
+	void leaseEndsWhenItsHolderWasSuspended() {
+		ManualClock wall = ManualClock.of(5_000_000);
+		LeaseState holder = lease("holder").withExpiryClock(SuspendAwareClock.of(this.clock, wall));
+		performAllOperations(holder);
+		assertThat(holder.isHeld()).isTrue();
+		wall.advance(TIMING.durationMillis());
+		assertThat(holder.isHeld()).isFalse();
+		performAllOperations(this.second);
+		this.clock.advance(TIMING.renewIntervalMillis());
+		performAllOperations(holder);
+		assertThat(holder.fencing()).as("renewed, as nobody took it over").isEqualTo(1);
+	}
+
 	private LeaseState lease(String holder) {
 		return LeaseState.of("leases/gt-centro-a", holder, this.clock, () -> TIMING, () -> 0.5);
 	}
--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/process/HostProcess.java
@@ -147,7 +147,10 @@
 
 	private final Counters counters = Counters.create();
 
-	private final Clock clock = SuspendAwareClock.of(Clock.monotonic(), Clock.wall());
+	/** Never runs ahead of real time; stands still while the machine is suspended. */
+	private final Clock steadyClock = Clock.monotonic();
+
+	private final Clock clock = SuspendAwareClock.of(this.steadyClock, Clock.wall());
 
 	private final ExecutorService executor = Executors.newCachedThreadPool((task) -> {
 		Thread thread = new Thread(task);
@@ -249,7 +252,7 @@
 		this.store = new PeerFallbackStore(Objects.requireNonNull(store, "store"), this.mesh, this.clock, this.counters,
 				this.log);
 		this.usage = new UsageMeter(this.incarnation, settings.usageWindowMillis());
-		AtomicLong lastHeldMillis = new AtomicLong(this.clock.millis());
+		AtomicLong lastHeldMillis = new AtomicLong(this.steadyClock.millis());
 		long leaseDurationMillis = settings.leaseMillis() * 2 / 3;
 		LeaseState.Timing timing = new LeaseState.Timing(leaseDurationMillis, leaseDurationMillis / RENEWALS_PER_LEASE,
 				leaseDurationMillis + LEASE_ACQUIRE_MARGIN_MILLIS, leaseDurationMillis / RENEWALS_PER_LEASE);
@@ -257,10 +260,11 @@
 		// a restart, waits before it contends again. A host that receives the status of a
 		// live holder does not contend.
 		this.lease = LeaseState
-			.of(DutyLoop.LEASE_KEY, settings.host() + "/" + this.incarnation, this.clock, () -> timing,
+			.of(DutyLoop.LEASE_KEY, settings.host() + "/" + this.incarnation, this.steadyClock, () -> timing,
 					() -> ThreadLocalRandom.current().nextDouble())
+			.withExpiryClock(this.clock)
 			.withPredecessorPrefix(settings.host() + "/")
-			.contendingWhen(() -> this.clock.millis() - lastHeldMillis.get() > settings.leaseMillis()
+			.contendingWhen(() -> this.steadyClock.millis() - lastHeldMillis.get() > settings.leaseMillis()
 					&& this.mesh.dutyHolder() == null && this.mesh.mayHoldDuties());
 		this.lastHeldMillis = lastHeldMillis;
 		registerPlacementCounts();
@@ -705,7 +709,7 @@
 	private void runMaintenance() {
 		long now = this.clock.millis();
 		if (this.lease.isHeld()) {
-			this.lastHeldMillis.set(now);
+			this.lastHeldMillis.set(this.steadyClock.millis());
 			this.table.loading(this.weightLoadScheduler.loading());
 			this.table.assignedModels(this.weightLoadScheduler.assignedModels());
 		}
