Wait for accepted connections in the test of idle ones

The listener closes a connection for a new one if it was accepted at least 200 ms ago. It now waits until the listener holds all of them, and then the same 400 ms; all of its checks stay. That the accepting thread was delayed in the failed run is likely and not shown by a trace.

--- a/bamboorelay-runtime/src/test/java/org/bamboorelay/runtime/connection/ListenerLimitsTests.java
+++ b/bamboorelay-runtime/src/test/java/org/bamboorelay/runtime/connection/ListenerLimitsTests.java
@@ -126,6 +126,10 @@
 			for (int number = 0; number < 4; number++) {
 				idle.add(connect(listener));
 			}
+			// A connection is idle from the time at which it was accepted.
+			while (listener.connections() < idle.size()) {
+				LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(5));
+			}
 			LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(400));
 			try (Socket caller = connect(listener)) {
 				write(caller, HEAD + "Content-Length: 1\r\nConnection: close\r\n\r\nx");
