Reflow a comment of the stream relay

The formatter had left one word on a line of its own. No code changes; the module builds with its format and lint checks, and no test was run again.

--- a/bamboorelay-host/src/main/java/org/bamboorelay/host/request/StreamRelay.java
+++ b/bamboorelay-host/src/main/java/org/bamboorelay/host/request/StreamRelay.java
@@ -260,9 +260,8 @@
 			return new OpenStream(grant, endpointResponse, exchange, suspect);
 		}
 
-		// Ends a stream whose body was not requested: its response has no body, or the
-		// head
-		// could not be sent.
+		// Ends a stream whose body was never asked for, because its response has none or
+		// its head could not be sent.
 		private void abandonUnlessWritten(OpenStream openStream) {
 			if (!this.written) {
 				openStream.exchange().close();
