--- a/review/standins-3/review3/Engine.java
+++ b/review/standins-3/review3/Engine.java
@@ -24,6 +24,14 @@
 	/** How often each request began to run here. */
 	final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
 
+	/** When each request was here last: at a begin or an end of a run; while it runs, now. */
+	final Map<String, Long> lastHere = new ConcurrentHashMap<>();
+
+	final Map<String, AtomicInteger> here = new ConcurrentHashMap<>();
+
+	/** The requests whose last event was sent. */
+	final java.util.Set<String> finished = ConcurrentHashMap.newKeySet();
+
 	/** The id of the request that crashes this server; none if no request does. */
 	volatile String poison = "";
 
@@ -93,6 +101,8 @@
 		int after = request.header("Last-Event-Id").isEmpty() ? 0 : Integer.parseInt(request.header("Last-Event-Id"));
 		this.runs.computeIfAbsent(number, (unused) -> new AtomicInteger()).incrementAndGet();
 		this.running.incrementAndGet();
+		this.lastHere.put(number, System.nanoTime());
+		this.here.computeIfAbsent(number, (unused) -> new AtomicInteger()).incrementAndGet();
 		try {
 			Map<String, String> headers = new LinkedHashMap<>();
 			headers.put("X-Request-Id", number);
@@ -111,8 +121,11 @@
 				connection.chunk("id: " + event + "\ndata: " + data(number, event, this.eventBytes) + "\n\n");
 			}
 			connection.endChunks();
+			this.finished.add(number);
 		}
 		finally {
+			this.here.get(number).decrementAndGet();
+			this.lastHere.put(number, System.nanoTime());
 			this.running.decrementAndGet();
 		}
 		return true;
