--- a/review/standins-3/review3/Lab.java
+++ b/review/standins-3/review3/Lab.java
@@ -79,23 +79,19 @@
 
 	/** Runs a case and ends the process with its result: 0 held, 1 broken, 2 could not run. */
 	static void main(String recordFile, Case body) {
-		int result = 2;
+		int[] result = { 2 };
 		try (Lab lab = new Lab(Path.of(recordFile))) {
-			try {
-				result = body.run(lab) ? 0 : 1;
-				lab.finished = true;
-			}
-			catch (Exception | Error ex) {
-				lab.log("the case could not run: " + ex);
-				ex.printStackTrace();
-			}
-			lab.log("result " + result);
-			System.out.println("result " + result + ", see " + recordFile);
+			result[0] = body.run(lab) ? 0 : 1;
+			lab.finished = true;
+			lab.log("result " + result[0]);
+			System.out.println("result " + result[0] + ", see " + recordFile);
 		}
-		catch (IOException ex) {
+		catch (Throwable ex) {
 			System.err.println("the case could not run: " + ex);
 		}
-		System.exit(result);
+		finally {
+			System.exit(result[0]);
+		}
 	}
 
 	/** The operator's desired state: a rollout route and a plain route. */
